--- /dev/null
+++ b/cucumber.js
@@ -0,0 +1,6 @@
+export default {
+  paths: ['packages/*/src/test/*.feature'],
+  import: ['packages/*/dist/test/*.steps.js'],
+  format: ['summary', 'json:out/cucumber.json'],
+  publishQuiet: true
+}
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,7 @@
+import neostandard from 'neostandard'
+
+export default [
+  { ignores: ['**/dist/**', '**/generated/**', 'out/**'] },
+  ...neostandard({ ts: true }),
+  { rules: { '@stylistic/quote-props': 'off' } }
+]
--- /dev/null
+++ b/packages/bench/src/lib/daemon-process.ts
@@ -0,0 +1,68 @@
+/**
+ * A daemon as a child process of a launcher. Daemons themselves start no process.
+ */
+import { type ChildProcess, spawn } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createRequire } from 'node:module'
+import { tmpdir } from 'node:os'
+import { dirname, join } from 'node:path'
+
+/** Token for the operator interfaces of demo and soak. */
+export const launcherToken = 'launcher-token-for-loopback-only'
+
+const require = createRequire(import.meta.url)
+const daemonMain = join(dirname(require.resolve('@hazelford/daemon')), 'main.js')
+const startTimeoutMs = 20_000
+
+/** A running daemon. */
+export interface DaemonProcess {
+  readonly name: string
+  readonly pid: number
+  readonly port: number
+  readonly operatorPort: number
+  readonly signal: (signal: NodeJS.Signals) => void
+  /** Resolves with the exit code; null after a signal. */
+  readonly exited: Promise<number | null>
+  readonly output: () => string
+}
+
+interface Ready { readonly port: number, readonly operatorPort: number }
+
+function waitReady (child: ChildProcess, name: string, output: () => string): Promise<Ready> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => reject(new Error(`${name} did not start in time.\n${output()}`)), startTimeoutMs)
+    let text = ''
+    child.stdout!.on('data', (part: Buffer) => {
+      text += part.toString()
+      if (!text.includes('\n')) return
+      clearTimeout(timer)
+      resolve(JSON.parse(text.split('\n')[0]!) as Ready)
+    })
+    child.once('exit', code => reject(new Error(`${name} ended with ${code}.\n${output()}`)))
+  })
+}
+
+/**
+ * Starts a daemon.
+ *
+ * @param name - of the process
+ * @param settings - TOML text
+ * @param nodeArgs - for node, such as `--cpu-prof`
+ * @returns once it listens
+ */
+export async function startDaemonProcess (name: string, settings: string, nodeArgs: readonly string[] = []): Promise<DaemonProcess> {
+  const dir = mkdtempSync(join(tmpdir(), 'hazelford-'))
+  const file = join(dir, `${name}.toml`)
+  writeFileSync(file, settings, { mode: 0o600 })
+  const child = spawn(process.execPath, [...nodeArgs, daemonMain, '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+  let log = ''
+  child.stderr.on('data', (part: Buffer) => { log = (log + part.toString()).slice(-20_000) })
+  const exited = new Promise<number | null>(resolve => {
+    child.once('exit', code => {
+      rmSync(dir, { recursive: true, force: true })
+      resolve(code)
+    })
+  })
+  const ready = await waitReady(child, name, () => log)
+  return { name, pid: child.pid!, ...ready, signal: signal => { child.kill(signal) }, exited, output: () => log }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The daemon as a library: settings in, a running process out.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/run-daemon.js'
--- /dev/null
+++ b/packages/daemon/src/lib/process-parts.ts
@@ -0,0 +1,37 @@
+/**
+ * Parts that every daemon has, whatever its role.
+ */
+import { type Clock, EventRing, HybridClock, type Log, systemClock } from '@hazelford/core'
+import type { Settings } from '@hazelford/config'
+import { createKvClient, type KvClient } from '@hazelford/platform'
+import type { Meter } from '@hazelford/sidecar'
+import { createBunyanLog } from './bunyan-log.js'
+import { createStatsdMeter } from './statsd-meter.js'
+
+/** Clock, logs, metrics, events and the key-value service. */
+export interface ProcessParts {
+  readonly clock: Clock
+  readonly log: Log
+  readonly hlc: HybridClock
+  readonly events: EventRing
+  readonly meter: Meter
+  readonly kv: KvClient
+}
+
+/**
+ * Builds the common parts.
+ *
+ * @param settings - of the daemon
+ */
+export function createProcessParts (settings: Settings): ProcessParts {
+  const hlc = new HybridClock(systemClock)
+  const { name, zone, role } = settings
+  return {
+    clock: systemClock,
+    log: createBunyanLog(name, settings.log_level),
+    hlc,
+    events: new EventRing(hlc),
+    meter: createStatsdMeter(settings.statsd, { name, zone, role }),
+    kv: createKvClient(settings.kv_url)
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/lib/choose-upstream.ts
@@ -0,0 +1,122 @@
+/**
+ * Chooses the upstream for a request.
+ */
+import type { AdapterKey, Ms } from '@hazelford/core'
+import { rendezvousOrder } from './rendezvous.js'
+import type { UpstreamView } from './upstream-view.js'
+
+/** Weights of the costs, from the configuration. */
+export interface RouteWeights {
+  readonly stall: number
+  readonly queue: number
+  readonly batch: number
+  readonly zonePenalty: Ms
+}
+
+/** What is to be sent. */
+export interface RouteQuery {
+  readonly adapter?: AdapterKey
+  /** Given for a keyed call: repeats prefer the same upstream. */
+  readonly homeKey?: string
+  /** The entry's own zone. */
+  readonly zone: string
+  /** Upstreams that refused this request already. */
+  readonly tried: ReadonlySet<string>
+}
+
+/** A load elsewhere costs the shared weight store, not only this request. */
+const extraReplicaFactor = 2
+/** An adapter's preferred upstream may carry this much more than the mean. */
+const loadBound = 1.25
+/** Costs closer than this (ms) count as equal. */
+const costTolerance: Ms = 2
+
+function candidatesOf (query: RouteQuery, views: readonly UpstreamView[], now: Ms): readonly UpstreamView[] {
+  const open = views.filter(view => view.accepts(now))
+  const fresh = open.filter(view => !query.tried.has(view.name))
+  return fresh.length > 0 ? fresh : open
+}
+
+/** Power of two choices: of two at random, the one with less to do. */
+function lighterOfTwo (candidates: readonly UpstreamView[], query: RouteQuery, weights: RouteWeights, now: Ms, random: () => number): UpstreamView {
+  const pick = (): UpstreamView => candidates[Math.floor(random() * candidates.length)]!
+  const [a, b] = [pick(), pick()]
+  const cost = (view: UpstreamView): number =>
+    (view.load + 1) / view.report.places / view.warmth(now) + (view.zone === query.zone ? 0 : weights.zonePenalty / view.report.serviceMs)
+  return cost(a) <= cost(b) ? a : b
+}
+
+/** Rank of each candidate for an adapter that is loaded nowhere, bounded by load. */
+function placementOrder (adapter: AdapterKey, candidates: readonly UpstreamView[], now: Ms): ReadonlyMap<string, number> {
+  const mean = candidates.reduce((sum, view) => sum + view.load / view.report.places, 0) / candidates.length
+  const bound = loadBound * mean + 1 / candidates.length
+  const order = rendezvousOrder(adapter, candidates.map(view => view.name))
+  const byName = new Map(candidates.map(view => [view.name, view]))
+  const fits = (name: string): boolean => {
+    const view = byName.get(name)!
+    return view.load / view.report.places <= bound * view.warmth(now)
+  }
+  const sorted = [...order.filter(fits), ...order.filter(name => !fits(name))]
+  return new Map(sorted.map((name, rank) => [name, rank]))
+}
+
+function stallCost (view: UpstreamView, adapter: AdapterKey, heldSomewhere: boolean): Ms {
+  const { loadMs, loadsWaiting } = view.report
+  switch (view.adapterState(adapter)) {
+    case 'loaded': return 0
+    case 'loading': return loadMs / 2
+    case 'absent': return loadMs * (1 + loadsWaiting) * (heldSomewhere ? extraReplicaFactor : 1)
+  }
+}
+
+/** Gain of joining a batch that runs and has room, in ms of service. */
+function batchGain (view: UpstreamView): Ms {
+  const { places, serviceMs } = view.report
+  const room = places - view.load
+  return room <= 0 ? 0 : Math.min(1, view.load / places) * serviceMs
+}
+
+/**
+ * Chooses where a request goes.
+ *
+ * Loaded adapters attract their requests until the queue there costs more than a
+ * load elsewhere; that is also what adds a replica of a popular adapter. An adapter
+ * held nowhere goes to its rendezvous upstream, which all entries agree on without
+ * talking, unless that one carries more than its share.
+ *
+ * @param query - the request
+ * @param views - upstreams of its service
+ * @param weights - from the configuration
+ * @param now - time of the views' clock
+ * @param random - uniform in [0, 1)
+ * @returns the chosen upstream, or undefined when none accepts work
+ */
+export function chooseUpstream (query: RouteQuery, views: readonly UpstreamView[], weights: RouteWeights, now: Ms, random: () => number): UpstreamView | undefined {
+  const candidates = candidatesOf(query, views, now)
+  if (candidates.length === 0) return undefined
+  if (query.homeKey !== undefined) {
+    const home = rendezvousOrder(query.homeKey, candidates.map(view => view.name))[0]
+    return candidates.find(view => view.name === home)
+  }
+  if (query.adapter === undefined) return lighterOfTwo(candidates, query, weights, now, random)
+
+  const { adapter } = query
+  const heldSomewhere = candidates.some(view => view.adapterState(adapter) !== 'absent')
+  const placement = placementOrder(adapter, candidates, now)
+  let best: UpstreamView | undefined
+  let least = Infinity
+  for (const view of candidates) {
+    const cost = weights.stall * stallCost(view, adapter, heldSomewhere) +
+      weights.queue * view.queueWait() / view.warmth(now) -
+      weights.batch * batchGain(view) +
+      (view.zone === query.zone ? 0 : weights.zonePenalty) +
+      (heldSomewhere ? 0 : placement.get(view.name)! * view.report.loadMs) +
+      // Entries see the same late reports. A little noise keeps them from all
+      // choosing the same upstream between two reports.
+      random() * costTolerance
+    if (cost >= least) continue
+    best = view
+    least = cost
+  }
+  return best
+}
--- /dev/null
+++ b/packages/decisions/src/lib/decayed-counter.ts
@@ -0,0 +1,43 @@
+/**
+ * Counts that fade, so that what was popular yesterday does not hold a slot today.
+ */
+import type { Ms } from '@hazelford/core'
+
+interface Count { readonly value: number, readonly at: Ms }
+
+const forgetBelow = 0.01
+
+/** Exponentially decayed counts by key. */
+export class DecayedCounter {
+  private readonly _counts = new Map<string, Count>()
+
+  /**
+   * @param _halfLife - ms in which a count halves
+   * @param _capacity - keys kept; the faintest go first
+   */
+  constructor (private readonly _halfLife: Ms, private readonly _capacity = 100_000) {}
+
+  /** Counts one use. */
+  add (key: string, at: Ms): void {
+    this._counts.set(key, { value: this.read(key, at) + 1, at })
+    if (this._counts.size > this._capacity) this._prune(at)
+  }
+
+  /** Decayed count now. */
+  read (key: string, at: Ms): number {
+    const count = this._counts.get(key)
+    if (count === undefined) return 0
+    return count.value * 0.5 ** ((at - count.at) / this._halfLife)
+  }
+
+  private _prune (at: Ms): void {
+    for (const key of this._counts.keys()) {
+      if (this.read(key, at) < forgetBelow) this._counts.delete(key)
+    }
+    // All may still be above the floor; insertion order then stands for age.
+    for (const key of this._counts.keys()) {
+      if (this._counts.size <= this._capacity) return
+      this._counts.delete(key)
+    }
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/lib/plan-messages.ts
@@ -0,0 +1,51 @@
+/**
+ * Messages and effects of the decisions for one upstream.
+ */
+import type { AdapterKey, FailureCode, Ms } from '@hazelford/core'
+import type { PlanRequest } from './waiting-line.js'
+
+/** Limits of an upstream, from the configuration. */
+export interface PlanLimits {
+  readonly slots: number
+  readonly places: number
+  readonly queueLimit: number
+  /** How long drafts may wait for company when the engine is idle. */
+  readonly draftLinger: Ms
+}
+
+/** What happened. Every message carries the time at which it did. */
+export type PlanMessage =
+  | { readonly kind: 'arrive', readonly at: Ms, readonly request: PlanRequest }
+  | { readonly kind: 'withdraw', readonly at: Ms, readonly id: string }
+  | { readonly kind: 'finished', readonly at: Ms, readonly id: string, readonly ran: boolean }
+  | { readonly kind: 'not-loaded', readonly at: Ms, readonly id: string }
+  | { readonly kind: 'permit', readonly at: Ms }
+  | { readonly kind: 'load-ended', readonly at: Ms, readonly adapter: AdapterKey, readonly loaded: boolean, readonly took: Ms }
+  | { readonly kind: 'unload-ended', readonly at: Ms, readonly adapter: AdapterKey, readonly outcome: 'unloaded' | 'unknown' }
+  | { readonly kind: 'slots-listed', readonly at: Ms, readonly loaded: readonly AdapterKey[] }
+  | { readonly kind: 'limits', readonly at: Ms, readonly limits: PlanLimits }
+  | { readonly kind: 'leave', readonly at: Ms }
+  | { readonly kind: 'tick', readonly at: Ms }
+
+/** What the task must do. */
+export type PlanEffect =
+  | { readonly kind: 'start', readonly id: string }
+  | { readonly kind: 'refuse', readonly id: string, readonly code: FailureCode, readonly retryAfter: Ms }
+  | { readonly kind: 'want-permit', readonly rank: number }
+  | { readonly kind: 'return-permit' }
+  | { readonly kind: 'load', readonly adapter: AdapterKey }
+  | { readonly kind: 'unload', readonly adapter: AdapterKey }
+  | { readonly kind: 'list-slots' }
+  | { readonly kind: 'wake', readonly after: Ms }
+
+/** What the sidecar reports to entries. */
+export interface PlanReport {
+  readonly running: number
+  readonly queued: number
+  readonly places: number
+  readonly slots: number
+  readonly adapters: readonly { readonly adapter: AdapterKey, readonly state: 'loading' | 'loaded', readonly pins: number }[]
+  readonly loadMs: Ms
+  readonly loadsWaiting: number
+  readonly serviceMs: Ms
+}
--- /dev/null
+++ b/packages/decisions/src/lib/smoothed.ts
@@ -0,0 +1,23 @@
+/**
+ * Exponentially weighted moving average.
+ */
+export class Smoothed {
+  private _value: number
+  private _seen = false
+
+  /**
+   * @param initial - value before the first sample
+   * @param _weight - share of each new sample
+   */
+  constructor (initial: number, private readonly _weight = 0.2) {
+    this._value = initial
+  }
+
+  get value (): number { return this._value }
+
+  /** Takes a sample; the first replaces the initial value. */
+  add (sample: number): void {
+    this._value = this._seen ? this._value + this._weight * (sample - this._value) : sample
+    this._seen = true
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/lib/upstream-plan.ts
@@ -0,0 +1,336 @@
+/**
+ * The decisions for one upstream: who runs, who waits, what loads, what goes.
+ */
+import { type AdapterKey, assertNever, classRank, type FailureCode, type Ms } from '@hazelford/core'
+import { DecayedCounter } from './decayed-counter.js'
+import type { PlanEffect, PlanLimits, PlanMessage, PlanReport } from './plan-messages.js'
+import { type BackoffLimits, fullJitter } from './retry-budget.js'
+import { type Slot, SlotTable } from './slot-table.js'
+import { Smoothed } from './smoothed.js'
+import { compareUrgency, effectiveRank, type PlanRequest, WaitingLine } from './waiting-line.js'
+
+const popularityHalfLife: Ms = 60_000
+const initialLoadMs: Ms = 500
+const initialServiceMs: Ms = 200
+const loadBackoff: BackoffLimits = { base: 500, cap: 10_000 }
+const minRetryAfter: Ms = 100
+
+/** How long a request of each rank waits for a pinned slot before one is closed for it. */
+const closeAfter: readonly Ms[] = [250, 1_000, 3_000]
+
+interface LoadFailures { readonly count: number, readonly retryAt: Ms }
+
+interface Running { readonly request: PlanRequest, readonly since: Ms }
+
+/**
+ * State and rules of one upstream.
+ *
+ * Drive it through {@link planUpstream}, or call {@link UpstreamPlan.handle} where a
+ * generator is unhandy. It does no I/O and reads no clock: messages carry the time.
+ */
+export class UpstreamPlan {
+  private readonly _waiting = new WaitingLine()
+  private readonly _running = new Map<string, Running>()
+  private readonly _slots = new SlotTable()
+  private readonly _popularity = new DecayedCounter(popularityHalfLife)
+  private readonly _failures = new Map<AdapterKey, LoadFailures>()
+  private readonly _loadMs = new Smoothed(initialLoadMs)
+  private readonly _serviceMs = new Smoothed(initialServiceMs)
+  private _effects: PlanEffect[] = []
+  private _leaving = false
+  private _permitWanted = false
+  private _hasPermit = false
+  private _wakeAt = Infinity
+
+  /**
+   * @param _limits - slots, places and queue limit
+   * @param _random - uniform in [0, 1), for jitter
+   */
+  constructor (private _limits: PlanLimits, private readonly _random: () => number) {}
+
+  /** Load and slots, for the heartbeat. */
+  report (): PlanReport {
+    const held = this._slots.all().filter(slot => !slot.closing)
+    return {
+      running: this._running.size,
+      queued: this._waiting.size,
+      places: this._limits.places,
+      slots: this._limits.slots,
+      adapters: held.flatMap(({ adapter, state, pins }) =>
+        state === 'loading' || state === 'loaded' ? [{ adapter, state, pins }] : []),
+      loadMs: this._loadMs.value,
+      loadsWaiting: this._adaptersToLoad().length,
+      serviceMs: this._serviceMs.value
+    }
+  }
+
+  /** Whether nothing runs and nothing waits. */
+  get idle (): boolean { return this._running.size === 0 && this._waiting.size === 0 }
+
+  /**
+   * Takes one message.
+   *
+   * @param msg - what happened
+   * @returns what to do about it, in order
+   */
+  handle (msg: PlanMessage): readonly PlanEffect[] {
+    this._effects = []
+    this._apply(msg)
+    this._expire(msg.at)
+    this._startReady(msg.at)
+    this._planLoads(msg.at)
+    this._scheduleWake(msg.at)
+    return this._effects
+  }
+
+  private _apply (msg: PlanMessage): void {
+    switch (msg.kind) {
+      case 'arrive': return this._arrive(msg.request, msg.at)
+      case 'withdraw': return this._withdraw(msg.id)
+      case 'finished': return this._finish(msg.id, msg.at, msg.ran)
+      case 'not-loaded': return this._notLoaded(msg.id, msg.at)
+      case 'permit': return this._takePermit()
+      case 'load-ended': return this._loadEnded(msg.adapter, msg.loaded, msg.took, msg.at)
+      case 'unload-ended': return this._unloadEnded(msg.adapter, msg.outcome)
+      case 'slots-listed': return this._reconcile(msg.loaded, msg.at)
+      case 'limits': this._limits = msg.limits; return
+      case 'leave': return this._leave()
+      case 'tick': return this._clearWake(msg.at)
+      default: return assertNever(msg)
+    }
+  }
+
+  private _refuse (id: string, code: FailureCode, retryAfter: Ms): void {
+    this._waiting.remove(id)
+    this._effects.push({ kind: 'refuse', id, code, retryAfter: Math.max(minRetryAfter, Math.round(retryAfter)) })
+  }
+
+  private _arrive (request: PlanRequest, now: Ms): void {
+    if (this._leaving) return this._refuse(request.id, 'leaving', minRetryAfter)
+    if (request.adapter !== undefined) {
+      this._popularity.add(request.adapter, now)
+      const failed = this._failures.get(request.adapter)
+      if (failed !== undefined && failed.retryAt > now) return this._refuse(request.id, 'load-failed', failed.retryAt - now)
+    }
+    const expected = this._expectedWait(request, now)
+    // A request that cannot start before its deadline would only take a place in the
+    // queue from one that can. Refusing it at once keeps goodput up under overload.
+    if (now + expected > request.deadlineAt) return this._refuse(request.id, 'overloaded', expected)
+    this._waiting.add(request)
+    if (this._waiting.size > this._limits.queueLimit) this._refuse(this._waiting.last(now)!.id, 'overloaded', expected)
+  }
+
+  /** Expected ms until a request that arrives now would start. */
+  private _expectedWait (request: PlanRequest, now: Ms): Ms {
+    const ahead = this._waiting.all().filter(other => compareUrgency(other, request, now) <= 0).length
+    const freePlaces = this._limits.places - this._running.size
+    const queueWait = ahead < freePlaces ? 0 : (ahead - freePlaces + 1) / this._limits.places * this._serviceMs.value
+    const ready = request.adapter === undefined || this._slots.isReady(request.adapter)
+    return ready ? queueWait : Math.max(queueWait, this._loadMs.value / 2)
+  }
+
+  private _withdraw (id: string): void {
+    if (this._waiting.remove(id) !== undefined) {
+      this._effects.push({ kind: 'refuse', id, code: 'withdrawn', retryAfter: 0 })
+    }
+  }
+
+  private _finish (id: string, now: Ms, ran: boolean): void {
+    const running = this._running.get(id)
+    if (running === undefined) return
+    this._running.delete(id)
+    if (running.request.adapter !== undefined) this._slots.unpin(running.request.adapter)
+    if (ran) this._serviceMs.add(now - running.since)
+  }
+
+  /** The engine lacks an adapter that the table shows: it was restarted. */
+  private _notLoaded (id: string, now: Ms): void {
+    const running = this._running.get(id)
+    if (running === undefined) return
+    this._finish(id, now, false)
+    const { request } = running
+    const slot = this._slots.get(request.adapter!)
+    if (slot !== undefined && slot.state === 'loaded') slot.state = 'unknown'
+    this._waiting.add(request)
+    this._effects.push({ kind: 'list-slots' })
+  }
+
+  private _takePermit (): void {
+    this._permitWanted = false
+    this._hasPermit = true
+  }
+
+  private _loadEnded (adapter: AdapterKey, loaded: boolean, took: Ms, now: Ms): void {
+    const slot = this._slots.get(adapter)
+    if (!loaded) return this._loadFailed(adapter, now)
+    this._loadMs.add(took)
+    this._failures.delete(adapter)
+    if (slot === undefined) return
+    slot.state = 'loaded'
+    slot.lastUsed = now
+  }
+
+  private _loadFailed (adapter: AdapterKey, now: Ms): void {
+    this._slots.drop(adapter)
+    const count = (this._failures.get(adapter)?.count ?? 0) + 1
+    const wait = minRetryAfter + fullJitter(count, loadBackoff, this._random)
+    this._failures.set(adapter, { count, retryAt: now + wait })
+    // Those who wait are told now: another sidecar may hold the adapter already.
+    for (const request of this._waiting.of(adapter)) this._refuse(request.id, 'load-failed', wait)
+  }
+
+  private _unloadEnded (adapter: AdapterKey, outcome: 'unloaded' | 'unknown'): void {
+    const slot = this._slots.get(adapter)
+    if (slot === undefined || slot.state !== 'unloading') return
+    if (outcome === 'unloaded') return this._slots.drop(adapter)
+    // The engine may or may not have unloaded it. Serving from it could fail, and
+    // counting its slot as free could overfill the engine; only a listing tells.
+    slot.state = 'unknown'
+    this._effects.push({ kind: 'list-slots' })
+  }
+
+  private _reconcile (loaded: readonly AdapterKey[], now: Ms): void {
+    const present = new Set(loaded)
+    for (const slot of this._slots.all()) {
+      if (slot.state === 'loading' || slot.state === 'unloading') continue
+      if (!present.has(slot.adapter)) this._slots.drop(slot.adapter)
+      else if (slot.state === 'unknown') slot.state = 'loaded'
+    }
+    for (const adapter of loaded) {
+      if (this._slots.get(adapter) !== undefined) continue
+      this._slots.startLoad(adapter, now)
+      this._slots.get(adapter)!.state = 'loaded'
+    }
+  }
+
+  private _leave (): void {
+    this._leaving = true
+    // What waits has not run, so another upstream can have it at once.
+    for (const request of this._waiting.all()) this._refuse(request.id, 'leaving', minRetryAfter)
+  }
+
+  private _expire (now: Ms): void {
+    for (const request of this._waiting.all()) {
+      if (request.deadlineAt <= now) this._refuse(request.id, 'queue-deadline', this._serviceMs.value)
+    }
+  }
+
+  private _startReady (now: Ms): void {
+    while (this._running.size < this._limits.places) {
+      const next = this._waiting.first(now, adapter => adapter === undefined || this._slots.isReady(adapter))
+      if (next === undefined || this._lingers(next, now)) return
+      this._waiting.remove(next.id)
+      this._running.set(next.id, { request: next, since: now })
+      if (next.adapter !== undefined) this._slots.pin(next.adapter, now)
+      this._effects.push({ kind: 'start', id: next.id })
+    }
+  }
+
+  /** Whether a draft waits for company: an idle engine would run it alone. */
+  private _lingers (request: PlanRequest, now: Ms): boolean {
+    if (request.trafficClass !== 'draft' || this._running.size > 0) return false
+    if (this._waiting.size >= this._limits.places) return false
+    return now < request.arrivedAt + this._limits.draftLinger
+  }
+
+  /** Adapters that requests wait for and that are not on their way, most urgent first. */
+  private _adaptersToLoad (): readonly PlanRequest[] {
+    return this._waiting.adapters()
+      .filter(adapter => this._slots.get(adapter) === undefined)
+      .map(adapter => this._waiting.of(adapter)[0]!)
+  }
+
+  private _planLoads (now: Ms): void {
+    const wanted = this._adaptersToLoad()
+      .filter(request => (this._failures.get(request.adapter!)?.retryAt ?? 0) <= now)
+      .sort((a, b) => compareUrgency(a, b, now))
+    const next = wanted[0]
+    if (next === undefined) return this._returnPermit()
+    if (!this._makeRoom(next, now)) return
+    if (this._hasPermit) {
+      this._hasPermit = false
+      this._slots.startLoad(next.adapter!, now)
+      this._effects.push({ kind: 'load', adapter: next.adapter! })
+      return
+    }
+    if (this._permitWanted) return
+    this._permitWanted = true
+    this._effects.push({ kind: 'want-permit', rank: effectiveRank(next, now) })
+  }
+
+  private _returnPermit (): void {
+    if (!this._hasPermit) return
+    this._hasPermit = false
+    this._effects.push({ kind: 'return-permit' })
+  }
+
+  /** Whether a slot is free; if not, begins to free one. */
+  private _makeRoom (next: PlanRequest, now: Ms): boolean {
+    if (this._slots.size < this._limits.slots) return true
+    const busy = this._slots.all().some(slot => slot.state === 'unloading' || slot.state === 'unknown')
+    if (busy) return false
+    const victim = this._slots.victim(slot => this._worth(slot, now))
+    if (victim === undefined || this._isAwaited(victim)) {
+      this._closeSlotFor(next, now)
+      return false
+    }
+    victim.state = 'unloading'
+    this._effects.push({ kind: 'unload', adapter: victim.adapter })
+    return false
+  }
+
+  /** Requests wait on it and could start: it is as good as pinned. */
+  private _isAwaited (slot: Slot): boolean {
+    return !slot.closing && this._waiting.of(slot.adapter).length > 0
+  }
+
+  private _worth (slot: Slot, now: Ms): number {
+    if (slot.closing) return -1
+    const awaited = this._isAwaited(slot) ? 1e6 : 0
+    return awaited + this._popularity.read(slot.adapter, now) + slot.lastUsed / 1e12
+  }
+
+  /**
+   * Closes the least popular slot when one has waited long for room.
+   *
+   * Adapters with steady traffic are always pinned. Without this, a request for
+   * another adapter would wait until its deadline while every slot stays in use.
+   */
+  private _closeSlotFor (next: PlanRequest, now: Ms): void {
+    const patience = closeAfter[classRank(next.trafficClass)]!
+    if (now - next.arrivedAt < patience) return
+    const open = this._slots.all().filter(slot => slot.state === 'loaded')
+    if (open.some(slot => slot.closing)) return
+    const least = open.sort((a, b) => this._popularity.read(a.adapter, now) - this._popularity.read(b.adapter, now))[0]
+    if (least !== undefined) least.closing = true
+  }
+
+  private _clearWake (now: Ms): void {
+    if (this._wakeAt <= now) this._wakeAt = Infinity
+  }
+
+  /** Asks to be woken for the next deadline, linger or backoff. */
+  private _scheduleWake (now: Ms): void {
+    let next = Infinity
+    for (const request of this._waiting.all()) {
+      next = Math.min(next, request.deadlineAt)
+      for (const at of [request.arrivedAt + this._limits.draftLinger, request.arrivedAt + closeAfter[classRank(request.trafficClass)]!]) {
+        if (at > now) next = Math.min(next, at)
+      }
+    }
+    if (next >= this._wakeAt) return
+    this._wakeAt = next
+    this._effects.push({ kind: 'wake', after: Math.max(1, next - now) })
+  }
+}
+
+/**
+ * Runs a plan as a generator.
+ *
+ * @param plan - the state
+ * @returns takes a message, yields the effects to perform
+ */
+export function * planUpstream (plan: UpstreamPlan): Generator<readonly PlanEffect[], void, PlanMessage> {
+  let effects: readonly PlanEffect[] = []
+  for (;;) effects = plan.handle(yield effects)
+}
--- /dev/null
+++ b/packages/decisions/src/lib/waiting-line.ts
@@ -0,0 +1,102 @@
+/**
+ * Requests that wait for a batch place or for an adapter.
+ */
+import { type AdapterKey, classRank, type Ms, type TrafficClass } from '@hazelford/core'
+
+/** A request as the decisions see it. */
+export interface PlanRequest {
+  readonly id: string
+  /** Undefined for a plain service. */
+  readonly adapter?: AdapterKey
+  readonly trafficClass: TrafficClass
+  readonly arrivedAt: Ms
+  /** Latest start that still makes sense. */
+  readonly deadlineAt: Ms
+}
+
+/** Waiting this long raises a request by one class, so that none starves. */
+export const agingMs: Ms = 10_000
+
+/**
+ * Urgency of a request; the lowest goes first.
+ *
+ * @param request - who waits
+ * @param now - time on the same clock as its arrival
+ */
+export function effectiveRank (request: PlanRequest, now: Ms): number {
+  const raised = Math.floor((now - request.arrivedAt) / agingMs)
+  return Math.max(0, classRank(request.trafficClass) - raised)
+}
+
+/**
+ * Orders two waiting requests.
+ *
+ * @returns negative when `a` goes first
+ */
+export function compareUrgency (a: PlanRequest, b: PlanRequest, now: Ms): number {
+  return effectiveRank(a, now) - effectiveRank(b, now) || a.arrivedAt - b.arrivedAt
+}
+
+/** Key under which requests without an adapter wait. */
+const noAdapter = ''
+
+/** Waiting requests, grouped by adapter in order of arrival. */
+export class WaitingLine {
+  private readonly _groups = new Map<AdapterKey, PlanRequest[]>()
+  private readonly _byId = new Map<string, PlanRequest>()
+
+  get size (): number { return this._byId.size }
+
+  add (request: PlanRequest): void {
+    const key = request.adapter ?? noAdapter
+    const group = this._groups.get(key)
+    if (group === undefined) this._groups.set(key, [request])
+    else group.push(request)
+    this._byId.set(request.id, request)
+  }
+
+  remove (id: string): PlanRequest | undefined {
+    const request = this._byId.get(id)
+    if (request === undefined) return undefined
+    this._byId.delete(id)
+    const key = request.adapter ?? noAdapter
+    const rest = this._groups.get(key)!.filter(other => other.id !== id)
+    if (rest.length === 0) this._groups.delete(key)
+    else this._groups.set(key, rest)
+    return request
+  }
+
+  all (): readonly PlanRequest[] { return [...this._byId.values()] }
+
+  of (adapter: AdapterKey): readonly PlanRequest[] { return this._groups.get(adapter) ?? [] }
+
+  adapters (): readonly AdapterKey[] {
+    return [...this._groups.keys()].filter(key => key !== noAdapter)
+  }
+
+  /**
+   * Most urgent request that passes a test.
+   *
+   * @param now - for aging
+   * @param passes - tested once per group: whether its adapter can run
+   */
+  first (now: Ms, passes: (adapter: AdapterKey | undefined) => boolean): PlanRequest | undefined {
+    let best: PlanRequest | undefined
+    for (const [key, group] of this._groups) {
+      if (!passes(key === noAdapter ? undefined : key)) continue
+      for (const request of group) {
+        if (best === undefined || compareUrgency(request, best, now) < 0) best = request
+      }
+    }
+    return best
+  }
+
+  /** Least urgent and youngest, the one to give up first under overload. */
+  last (now: Ms): PlanRequest | undefined {
+    let worst: PlanRequest | undefined
+    for (const request of this._byId.values()) {
+      if (worst === undefined || compareUrgency(request, worst, now) > 0) worst = request
+    }
+    return worst
+  }
+}
--- /dev/null
+++ b/packages/engine/src/lib/engine-client.ts
@@ -0,0 +1,250 @@
+/**
+ * Client of a model engine.
+ *
+ * Protocol: vLLM's OpenAI-compatible server with run-time LoRA orders. Streams carry
+ * event ids, and `GET /v1/streams/:id` with `Last-Event-ID` resumes one.
+ */
+import { failure } from '@hazelford/core'
+import { Sequencer } from '@hazelford/decisions'
+import { ResultAsync } from 'neverthrow'
+import { Pool } from 'undici'
+import type { AnswerSink, CallHandle } from './answer-sink.js'
+import { answerHeaders } from './headers.js'
+import { type HttpHandle, startHttpCall } from './http-call.js'
+import { SseSplitter } from './sse-splitter.js'
+
+/** What a load or unload came to. */
+export type OrderOutcome = 'done' | 'absent' | 'failed' | 'fenced' | 'no-slot' | 'unknown'
+
+/** What the engine holds. */
+export interface EngineListing {
+  /** Engine-side names of loaded adapters. */
+  readonly names: readonly string[]
+}
+
+/** A completion to run. */
+export interface CompletionCall {
+  /** Unique name of the attempt, by which its stream is resumed or cancelled. */
+  readonly id: string
+  readonly path: string
+  /** The caller's JSON body. */
+  readonly body: Uint8Array
+  /** Engine-side name that must run. */
+  readonly engineName: string
+  /** Name the caller knows, which replaces the engine-side one in the answer. */
+  readonly shownName: string
+  /** Lower runs first. */
+  readonly priority: number
+}
+
+/** What the sidecar needs of a model engine. */
+export interface EngineClient {
+  readonly list: () => ResultAsync<EngineListing, string>
+  readonly load: (engineName: string, path: string, fencingNumber: number) => Promise<OrderOutcome>
+  readonly unload: (engineName: string, fencingNumber: number) => Promise<OrderOutcome>
+  readonly complete: (call: CompletionCall, sink: AnswerSink) => CallHandle
+  readonly close: () => Promise<void>
+}
+
+const listTimeoutMs = 2_000
+const loadTimeoutMs = 120_000
+const unloadTimeoutMs = 5_000
+const reorderWindow = 64
+const resumeAttempts = 3
+const doneMark = '[DONE]'
+
+/** Tells whether an answer names the adapter that was asked for. */
+function namesModel (json: string, engineName: string): boolean {
+  if (json.includes(`"model":"${engineName}"`)) return true
+  try {
+    return (JSON.parse(json) as { model?: unknown }).model === engineName
+  } catch {
+    return false
+  }
+}
+
+function wrongAdapter (engineName: string): ReturnType<typeof failure> {
+  return failure('may-have-run', 'wrong-adapter', `The engine answered for another adapter than ${engineName}. The answer was dropped; repeat the request.`)
+}
+
+/** Runs one completion, over several connections if its stream breaks. */
+class CompletionRun implements CallHandle {
+  private readonly _events = new Sequencer<string>(data => this._take(data), reorderWindow)
+  private _ready: string[] = []
+  private _http: HttpHandle
+  private _status = 0
+  private _streamed = false
+  private _whole: Buffer[] = []
+  private _headSent = false
+  private _over = false
+  private _paused = false
+  private _resumesLeft = resumeAttempts
+  private _headers: Record<string, string | string[]> = {}
+
+  constructor (private readonly _pool: Pool, private readonly _call: CompletionCall, private readonly _sink: AnswerSink) {
+    const fields = JSON.parse(Buffer.from(_call.body).toString('utf8')) as object
+    const body = JSON.stringify({ ...fields, model: _call.engineName, priority: _call.priority })
+    const headers = { 'content-type': 'application/json', 'x-request-id': _call.id }
+    this._http = this._open({ method: 'POST', path: _call.path, headers, body })
+  }
+
+  pause = (): void => {
+    this._paused = true
+    this._http.pause()
+  }
+
+  resume = (): void => {
+    this._paused = false
+    this._http.resume()
+  }
+
+  cancel = (): void => {
+    this._over = true
+    this._http.abort()
+    if (!this._streamed) return
+    // A cut connection only detaches a stream that can be resumed; its place in the
+    // batch stays taken until the engine is told.
+    this._pool.request({ method: 'DELETE', path: `/v1/streams/${this._call.id}` })
+      .then(res => res.body.dump())
+      .catch(() => {})
+  }
+
+  private _open (call: Parameters<typeof startHttpCall>[1]): HttpHandle {
+    const splitter = new SseSplitter()
+    const handle = startHttpCall(this._pool, call, {
+      head: (status, headers) => this._head(status, headers),
+      data: data => this._data(splitter, data),
+      end: () => this._ended(),
+      fail: cause => this._broken(cause)
+    })
+    if (this._paused) handle.pause()
+    return handle
+  }
+
+  private _head (status: number, headers: Record<string, string | string[]>): void {
+    this._status = status
+    this._headers = headers
+    this._streamed = String(headers['content-type']).startsWith('text/event-stream')
+  }
+
+  private _data (splitter: SseSplitter, data: Buffer): void {
+    if (this._over) return
+    if (!this._streamed) {
+      this._whole.push(data)
+      return
+    }
+    for (const event of splitter.push(data)) {
+      const verdict = this._events.offer(event.id ?? this._events.delivered, event.data)
+      if (verdict === 'overflow') return this._broken(failure('may-have-run', 'stream-incomplete', 'The engine skipped part of the stream.'))
+      if (this._over) return
+    }
+    this._flush()
+  }
+
+  /** Checks one event in order. */
+  private _take (data: string): void {
+    if (this._over) return
+    if (data === doneMark) {
+      this._ready.push('data: [DONE]\n\n')
+      this._flush()
+      this._finish(() => this._sink.end())
+      return
+    }
+    if (!namesModel(data, this._call.engineName)) {
+      // An engine that lost the adapter can fall back to another one. Passing its
+      // words on would answer a caller from the wrong adapter.
+      this._http.abort()
+      this._finish(() => this._sink.fail(wrongAdapter(this._call.engineName)))
+      return
+    }
+    this._ready.push(`data: ${data.replace(this._call.engineName, this._call.shownName)}\n\n`)
+  }
+
+  /** Passes on what one read completed. */
+  private _flush (): void {
+    if (this._ready.length === 0) return
+    this._sendHead()
+    const text = this._ready.length === 1 ? this._ready[0]! : this._ready.join('')
+    this._ready = []
+    this._sink.data(Buffer.from(text, 'utf8'))
+  }
+
+  private _sendHead (): void {
+    if (this._headSent) return
+    this._headSent = true
+    this._sink.head(this._status, answerHeaders(this._headers, ['content-length', 'x-stream-id']))
+  }
+
+  private _ended (): void {
+    if (this._over) return
+    if (this._streamed) return this._broken(failure('may-have-run', 'stream-incomplete', 'The engine ended the stream before its last event.'))
+    const text = Buffer.concat(this._whole).toString('utf8')
+    if (this._status === 404) return this._finish(() => this._sink.notLoaded())
+    if (this._status === 200 && !namesModel(text, this._call.engineName)) {
+      return this._finish(() => this._sink.fail(wrongAdapter(this._call.engineName)))
+    }
+    this._sendHead()
+    this._sink.data(Buffer.from(text.replaceAll(this._call.engineName, this._call.shownName), 'utf8'))
+    this._finish(() => this._sink.end())
+  }
+
+  private _broken (cause: ReturnType<typeof failure>): void {
+    if (this._over) return
+    if (!this._streamed || this._resumesLeft === 0) return this._finish(() => this._sink.fail(cause))
+    this._resumesLeft--
+    this._http.abort()
+    const headers = { 'last-event-id': String(this._events.delivered - 1) }
+    this._http = this._open({ method: 'GET', path: `/v1/streams/${this._call.id}`, headers })
+  }
+
+  private _finish (tell: () => void): void {
+    if (this._over) return
+    this._over = true
+    tell()
+  }
+}
+
+/**
+ * Opens a client of an engine.
+ *
+ * @param url - base URL of the engine
+ */
+export function createEngineClient (url: string): EngineClient {
+  const pool = new Pool(url, { connections: null, pipelining: 1 })
+
+  async function order (path: string, body: object, number: number, timeout: number): Promise<OrderOutcome> {
+    try {
+      const res = await pool.request({
+        method: 'POST',
+        path,
+        headers: { 'content-type': 'application/json', 'x-fencing-number': String(number) },
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(timeout)
+      })
+      await res.body.dump()
+      switch (res.statusCode) {
+        case 200: return 'done'
+        case 400: return 'no-slot'
+        case 404: return 'absent'
+        case 409: return 'fenced'
+        default: return 'failed'
+      }
+    } catch {
+      return 'unknown'
+    }
+  }
+
+  async function list (): Promise<EngineListing> {
+    const res = await pool.request({ method: 'GET', path: '/v1/models', signal: AbortSignal.timeout(listTimeoutMs) })
+    const body = await res.body.json() as { data: { id: string }[] }
+    return { names: body.data.map(model => model.id) }
+  }
+
+  return {
+    list: () => ResultAsync.fromPromise(list(), cause => (cause as Error).message),
+    load: (name, path, number) => order('/v1/load_lora_adapter', { lora_name: name, lora_path: path }, number, loadTimeoutMs),
+    unload: (name, number) => order('/v1/unload_lora_adapter', { lora_name: name }, number, unloadTimeoutMs),
+    complete: (call, sink) => new CompletionRun(pool, call, sink),
+    close: () => pool.destroy()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/entry.ts
@@ -0,0 +1,236 @@
+/**
+ * One entry: takes callers' requests and sees each to its one answer.
+ */
+import type { ServerResponse } from 'node:http'
+import { adapterKey, failure, type Failure, newId, type Ms } from '@hazelford/core'
+import { type Config, ConfigState, type Service } from '@hazelford/config'
+import { chooseUpstream, RetryBudget, type RouteWeights } from '@hazelford/decisions'
+import type { AnswerReceiver, Attempt } from './answer-receiver.js'
+import type { Call } from './call-reader.js'
+import { CallerResponse } from './caller-response.js'
+import { ConfigWatch } from './config-watch.js'
+import type { EntryOptions } from './entry-options.js'
+import { type RequestOutcome, startRequest } from './request-task.js'
+import { UpstreamDirectory } from './upstream-directory.js'
+
+/** What operators see of an entry. */
+export interface EntryStatus {
+  readonly role: 'entry'
+  readonly name: string
+  readonly zone: string
+  readonly state: 'starting' | 'serving' | 'leaving'
+  readonly revision: number
+  readonly incarnation: string
+  readonly openRequests: number
+  readonly upstreams: readonly { readonly name: string, readonly service: string, readonly zone: string, readonly state: string, readonly load: number }[]
+}
+
+const overloadRetryAfter: Ms = 1_000
+const drainCheckMs: Ms = 20
+
+/**
+ * An entry.
+ *
+ * @example
+ * ```ts
+ * const entry = new Entry(options)
+ * entry.start()
+ * const server = await serveCallers(entry, '127.0.0.1', 0)
+ * ```
+ */
+export class Entry {
+  readonly incarnation = newId('inc')
+  readonly config: ConfigState
+  readonly directory: UpstreamDirectory
+  private readonly _watch: ConfigWatch
+  private readonly _budgets = new Map<string, RetryBudget>()
+  private _open = 0
+  private _leaving = false
+
+  constructor (readonly options: EntryOptions) {
+    const { kv, clock, log, events } = options
+    this.config = new ConfigState(log, events)
+    this.directory = new UpstreamDirectory(options, this.incarnation, this.config)
+    this._watch = new ConfigWatch({ kv, clock, log, state: this.config })
+  }
+
+  /** Requests that have no answer yet. */
+  get openRequests (): number { return this._open }
+
+  /** Whether the balancer should send callers here. */
+  get ready (): boolean { return !this._leaving && this.config.config !== undefined }
+
+  /** Begins to follow the platform. */
+  start (): void {
+    const { events, name, log } = this.options
+    events.add('process', { note: `entry ${name} starts` })
+    const failed = (cause: Error): void => log.warn('entry', 'watch ended.', { error: cause.message })
+    this._watch.run().catch(failed)
+    this.directory.run().catch(failed)
+  }
+
+  status (): EntryStatus {
+    return {
+      role: 'entry',
+      name: this.options.name,
+      zone: this.options.zone,
+      state: this._leaving ? 'leaving' : this.ready ? 'serving' : 'starting',
+      revision: this.config.revision,
+      incarnation: this.incarnation,
+      openRequests: this._open,
+      upstreams: this.directory.all().map(view => ({
+        name: view.name,
+        service: view.service,
+        zone: view.zone,
+        state: view.barred ? 'barred' : view.state,
+        load: view.load
+      }))
+    }
+  }
+
+  /**
+   * Leaves: readiness goes off, connections are accepted until the balancer has
+   * noticed, and every request is finished.
+   *
+   * @param limit - ms after which open requests are given up
+   */
+  async shutdown (limit: Ms = 60_000): Promise<void> {
+    const { clock, events, balancerNoticeMs } = this.options
+    this._leaving = true
+    events.add('leaving', { peer: this.options.name })
+    const pause = (ms: Ms): Promise<void> => new Promise(resolve => { setTimeout(resolve, ms) })
+    await pause(balancerNoticeMs)
+    const end = clock.now() + limit
+    while (this._open > 0 && clock.now() < end) await pause(drainCheckMs)
+    this.stop()
+  }
+
+  /** Stops at once. */
+  stop (): void {
+    this._watch.stop()
+    this.directory.close()
+  }
+
+  /**
+   * Runs a checked call.
+   *
+   * @param call - from the caller
+   * @param res - the raw response
+   */
+  run (call: Call, res: ServerResponse): void {
+    const { clock, events, meter } = this.options
+    const id = newId('req')
+    const { config } = this.config
+    const refusal = config === undefined ? undefined : this._refusal(call, config)
+    if (config === undefined || refusal !== undefined) {
+      return this.refuse(res, refusal ?? failure('not-run', 'no-upstream', 'No configuration is known yet.', overloadRetryAfter), id)
+    }
+    const startedAt = clock.now()
+    const deadlineAt = startedAt + call.deadlineMs
+    const budget = this._budget(call.service, config)
+    const adapter = call.adapter === undefined ? undefined : adapterKey(call.adapter)
+    budget.firstAttempt()
+    this._open++
+    events.add('request-taken', { request: id, ...(adapter === undefined ? {} : { adapter }) })
+    // Everything the request needs of the configuration is taken here, so that it ends
+    // under the revision it began with.
+    const revision = this.config.revision
+    const weights: RouteWeights = {
+      stall: config.policy.stall_weight,
+      queue: config.policy.queue_weight,
+      batch: config.policy.batch_weight,
+      zonePenalty: config.policy.zone_penalty_ms
+    }
+    startRequest(id, call, deadlineAt, res, {
+      clock,
+      events,
+      takeRetry: () => budget.takeRetry(),
+      choose: tried => chooseUpstream({
+        ...(adapter === undefined ? {} : { adapter }),
+        ...(!call.idempotent && call.idempotencyKey !== '' ? { homeKey: call.idempotencyKey } : {}),
+        zone: this.options.zone,
+        tried
+      }, this.directory.views(call.service.name), weights, clock.now(), Math.random)?.name,
+      dispatch: (upstream, receiver) => {
+        const view = this.directory.view(upstream)!
+        view.sent(adapter)
+        const channel = this.directory.channel(upstream)
+        if (channel === undefined) return this._unsent(receiver)
+        return channel.send({
+          id,
+          revision,
+          service: call.service.name,
+          adapter: call.adapter?.name ?? '',
+          version: call.adapter?.version ?? '',
+          trafficClass: call.trafficClass,
+          idempotent: call.idempotent,
+          idempotencyKey: call.idempotencyKey,
+          method: call.method,
+          path: call.path,
+          headers: [...call.headers],
+          body: call.body
+        }, deadlineAt, {
+          head: head => receiver.head(head),
+          chunk: data => receiver.chunk(data),
+          end: end => {
+            view.ended(end.failure !== undefined && end.verdict === 'may-have-run', clock.now())
+            receiver.end(end)
+          }
+        })
+      },
+      over: outcome => this._over(id, outcome, startedAt, call)
+    })
+    meter.count('requests', 1, { service: call.service.name })
+  }
+
+  /** Answers with an error that needs no upstream. */
+  refuse (res: ServerResponse, cause: Failure, id = newId('req')): void {
+    this.options.meter.count('failures', 1, { code: cause.code })
+    new CallerResponse(res, id, () => {}).fail(cause)
+  }
+
+  /** The channel went between the choice and the dispatch: nothing was sent. */
+  private _unsent (receiver: AnswerReceiver): Attempt {
+    const cause = failure('not-run', 'no-upstream', 'The channel to the upstream is gone.', overloadRetryAfter)
+    setImmediate(() => receiver.end({ verdict: 'not-run', failure: cause }))
+    return { withdraw: () => {}, confirm: () => {}, close: () => {} }
+  }
+
+  private _over (id: string, outcome: RequestOutcome, startedAt: Ms, call: Call): void {
+    const { clock, events, meter } = this.options
+    this._open--
+    const note = outcome.kind === 'failed' ? `${outcome.failure.code} ${outcome.failure.verdict}` : outcome.kind
+    events.add('request-ended', { request: id, note })
+    meter.timing('request', clock.now() - startedAt, { service: call.service.name, outcome: outcome.kind })
+    if (outcome.kind === 'failed') meter.count('failures', 1, { code: outcome.failure.code })
+  }
+
+  private _refusal (call: Call, config: Config): Failure | undefined {
+    if (this._open >= this.options.maxOpenRequests) {
+      return failure('not-run', 'overloaded', 'This entry has too many open requests. Send the request again later.', overloadRetryAfter)
+    }
+    const down = this._downDependency(call.service, config)
+    if (down === undefined) return undefined
+    return failure('not-run', 'dependency-down', `The service "${down}", which "${call.service.name}" depends on, has no upstream that takes work.`, overloadRetryAfter)
+  }
+
+  /** First dependency, direct or not, with no upstream that takes work. */
+  private _downDependency (service: Service, config: Config): string | undefined {
+    const now = this.options.clock.now()
+    for (const name of service.dependsOn) {
+      const up = this.directory.views(name).some(view => view.accepts(now))
+      if (!up) return name
+      const deeper = this._downDependency(config.services.get(name)!, config)
+      if (deeper !== undefined) return deeper
+    }
+    return undefined
+  }
+
+  private _budget (service: Service, config: Config): RetryBudget {
+    const known = this._budgets.get(service.name)
+    if (known !== undefined) return known
+    const budget = new RetryBudget(config.policy.retry_share)
+    this._budgets.set(service.name, budget)
+    return budget
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/upstream-directory.ts
@@ -0,0 +1,193 @@
+/**
+ * The upstreams an entry can reach: channels, dialled from the host list, and views.
+ */
+import { type ConfigDocument, type Ms, sleep } from '@hazelford/core'
+import type { Config, ConfigState } from '@hazelford/config'
+import { fullJitter, type PlanReport, UpstreamView } from '@hazelford/decisions'
+import type { Host } from '@hazelford/platform'
+import type { SidecarHeartbeat, Welcome } from '@hazelford/wire'
+import { ChannelClient } from './channel-client.js'
+import type { EntryOptions } from './entry-options.js'
+
+interface Peer {
+  readonly host: Host
+  readonly channel: ChannelClient
+  upstream: string
+}
+
+const watchWait: Ms = 10_000
+const backoff = { base: 100, cap: 3_000 }
+const closeCheckMs: Ms = 1_000
+
+function toReport (beat: SidecarHeartbeat): PlanReport {
+  const { running, queued, places, slots, loadMs, loadsWaiting, serviceMs } = beat
+  const adapters = beat.adapters.map(({ adapter, state, pins }) =>
+    ({ adapter, state: state === 'loaded' ? 'loaded' as const : 'loading' as const, pins }))
+  return { running, queued, places, slots, adapters, loadMs, loadsWaiting, serviceMs }
+}
+
+function toState (text: string): 'serving' | 'leaving' | 'cold' {
+  return text === 'serving' || text === 'cold' ? text : 'leaving'
+}
+
+/** Channels and views of one entry. */
+export class UpstreamDirectory {
+  private readonly _peers = new Map<string, Peer>()
+  private readonly _views = new Map<string, UpstreamView>()
+  private readonly _byService = new Map<string, readonly UpstreamView[]>()
+  private readonly _abort = new AbortController()
+
+  constructor (private readonly _options: EntryOptions, private readonly _incarnation: string, private readonly _config: ConfigState) {
+    _config.onChange((config, doc) => this._configChanged(config, doc))
+  }
+
+  /** Follows the host list until {@link UpstreamDirectory.close}. */
+  async run (): Promise<void> {
+    const { hostList, clock } = this._options
+    let index = 0
+    let failures = 0
+    while (!this._abort.signal.aborted) {
+      const list = await hostList.watch(index, watchWait, this._abort.signal)
+      if (list.isErr()) {
+        // What was known goes on: an outage of the list says nothing of the hosts.
+        index = 0
+        await sleep(clock, fullJitter(++failures, backoff, Math.random))
+        continue
+      }
+      failures = 0
+      index = list.value.index
+      this._takeHosts(list.value.hosts.filter(host => host.role === 'sidecar'))
+    }
+  }
+
+  /** Upstreams of a service. */
+  views (service: string): readonly UpstreamView[] { return this._byService.get(service) ?? [] }
+
+  view (upstream: string): UpstreamView | undefined { return this._views.get(upstream) }
+
+  channel (upstream: string): ChannelClient | undefined {
+    for (const peer of this._peers.values()) {
+      if (peer.upstream === upstream && peer.channel.connected) return peer.channel
+    }
+    return undefined
+  }
+
+  /** All views, for status. */
+  all (): readonly UpstreamView[] { return [...this._views.values()] }
+
+  /** Cuts all channels; they come back. For tests. */
+  cutChannels (): void {
+    for (const peer of this._peers.values()) peer.channel.cut()
+  }
+
+  close (): void {
+    this._abort.abort()
+    for (const peer of this._peers.values()) peer.channel.close()
+  }
+
+  private _takeHosts (hosts: readonly Host[]): void {
+    const listed = new Map(hosts.map(host => [host.name, host]))
+    for (const [name, peer] of this._peers) {
+      const host = listed.get(name)
+      const moved = host !== undefined && (host.address !== peer.host.address || host.port !== peer.host.port)
+      if (host === undefined || moved) this._retire(name, peer)
+    }
+    for (const host of hosts) this._dialOrMark(host)
+  }
+
+  private _dialOrMark (host: Host): void {
+    const peer = this._peers.get(host.name)
+    if (peer === undefined) this._dial(host)
+    const view = this._views.get(this._peers.get(host.name)!.upstream)
+    if (view !== undefined) this._bar(view, host.state === 'leaving')
+  }
+
+  private _bar (view: UpstreamView, leaving: boolean): void {
+    const drained = this._config.config?.upstreams.get(view.name)?.drained === true
+    view.barred = leaving || drained
+  }
+
+  private _dial (host: Host): void {
+    const { name, zone, clock, hlc, log, events, heartbeatMs } = this._options
+    const channel = new ChannelClient({
+      entry: name,
+      incarnation: this._incarnation,
+      zone,
+      target: `${host.address}:${host.port}`,
+      clock,
+      hlc,
+      log,
+      events,
+      revision: () => this._config.revision,
+      document: () => this._config.document,
+      ...(heartbeatMs === undefined ? {} : { heartbeatMs })
+    }, {
+      up: welcome => this._up(peer, welcome),
+      heartbeat: beat => this._beat(peer, beat),
+      silent: () => this._silent(peer),
+      config: doc => { this._config.offer(doc, host.name) }
+    })
+    const peer: Peer = { host, channel, upstream: '' }
+    this._peers.set(host.name, peer)
+  }
+
+  /** A host that is gone from the list gets no new work; what is open there may end. */
+  private _retire (name: string, peer: Peer): void {
+    this._peers.delete(name)
+    const stillServed = [...this._peers.values()].some(other => other.upstream === peer.upstream)
+    if (!stillServed) this._views.get(peer.upstream)!.state = 'suspect'
+    const closeWhenIdle = (): void => {
+      if (peer.channel.openAttempts === 0) peer.channel.close()
+      else this._options.clock.after(closeCheckMs, closeWhenIdle)
+    }
+    closeWhenIdle()
+  }
+
+  private _up (peer: Peer, welcome: Welcome): void {
+    peer.upstream = welcome.upstream
+    if (!this._views.has(welcome.upstream)) this._addView(peer)
+    if (welcome.report !== undefined) this._beat(peer, welcome.report)
+    const doc = this._config.document
+    if (doc !== undefined && welcome.revision < doc.revision) peer.channel.sendConfig(doc)
+  }
+
+  private _addView (peer: Peer): void {
+    const service = this._config.config?.upstreams.get(peer.upstream)?.service ?? ''
+    const view = new UpstreamView(peer.upstream, service, peer.host.zone)
+    this._views.set(peer.upstream, view)
+    this._bar(view, peer.host.state === 'leaving')
+    this._regroup()
+  }
+
+  private _beat (peer: Peer, beat: SidecarHeartbeat): void {
+    if (this._peers.get(peer.host.name) !== peer) return
+    this._views.get(peer.upstream)?.update(toState(beat.state), toReport(beat), this._options.clock.now())
+  }
+
+  private _silent (peer: Peer): void {
+    const view = this._views.get(peer.upstream)
+    if (view !== undefined && this._peers.get(peer.host.name) === peer) view.state = 'suspect'
+  }
+
+  private _configChanged (config: Config, doc: ConfigDocument): void {
+    for (const [name, view] of [...this._views]) {
+      const service = config.upstreams.get(name)?.service ?? ''
+      if (service === view.service) {
+        this._bar(view, false)
+        continue
+      }
+      const renewed = new UpstreamView(name, service, view.zone)
+      renewed.update(view.state === 'suspect' ? 'cold' : view.state, view.report, this._options.clock.now())
+      this._views.set(name, renewed)
+    }
+    this._regroup()
+    for (const peer of this._peers.values()) peer.channel.sendConfig(doc)
+  }
+
+  private _regroup (): void {
+    this._byService.clear()
+    for (const view of this._views.values()) {
+      this._byService.set(view.service, [...this.views(view.service), view])
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Clients for the platform: key-value service and host list.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/host-list.js'
+export * from './lib/kv-client.js'
+export * from './lib/settled-write.js'
--- /dev/null
+++ b/packages/platform/src/lib/host-list.ts
@@ -0,0 +1,82 @@
+/**
+ * Client of the platform's list of hosts.
+ *
+ * Protocol: Consul's `/v1/health/service/:name` with blocking queries. A host that
+ * is not `passing` is leaving.
+ */
+import type { Ms } from '@hazelford/core'
+import { ResultAsync } from 'neverthrow'
+import { Pool } from 'undici'
+import type { KvFailure } from './kv-client.js'
+
+/** A host as the platform lists it. The list lags behind reality. */
+export interface Host {
+  readonly name: string
+  readonly role: 'entry' | 'sidecar'
+  readonly zone: string
+  /** Where its processes listen for one another. */
+  readonly address: string
+  readonly port: number
+  /** Operator interface. */
+  readonly operatorPort: number
+  readonly state: 'live' | 'leaving'
+}
+
+/** The list at one index. */
+export interface HostList {
+  readonly hosts: readonly Host[]
+  readonly index: number
+}
+
+interface WireHost {
+  readonly Service: { readonly ID: string, readonly Address: string, readonly Port: number, readonly Meta: { readonly role: string, readonly zone: string, readonly operator_port: string } }
+  readonly Checks: readonly { readonly Status: string }[]
+}
+
+/** Name under which the platform lists all processes of the system. */
+export const hostServiceName = 'hazelford'
+
+const callTimeout: Ms = 2_000
+
+function decodeHost (wire: WireHost): Host {
+  const { ID, Address, Port, Meta } = wire.Service
+  return {
+    name: ID,
+    role: Meta.role === 'entry' ? 'entry' : 'sidecar',
+    zone: Meta.zone,
+    address: Address,
+    port: Port,
+    operatorPort: Number(Meta.operator_port),
+    state: wire.Checks.every(check => check.Status === 'passing') ? 'live' : 'leaving'
+  }
+}
+
+/** What the rest of the system needs of the host list. */
+export interface HostListClient {
+  /** Waits until the list changes after `index`, at most `wait` ms; index 0 answers at once. */
+  watch: (index: number, wait: Ms, signal?: AbortSignal) => ResultAsync<HostList, KvFailure>
+}
+
+/**
+ * Opens a client of the host list.
+ *
+ * @param url - base URL of the list
+ */
+export function createHostListClient (url: string): HostListClient {
+  const pool = new Pool(url, { connections: 2, headersTimeout: 0, bodyTimeout: 0 })
+  const load = async (index: number, wait: Ms, signal?: AbortSignal): Promise<HostList> => {
+    const timed = AbortSignal.timeout(wait + callTimeout)
+    const res = await pool.request({
+      method: 'GET',
+      path: `/v1/health/service/${hostServiceName}?index=${index}&wait=${wait}ms`,
+      signal: signal === undefined ? timed : AbortSignal.any([timed, signal])
+    })
+    if (res.statusCode !== 200) throw new Error(`The host list answered ${res.statusCode}.`)
+    const wires = await res.body.json() as WireHost[]
+    return { hosts: wires.map(decodeHost), index: Number(res.headers['x-consul-index'] ?? 0) }
+  }
+  return {
+    watch: (index, wait, signal) => ResultAsync.fromPromise(load(index, wait, signal), error =>
+      ({ kind: 'unknown', message: (error as Error).message }))
+  }
+}
--- /dev/null
+++ b/packages/platform/src/lib/kv-client.ts
@@ -0,0 +1,122 @@
+/**
+ * Client of the platform's key-value service.
+ *
+ * Protocol: the HTTP interface of Consul's KV store (`/v1/kv/:key` with `?cas`,
+ * `?index` and `?wait`), as published in its documentation.
+ */
+import type { Ms } from '@hazelford/core'
+import { ResultAsync } from 'neverthrow'
+import { type Dispatcher, Pool } from 'undici'
+
+/** A stored value with the index that a compare-and-swap names. */
+export interface KvEntry {
+  readonly key: string
+  readonly value: string
+  /** Changes with each write of this key; 0 means that the key does not exist. */
+  readonly modifyIndex: number
+}
+
+/** What a read saw. */
+export interface KvRead {
+  readonly entry: KvEntry | undefined
+  /** The store's index at the time, for the next watch. */
+  readonly index: number
+}
+
+/**
+ * Why a call gave no answer.
+ *
+ * - `not-applied`: the service refused the call, so a write did not take effect.
+ * - `unknown`: no reply came; a write may have taken effect.
+ */
+export interface KvFailure {
+  readonly kind: 'not-applied' | 'unknown'
+  readonly message: string
+}
+
+/** Outcome of a compare-and-swap whose reply came. */
+export type CasOutcome = 'stored' | 'conflict'
+
+/** What the rest of the system needs of the key-value service. */
+export interface KvClient {
+  read: (key: string) => ResultAsync<KvRead, KvFailure>
+  /** Waits until the key changes after `index`, at most `wait` ms. */
+  watch: (key: string, index: number, wait: Ms, signal?: AbortSignal) => ResultAsync<KvRead, KvFailure>
+  list: (prefix: string) => ResultAsync<readonly KvEntry[], KvFailure>
+  /** Stores only if the key still has `index`; 0 means only if it does not exist. */
+  cas: (key: string, index: number, value: string) => ResultAsync<CasOutcome, KvFailure>
+  /** Removes only if the key still has `index`. */
+  remove: (key: string, index: number) => ResultAsync<CasOutcome, KvFailure>
+}
+
+interface WireEntry { readonly Key: string, readonly Value: string | null, readonly ModifyIndex: number }
+
+const callTimeout: Ms = 1_000
+const connectionsLimit = 16
+
+/** Connection failures that happen before a byte of the call leaves. */
+const neverSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'ENOTFOUND', 'EHOSTUNREACH'])
+
+function toFailure (error: unknown): KvFailure {
+  const cause = error as { code?: string, message?: string }
+  const kind = neverSentCodes.has(cause.code ?? '') ? 'not-applied' : 'unknown'
+  return { kind, message: cause.message ?? String(error) }
+}
+
+function decodeEntry (wire: WireEntry): KvEntry {
+  const value = wire.Value === null ? '' : Buffer.from(wire.Value, 'base64').toString('utf8')
+  return { key: wire.Key, value, modifyIndex: wire.ModifyIndex }
+}
+
+class ServiceError extends Error {}
+
+/**
+ * Opens a client. Connections are made when first needed.
+ *
+ * @param url - base URL of the service
+ * @param timeout - ms before a call counts as lost
+ */
+export function createKvClient (url: string, timeout: Ms = callTimeout): KvClient {
+  const pool = new Pool(url, { connections: connectionsLimit, connect: { timeout }, headersTimeout: 0, bodyTimeout: 0 })
+
+  async function call (method: Dispatcher.HttpMethod, path: string, limit: Ms, body?: string, signal?: AbortSignal): Promise<Dispatcher.ResponseData> {
+    const timed = AbortSignal.timeout(limit)
+    const res = await pool.request({ method, path, body, signal: signal === undefined ? timed : AbortSignal.any([timed, signal]) })
+    if (res.statusCode >= 500) {
+      await res.body.dump()
+      throw new ServiceError(`The key-value service answered ${res.statusCode}.`)
+    }
+    return res
+  }
+
+  async function readEntries (path: string, limit: Ms, signal?: AbortSignal): Promise<{ entries: KvEntry[], index: number }> {
+    const res = await call('GET', path, limit, undefined, signal)
+    const index = Number(res.headers['x-consul-index'] ?? 0)
+    if (res.statusCode === 404) {
+      await res.body.dump()
+      return { entries: [], index }
+    }
+    const wires = await res.body.json() as WireEntry[]
+    return { entries: wires.map(decodeEntry), index }
+  }
+
+  const readOne = async (path: string, limit: Ms, signal?: AbortSignal): Promise<KvRead> => {
+    const { entries, index } = await readEntries(path, limit, signal)
+    return { entry: entries[0], index }
+  }
+
+  async function outcomeOf (method: 'PUT' | 'DELETE', path: string, body?: string): Promise<CasOutcome> {
+    const res = await call(method, path, timeout, body)
+    return (await res.body.text()).trim() === 'true' ? 'stored' : 'conflict'
+  }
+
+  return {
+    read: key => ResultAsync.fromPromise(readOne(`/v1/kv/${key}`, timeout), toFailure),
+    watch: (key, index, wait, signal) => ResultAsync.fromPromise(
+      readOne(`/v1/kv/${key}?index=${index}&wait=${wait}ms`, wait + timeout, signal), toFailure),
+    list: prefix => ResultAsync.fromPromise(
+      readEntries(`/v1/kv/${prefix}?recurse=true`, timeout).then(read => read.entries), toFailure),
+    cas: (key, index, value) => ResultAsync.fromPromise(outcomeOf('PUT', `/v1/kv/${key}?cas=${index}`, value), toFailure),
+    remove: (key, index) => ResultAsync.fromPromise(outcomeOf('DELETE', `/v1/kv/${key}?cas=${index}`), toFailure)
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/index.ts
@@ -0,0 +1,11 @@
+/**
+ * The authority for one upstream: slots, queue, batches, claims and fencing.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/claims.js'
+export * from './lib/engine-slots.js'
+export * from './lib/fence.js'
+export * from './lib/load-permits.js'
+export * from './lib/sidecar-options.js'
+export * from './lib/sidecar.js'
--- /dev/null
+++ b/packages/sidecar/src/lib/fence.ts
@@ -0,0 +1,127 @@
+/**
+ * The fencing number of this sidecar: proof that no other orders the same engine.
+ */
+import { type Clock, type EventRing, type Log, newId, type Ms, sleep } from '@hazelford/core'
+import { type KvClient, settledWrite } from '@hazelford/platform'
+
+/** What stands in the key-value service for an upstream. */
+interface FenceRecord {
+  /** Grows with each holder and is never used twice. */
+  readonly number: number
+  /** Random name of the write, by which a holder knows its own. */
+  readonly token: string
+  readonly sidecar: string
+}
+
+/** Whether an order may go to the engine. */
+export type FenceVerdict = 'held' | 'superseded' | 'unverified'
+
+/** What a fence works with. */
+export interface FenceOptions {
+  readonly kv: KvClient
+  readonly clock: Clock
+  readonly log: Log
+  readonly events: EventRing
+  readonly upstream: string
+  readonly sidecar: string
+  /** How long a check of the record stays good, in ms. */
+  readonly leaseMs: Ms
+}
+
+const retryBase: Ms = 100
+const retryCap: Ms = 2_000
+
+function readRecord (json: string | undefined): FenceRecord | undefined {
+  return json === undefined ? undefined : JSON.parse(json) as FenceRecord
+}
+
+/** Takes and checks a fencing number. */
+export class Fence {
+  private readonly _token = newId('fence')
+  private readonly _key: string
+  private _number = 0
+  private _verifiedAt: Ms = -Infinity
+  private _superseded = false
+
+  constructor (private readonly _options: FenceOptions) {
+    this._key = `hazelford/fence/${_options.upstream}`
+  }
+
+  /** The number, or 0 before one is held. */
+  get number (): number { return this._number }
+
+  /** Whether another sidecar took the upstream. */
+  get superseded (): boolean { return this._superseded }
+
+  /**
+   * Takes the next number, however long the key-value service is down.
+   *
+   * @param stopped - ends the attempts
+   */
+  async acquire (stopped: () => boolean): Promise<void> {
+    const { clock } = this._options
+    for (let wait = retryBase; !stopped(); wait = Math.min(retryCap, wait * 2)) {
+      if (await this._tryAcquire()) return
+      await sleep(clock, wait * (0.5 + Math.random() / 2))
+    }
+  }
+
+  private async _tryAcquire (): Promise<boolean> {
+    const { kv, clock, log, events, sidecar, upstream } = this._options
+    const read = await kv.read(this._key)
+    if (read.isErr()) return false
+    const { entry } = read.value
+    const current = readRecord(entry?.value)
+    // A write whose reply was lost may have taken effect after we read back and gave
+    // up on it. Taking another number on top would be safe but would waste one.
+    if (current?.token === this._token) return this._hold(current.number)
+    const record: FenceRecord = { number: (current?.number ?? 0) + 1, token: this._token, sidecar }
+    const isOwn = (value: string): boolean => readRecord(value)?.token === this._token
+    const outcome = await settledWrite(kv, this._key, entry?.modifyIndex ?? 0, JSON.stringify(record), isOwn)
+    if (outcome.kind !== 'stored') return false
+    this._hold(record.number)
+    this._verifiedAt = clock.now()
+    log.info('fence', 'number taken.', { upstream, number: record.number })
+    events.add('fence', { upstream, note: `number ${record.number} taken` })
+    return true
+  }
+
+  private _hold (number: number): true {
+    this._number = number
+    return true
+  }
+
+  /**
+   * Checks before an order that the number is still the highest.
+   *
+   * A holder can be paused for longer than its lease and wake up in the middle of an
+   * order, while a successor has taken over. The monotonic clock shows the pause; the
+   * record then tells whether somebody else holds the upstream.
+   */
+  async check (): Promise<FenceVerdict> {
+    const { clock, leaseMs } = this._options
+    if (this._superseded) return 'superseded'
+    if (this._number === 0) return 'unverified'
+    if (clock.now() - this._verifiedAt < leaseMs) return 'held'
+    return this._verify()
+  }
+
+  private async _verify (): Promise<FenceVerdict> {
+    const { kv, clock, log, events, upstream } = this._options
+    const askedAt = clock.now()
+    const read = await kv.read(this._key)
+    // Nobody can take a number while the service is down, so an order by an unverified
+    // holder meets at worst a successor that took over before the outage. Engines that
+    // check numbers refuse it, and engine-side names keep it off what the successor uses.
+    if (read.isErr()) return 'unverified'
+    const record = readRecord(read.value.entry?.value)
+    if (record !== undefined && record.number > this._number) {
+      this._superseded = true
+      log.warn('fence', 'superseded.', { upstream, number: this._number, by: record.number })
+      events.add('fence', { upstream, note: `superseded by number ${record.number}` })
+      return 'superseded'
+    }
+    this._verifiedAt = askedAt
+    return 'held'
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/load-permits.ts
@@ -0,0 +1,164 @@
+/**
+ * Shares the weight store between sidecars without a coordinator: a few permits in
+ * one record of the key-value service, taken and returned by compare-and-swap.
+ */
+import { type Clock, type Log, type Ms, newId, sleep } from '@hazelford/core'
+import { type KvClient, settledWrite } from '@hazelford/platform'
+
+interface Permit {
+  readonly token: string
+  readonly sidecar: string
+  /** Wall time after which the holder counts as gone. */
+  readonly until: Ms
+}
+
+interface PermitRecord {
+  readonly permits: readonly Permit[]
+  /** Wall times at which recent loads began, for the store's rate. */
+  readonly begun: readonly Ms[]
+  /** Makes every write differ from every other. */
+  readonly writeId: string
+}
+
+/** What the permits allow. */
+export interface PermitLimits {
+  readonly atOnce: number
+  readonly perSecond: number
+  /** Sidecars that share the store, for the share each has while the service is down. */
+  readonly sharers: number
+}
+
+/** What the permits work with. */
+export interface PermitOptions {
+  readonly kv: KvClient
+  readonly clock: Clock
+  readonly log: Log
+  readonly sidecar: string
+  readonly limits: () => PermitLimits
+}
+
+/** A right to load one adapter. */
+export interface HeldPermit {
+  readonly giveBack: () => void
+}
+
+const recordKey = 'hazelford/load-permits'
+const permitLife: Ms = 15_000
+const watchWait: Ms = 2_000
+const conflictPause: Ms = 10
+const rankPause: Ms = 15
+const second: Ms = 1_000
+
+type Attempt =
+  | { readonly kind: 'taken' }
+  | { readonly kind: 'full', readonly index: number }
+  | { readonly kind: 'rate', readonly wait: Ms }
+  | { readonly kind: 'conflict' }
+  | { readonly kind: 'down' }
+
+/** Takes and returns permits for one sidecar. */
+export class LoadPermits {
+  private _lastLocal: Ms = -Infinity
+
+  constructor (private readonly _options: PermitOptions) {}
+
+  /**
+   * Waits for a permit.
+   *
+   * @param rank - urgency of the load, 0 first: less urgent ones try a little later
+   * @returns the permit; there is always one in the end
+   */
+  async acquire (rank: number): Promise<HeldPermit> {
+    const { clock, kv } = this._options
+    const token = newId('permit')
+    for (;;) {
+      const attempt = await this._try(token)
+      switch (attempt.kind) {
+        case 'taken':
+          return { giveBack: () => { this._giveBack(token).catch(() => {}) } }
+        case 'down':
+          return this._takeShare()
+        case 'full':
+          await kv.watch(recordKey, attempt.index, watchWait)
+          await sleep(clock, rank * rankPause * (1 + Math.random()))
+          break
+        case 'rate':
+          await sleep(clock, attempt.wait + rank * rankPause)
+          break
+        case 'conflict':
+          await sleep(clock, conflictPause * (1 + rank + Math.random()))
+      }
+    }
+  }
+
+  private async _try (token: string): Promise<Attempt> {
+    const { kv, clock, sidecar, limits } = this._options
+    const read = await kv.read(recordKey)
+    if (read.isErr()) return { kind: 'down' }
+    const now = clock.wall()
+    const record = this._live(read.value.entry?.value, now)
+    if (record.permits.some(permit => permit.token === token)) return { kind: 'taken' }
+    const { atOnce, perSecond } = limits()
+    if (record.permits.length >= atOnce) return { kind: 'full', index: read.value.index }
+    if (record.begun.length >= perSecond) return { kind: 'rate', wait: record.begun[0]! + second - now }
+    const permits = [...record.permits, { token, sidecar, until: now + permitLife }]
+    const next: PermitRecord = { permits, begun: [...record.begun, now], writeId: newId('w') }
+    const outcome = await this._write(read.value.entry?.modifyIndex ?? 0, next)
+    return outcome
+  }
+
+  private async _write (index: number, next: PermitRecord): Promise<Attempt> {
+    const isOwn = (value: string): boolean => (JSON.parse(value) as PermitRecord).writeId === next.writeId
+    const outcome = await settledWrite(this._options.kv, recordKey, index, JSON.stringify(next), isOwn)
+    switch (outcome.kind) {
+      case 'stored': return { kind: 'taken' }
+      case 'conflict': return { kind: 'conflict' }
+      case 'not-applied':
+      case 'unknown': return { kind: 'down' }
+    }
+  }
+
+  /** The record without what has run out. */
+  private _live (json: string | undefined, now: Ms): PermitRecord {
+    if (json === undefined) return { permits: [], begun: [], writeId: '' }
+    const record = JSON.parse(json) as PermitRecord
+    return {
+      // A holder that died would keep its permit for good and loads would stop. Its
+      // permit ends by itself; two loads at once are slow, but not wrong.
+      permits: record.permits.filter(permit => permit.until > now),
+      begun: record.begun.filter(at => at > now - second && at <= now),
+      writeId: record.writeId
+    }
+  }
+
+  private async _giveBack (token: string): Promise<void> {
+    const { kv, clock } = this._options
+    const end = clock.now() + permitLife
+    while (clock.now() < end) {
+      const read = await kv.read(recordKey)
+      if (read.isErr()) return
+      const { entry } = read.value
+      if (entry === undefined) return
+      const record = this._live(entry.value, clock.wall())
+      if (!record.permits.some(permit => permit.token === token)) return
+      const permits = record.permits.filter(permit => permit.token !== token)
+      const outcome = await this._write(entry.modifyIndex, { ...record, permits, writeId: newId('w') })
+      if (outcome.kind !== 'conflict') return
+      await sleep(clock, conflictPause * Math.random())
+    }
+  }
+
+  /**
+   * Without the service, each sidecar keeps to its share of the store's rate. Shares
+   * can't move to where the need is, but all together never exceed the rate.
+   */
+  private async _takeShare (): Promise<HeldPermit> {
+    const { clock, limits } = this._options
+    const { perSecond, sharers } = limits()
+    const interval = second * Math.max(1, sharers) / perSecond
+    const wait = this._lastLocal + interval - clock.now()
+    if (wait > 0) await sleep(clock, wait)
+    this._lastLocal = clock.now()
+    return { giveBack: () => {} }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/engine-stream.ts
@@ -0,0 +1,72 @@
+/**
+ * The events of one completion: kept, so that a client can resume.
+ */
+import type { ServerResponse } from 'node:http'
+
+/** Ways in which a stream's events may reach the client. */
+export interface StreamFaults {
+  /** Events are sent a second time. */
+  doubled: boolean
+  /** Every second pair of events is swapped. */
+  swapped: boolean
+  /** The connection is cut after so many events; 0 never. */
+  cutAfter: number
+}
+
+/** One completion's events and the response that carries them now. */
+export class EngineStream {
+  private readonly _events: string[] = []
+  private _res: ServerResponse | undefined
+  private _held: string | undefined
+  private _sent = 0
+  private _ended = false
+
+  constructor (readonly id: string, private readonly _faults: StreamFaults) {}
+
+  get ended (): boolean { return this._ended }
+
+  /** Carries the events after `from` on a response, and then the new ones. */
+  attach (res: ServerResponse, from: number): void {
+    this._res = res
+    res.writeHead(200, { 'content-type': 'text/event-stream', 'x-stream-id': this.id })
+    res.flushHeaders()
+    res.on('close', () => {
+      if (this._res === res) this._res = undefined
+    })
+    for (const event of this._events.slice(from)) res.write(event)
+    if (this._ended) res.end()
+  }
+
+  push (data: string): void {
+    const event = `id: ${this._events.length}\ndata: ${data}\n\n`
+    this._events.push(event)
+    this._send(event)
+  }
+
+  end (): void {
+    this.push('[DONE]')
+    if (this._held !== undefined) this._res?.write(this._held)
+    this._ended = true
+    this._res?.end()
+  }
+
+  cut (): void {
+    this._res?.destroy()
+    this._res = undefined
+  }
+
+  private _send (event: string): void {
+    if (this._res === undefined) return
+    this._sent++
+    if (this._faults.cutAfter > 0 && this._sent === this._faults.cutAfter) return this.cut()
+    if (this._faults.swapped && this._held === undefined && this._sent % 4 === 1) {
+      this._held = event
+      return
+    }
+    this._res.write(event)
+    if (this._faults.doubled) this._res.write(event)
+    if (this._held === undefined) return
+    this._res.write(this._held)
+    this._held = undefined
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/plain-service.ts
@@ -0,0 +1,59 @@
+/**
+ * Stand-in for a plain service: bookings that must not run twice.
+ */
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import { Hono } from 'hono'
+import { type Listening, type Raw, serve } from './serve.js'
+
+/** Faults of the service. */
+export interface PlainFaults {
+  /** Ms before a call runs. */
+  delay: number
+  /** The next so many bookings are made but lose their reply. */
+  lostReplies: number
+  /** Share of bookings that are made but lose their reply. */
+  lostShare: number
+}
+
+/** The stand-in with its switches and its record. */
+export interface PlainService extends Listening {
+  readonly faults: PlainFaults
+  /** How often each booking ran, by the token in its body. */
+  readonly bookings: Map<string, number>
+  readonly running: () => number
+}
+
+/**
+ * Starts a plain service with `POST /reservations` and `GET /stock`.
+ *
+ * @param port - 0 lets the kernel choose
+ */
+export async function startPlainService (port = 0): Promise<PlainService> {
+  const faults: PlainFaults = { delay: 0, lostReplies: 0, lostShare: 0 }
+  const bookings = new Map<string, number>()
+  let running = 0
+
+  function replyLost (): boolean {
+    if (faults.lostReplies > 0) {
+      faults.lostReplies--
+      return true
+    }
+    return Math.random() < faults.lostShare
+  }
+
+  const app = new Hono<Raw>()
+  app.get('/health', c => c.text('ok'))
+  app.get('/stock', c => c.json({ chairs: 12, accept: c.req.header('accept') }))
+  app.post('/reservations', async c => {
+    const { token } = await c.req.json<{ token: string }>()
+    running++
+    if (faults.delay > 0) await new Promise(resolve => { setTimeout(resolve, faults.delay) })
+    running--
+    bookings.set(token, (bookings.get(token) ?? 0) + 1)
+    if (!replyLost()) return c.json({ booked: token, number: bookings.size }, 201, { 'x-booking': token })
+    c.env.incoming.socket.destroy()
+    return RESPONSE_ALREADY_SENT
+  })
+  const listening = await serve(app, port)
+  return { ...listening, faults, bookings, running: () => running }
+}
--- /dev/null
+++ b/packages/wire/src/lib/channel-options.ts
@@ -0,0 +1,19 @@
+/**
+ * gRPC settings that both ends of a channel share.
+ */
+
+const maxMessageBytes = 64 << 20
+const keepaliveMs = 10_000
+
+/**
+ * Retries and service config are off: one layer retries, and that is the entry, which
+ * knows what may run twice.
+ */
+export const channelOptions = {
+  'grpc.enable_retries': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.max_receive_message_length': maxMessageBytes,
+  'grpc.max_send_message_length': maxMessageBytes,
+  'grpc.keepalive_time_ms': keepaliveMs,
+  'grpc.use_local_subchannel_pool': 1
+} as const
