--- /dev/null
+++ b/packages/bench/src/test/engine.steps.ts
@@ -0,0 +1,76 @@
+/**
+ * Steps that switch the engines' faults and read their records.
+ */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { createEngineClient, parseEngineName } from '@hazelford/engine'
+import { complete } from '../lib/callers.js'
+import { until } from './support/local-system.js'
+import type { SystemWorld } from './support/world.js'
+
+Given('the engine\'s next {int} answers claim another adapter', function (this: SystemWorld, count: number) {
+  for (const engine of this.system.engines) engine.faults.wrongAdapter = count
+})
+
+Given('the engine\'s next {int} loads fail', function (this: SystemWorld, count: number) {
+  this.system.engines[0]!.faults.failLoads = count
+})
+
+Given('the engine sends every event twice', function (this: SystemWorld) {
+  this.system.engines[0]!.faults.doubled = true
+})
+
+Given('the engine swaps pairs of events', function (this: SystemWorld) {
+  this.system.engines[0]!.faults.swapped = true
+})
+
+Given('the engine cuts each connection after {int} events', function (this: SystemWorld, count: number) {
+  this.system.engines[0]!.faults.cutAfter = count
+})
+
+Given('the engine\'s next {int} streams end before their last event', function (this: SystemWorld, count: number) {
+  this.system.engines[0]!.faults.truncate = count
+})
+
+Given('the engine loses the reply to its next unload', function (this: SystemWorld) {
+  this.system.engines[0]!.faults.lostUnloadReplies = 1
+})
+
+When('the engine restarts', function (this: SystemWorld) { this.system.engines[0]!.restart() })
+
+When('the engine runs {int} request(s)', async function (this: SystemWorld, count: number) {
+  await until(`${count} requests run`, () => this.system.engines[0]!.running() === count)
+})
+
+When('the operators put version {string} of "a" in force', async function (this: SystemWorld, version: string) {
+  this.system.version = version
+  await this.system.inForce(await this.system.applyConfig())
+})
+
+Then('the engine loaded {int} times', function (this: SystemWorld, loads: number) {
+  assert.equal(this.system.engines[0]!.loads, loads)
+})
+
+When('a successor takes over the engine and loads {string} anew', async function (this: SystemWorld, model: string) {
+  const engine = this.system.engines[0]!
+  const before = engine.loaded()
+  this.system.sidecars.get('m0')!.stop()
+  const successor = await this.system.startSidecar('m0')
+  await until('the successor holds a number', () => successor.status().fencingNumber === 2)
+  await this.system.ready()
+  // The successor adopts what it finds; making it load again gives it a name of its own.
+  engine.restart()
+  const result = await complete(this.system.url, model, 'p', 2, true)
+  assert.equal(result.status, 200, result.code)
+  assert.notDeepEqual(engine.loaded(), before)
+})
+
+When('the replaced sidecar unloads {string}', async function (this: SystemWorld, model: string) {
+  const engine = this.system.engines[0]!
+  const current = engine.loaded().map(parseEngineName).find(name => name?.adapter === model)!
+  assert.equal(current.number, 2)
+  const client = createEngineClient(engine.url)
+  const outcome = await client.unload(`${model}#1.1`, 1)
+  assert.equal(outcome, 'absent')
+  await client.close()
+})
--- /dev/null
+++ b/packages/bench/src/test/leaving.steps.ts
@@ -0,0 +1,95 @@
+/**
+ * Failure tests of leaving and shutting down under load.
+ */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { book, type CallerResult, complete } from '../lib/callers.js'
+import { until } from './support/local-system.js'
+import type { SystemWorld } from './support/world.js'
+
+interface FlowWorld extends SystemWorld { runsWhenLeft: number }
+
+const requestCount = 240
+const eventAfter = 60
+const gapMs = 4
+const models = ['a@1', 'b@1', 'c@1']
+
+/** Sends a steady flow and does something in the middle of it. */
+async function flow (world: FlowWorld, entries: () => readonly string[], event: () => Promise<void>): Promise<void> {
+  const sent: Promise<CallerResult>[] = []
+  let happened: Promise<void> | undefined
+  for (let i = 0; i < requestCount; i++) {
+    if (i === eventAfter) happened = event()
+    const urls = entries()
+    const url = urls[i % urls.length]!
+    sent.push(i % 3 === 2 ? book(url, `t${i}`) : complete(url, models[i % models.length]!, `p${i}`, 8, i % 2 === 0))
+    await new Promise(resolve => { setTimeout(resolve, gapMs) })
+  }
+  world.results = await Promise.all(sent)
+  await happened
+}
+
+const everyEntry = (world: SystemWorld) => () => world.system.entries.map(({ url }) => url)
+
+function noteRuns (world: FlowWorld): void { world.runsWhenLeft = world.system.engines[0]!.runs.length }
+
+async function shutDownSidecar (world: FlowWorld): Promise<void> {
+  await world.system.sidecars.get('m0')!.shutdown()
+  noteRuns(world)
+}
+
+/** An entry behind a balancer: new callers stop coming once readiness is off. */
+async function shutDownEntry (world: SystemWorld): Promise<void> {
+  const { entry, server } = world.system.entries[0]!
+  await entry.shutdown()
+  await server.close()
+}
+
+Given('the host list lags', function (this: SystemWorld) { this.system.hostList.lag = true })
+
+When('requests flow while the sidecar of "m0" shuts down', async function (this: FlowWorld) {
+  await flow(this, everyEntry(this), () => shutDownSidecar(this))
+})
+
+When('requests flow while the operators drain "m0"', async function (this: FlowWorld) {
+  await flow(this, everyEntry(this), async () => {
+    this.system.drained = ['m0']
+    await this.system.inForce(await this.system.applyConfig())
+    await until('m0 is idle', () => this.system.sidecars.get('m0')!.openRequests === 0)
+    noteRuns(this)
+  })
+})
+
+When('requests flow while the host list shows "m0" leaving', async function (this: FlowWorld) {
+  await flow(this, everyEntry(this), async () => {
+    this.system.hostList.put({ name: 'sidecar-m0', role: 'sidecar', zone: 'z1', port: this.system.sidecarPort('m0'), operatorPort: 0, leaving: true })
+    await until('entries know', () => this.system.entries.every(({ entry }) => entry.directory.view('m0')!.barred))
+    await until('m0 is idle', () => this.system.sidecars.get('m0')!.openRequests === 0)
+    noteRuns(this)
+  })
+})
+
+When('requests flow while an entry shuts down', async function (this: FlowWorld) {
+  const ready = (): readonly string[] => this.system.entries.filter(({ entry }) => entry.ready).map(({ url }) => url)
+  await flow(this, ready, () => shutDownEntry(this))
+})
+
+When('requests flow while an entry and the sidecar of "m0" shut down', async function (this: FlowWorld) {
+  const ready = (): readonly string[] => this.system.entries.filter(({ entry }) => entry.ready).map(({ url }) => url)
+  await flow(this, ready, async () => { await Promise.all([shutDownEntry(this), shutDownSidecar(this)]) })
+})
+
+Then('every request was answered whole', function (this: SystemWorld) {
+  assert.equal(this.results.length, requestCount)
+  for (const result of this.results) {
+    assert.ok(result.whole && (result.status === 200 || result.status === 201), `${result.token} ${result.model}: ${result.status} ${result.verdict} ${result.code}`)
+  }
+  for (const plain of this.system.plains) {
+    for (const [token, runs] of plain.bookings) assert.equal(runs, 1, token)
+  }
+})
+
+Then('upstream "m0" got no new work after that', function (this: FlowWorld) {
+  assert.ok(this.runsWhenLeft > 0, 'it had work before')
+  assert.equal(this.system.engines[0]!.runs.length, this.runsWhenLeft)
+})
--- /dev/null
+++ b/packages/bench/src/test/whole-answers.steps.ts
@@ -0,0 +1,63 @@
+/**
+ * Failure tests of whole answers.
+ */
+import assert from 'node:assert/strict'
+import { connect, type Socket } from 'node:net'
+import { Then, When } from '@cucumber/cucumber'
+import { until } from './support/local-system.js'
+import type { SystemWorld } from './support/world.js'
+
+interface SlowWorld extends SystemWorld { socket: Socket }
+
+/** A request written by hand, so that the test decides when to read. */
+function openRaw (world: SystemWorld, tokens: number): Socket {
+  const body = JSON.stringify({ model: 'a@1', prompt: 'x'.repeat(10), max_tokens: tokens, stream: true })
+  const socket = connect(world.system.entries[0]!.server.port, '127.0.0.1')
+  socket.write(`POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+  return socket
+}
+
+Then('the caller sees that the answer is broken', function (this: SystemWorld) {
+  const result = this.results.at(-1)!
+  assert.equal(result.whole, false)
+})
+
+When('the channels are cut', function (this: SystemWorld) {
+  for (const { entry } of this.system.entries) entry.directory.cutChannels()
+})
+
+When('the channels are cut again once they are back', async function (this: SystemWorld) {
+  const { entry } = this.system.entries[0]!
+  await until('the channel is down', () => entry.directory.channel('m0') === undefined)
+  await until('the channel is back', () => entry.directory.channel('m0') !== undefined)
+  this.system.sidecars.get('m0')!.cutChannels()
+})
+
+When('a caller asks for a long answer and does not read it', async function (this: SlowWorld) {
+  this.socket = openRaw(this, 60_000)
+  this.socket.pause()
+})
+
+Then('the sidecar holds its stream back', async function (this: SlowWorld) {
+  const engine = this.system.engines[0]!
+  // The engine goes on decoding; what counts is that neither process buffers it all.
+  await until('the engine has produced a lot', () => engine.fill.tokens > 2_000)
+  const before = process.memoryUsage().rss
+  await until('the engine has produced more', () => engine.fill.tokens > 4_000)
+  assert.ok(process.memoryUsage().rss - before < 64 << 20, 'memory grows with an unread answer')
+  this.socket.destroy()
+})
+
+When('a caller leaves in the middle of {int} tokens', async function (this: SlowWorld, tokens: number) {
+  this.socket = openRaw(this, tokens)
+  await until('the engine runs it', () => this.system.engines[0]!.running() === 1)
+  this.socket.destroy()
+})
+
+Then('the engine stops working on it', async function (this: SystemWorld) {
+  await until('the engine is idle', () => this.system.engines[0]!.running() === 0, 1_500)
+})
+
+Then('its slot is no longer pinned', async function (this: SystemWorld) {
+  await until('no pins are left', () => this.system.sidecars.get('m0')!.status().report.adapters.every(({ pins }) => pins === 0))
+})
--- a/packages/decisions/src/lib/request-flow.ts
+++ b/packages/decisions/src/lib/request-flow.ts
@@ -52,6 +52,8 @@
 export interface FlowDeps {
   /** Picks the upstream for the next attempt. */
   readonly choose: (tried: ReadonlySet<string>) => string | undefined
+  /** Whether an upstream that can't be reached now is likely to be back soon. */
+  readonly mayComeBack: () => boolean
   /** Takes a retry from the service's budget. */
   readonly takeRetry: () => boolean
   /** Ms until the deadline. */
@@ -65,6 +67,9 @@
 const holdLimit = 256 * 1024
 /** Chunks held back; it must stay under the credit, or the sidecar would wait for ever. */
 const holdChunks = 32
+/** Pauses while every upstream is out of reach but one may come back. */
+const maxPauses = 20
+const reconnectPause: Ms = 100
 const noUpstreamRetryAfter: Ms = 1_000
 const deadlineRetryAfter: Ms = 500
 
@@ -212,10 +217,17 @@
   let last: Failure | undefined
   let worst: Verdict = 'not-run'
 
-  for (let attempts = 1; ; attempts++) {
+  for (let attempts = 1, pauses = 0; ; attempts++) {
     const upstream = deps.choose(tried)
     if (upstream === undefined) {
-      yield finalFailure(answer, soften(last ?? noUpstream(), worst))
+      if (!deps.mayComeBack() || ++pauses > maxPauses || deps.remaining() <= 0) {
+        yield finalFailure(answer, soften(last ?? noUpstream(), worst))
+        return
+      }
+      attempts--
+      const outcome = yield * pause(Math.min(reconnectPause, deps.remaining()))
+      if (outcome === 'go-on') continue
+      yield interrupted(outcome, answer, worst)
       return
     }
     tried.add(upstream)
@@ -234,11 +246,17 @@
     const delay = freeMoves.has(last.code) ? 0 : fullJitter(attempts, backoff, deps.random)
     const outcome = yield * pause(Math.min(delay, deps.remaining()))
     if (outcome === 'go-on') continue
-    yield outcome === 'deadline' ? finalFailure(answer, soften(deadlineFailure({ verdict: 'not-run' }), worst)) : [{ kind: 'forget' }]
+    yield interrupted(outcome, answer, worst)
     return
   }
 }
 
+/** Ends a request whose deadline or caller went while nothing was dispatched. */
+function interrupted (outcome: 'deadline' | 'caller-gone', answer: HeldAnswer, worst: Verdict): readonly FlowEffect[] {
+  if (outcome === 'caller-gone') return [{ kind: 'forget' }]
+  return finalFailure(answer, soften(deadlineFailure({ verdict: 'not-run' }), worst))
+}
+
 function mayRetry (cause: Failure, attempts: number, request: FlowRequest, deps: FlowDeps): boolean {
   if (!mayResend(cause.verdict, request.idempotent)) return false
   if (cause.code === 'withdrawn' || cause.code === 'key-in-use' || cause.code === 'first-attempt-unknown') return false
--- a/packages/decisions/src/lib/upstream-view.ts
+++ b/packages/decisions/src/lib/upstream-view.ts
@@ -18,12 +18,15 @@
 
 /** How long an upstream is ramped up after a cold start. */
 const slowStartMs: Ms = 5_000
+/** Most channels that break are back within this time. */
+const comeBackMs: Ms = 2_000
 const ejectAfterFailures = 5
 const ejectMs: Ms = 3_000
 
 /** One upstream as an entry sees it. */
 export class UpstreamView {
-  state: UpstreamState = 'suspect'
+  private _state: UpstreamState = 'suspect'
+  private _suspectSince: Ms = -Infinity
   /** Set from the configuration or the host list; overrides the sidecar's word. */
   barred = false
   private _report: PlanReport = emptyReport
@@ -35,17 +38,30 @@
 
   constructor (readonly name: string, readonly service: string, readonly zone: string) {}
 
+  get state (): UpstreamState { return this._state }
+
   get report (): PlanReport { return this._report }
 
   /** Takes a heartbeat. */
   update (state: 'serving' | 'leaving' | 'cold', report: PlanReport, now: Ms): void {
-    if (state === 'serving' && this.state !== 'serving') this._servingSince = now
-    this.state = state
+    if (state === 'serving' && this._state !== 'serving') this._servingSince = now
+    this._state = state
     this._report = report
     this._adapters = new Map(report.adapters.map(({ adapter, state: slot }) => [adapter, slot]))
     this._sentSince = 0
   }
 
+  /** The channel is down or silent: no new work, and no word on what is open there. */
+  suspect (now: Ms): void {
+    if (this._state !== 'suspect') this._suspectSince = now
+    this._state = 'suspect'
+  }
+
+  /** Whether it fell silent so recently that a reconnect is likely. */
+  mayComeBack (now: Ms): boolean {
+    return this._state === 'suspect' && !this.barred && now - this._suspectSince < comeBackMs
+  }
+
   /**
    * Notes a dispatch of this entry. Reports are late: until the next one, an entry
    * that ignored its own dispatches would send everything to the same upstream.
@@ -65,7 +81,7 @@
 
   /** Whether new work may go here. */
   accepts (now: Ms): boolean {
-    return this.state === 'serving' && !this.barred && now >= this._ejectedUntil
+    return this._state === 'serving' && !this.barred && now >= this._ejectedUntil
   }
 
   adapterState (adapter: AdapterKey): 'loading' | 'loaded' | 'absent' {
--- a/packages/entry/src/lib/entry.ts
+++ b/packages/entry/src/lib/entry.ts
@@ -145,6 +145,7 @@
       clock,
       events,
       takeRetry: () => budget.takeRetry(),
+      mayComeBack: () => this.directory.views(call.service.name).some(view => view.mayComeBack(clock.now())),
       choose: tried => chooseUpstream({
         ...(adapter === undefined ? {} : { adapter }),
         ...(!call.idempotent && call.idempotencyKey !== '' ? { homeKey: call.idempotencyKey } : {}),
--- a/packages/entry/src/lib/request-task.ts
+++ b/packages/entry/src/lib/request-task.ts
@@ -18,6 +18,7 @@
   readonly clock: Clock
   readonly events: EventRing
   readonly choose: (tried: ReadonlySet<string>) => string | undefined
+  readonly mayComeBack: () => boolean
   readonly takeRetry: () => boolean
   readonly dispatch: (upstream: string, receiver: AnswerReceiver) => Attempt
   readonly over: (outcome: RequestOutcome) => void
@@ -43,6 +44,7 @@
     this._timers.push(clock.after(deadlineAt - clock.now(), () => this._post({ kind: 'deadline' })))
     this._task = new Task(requestFlow(request, {
       choose: _deps.choose,
+      mayComeBack: _deps.mayComeBack,
       takeRetry: _deps.takeRetry,
       remaining: () => deadlineAt - clock.now(),
       random: Math.random
--- a/packages/entry/src/lib/upstream-directory.ts
+++ b/packages/entry/src/lib/upstream-directory.ts
@@ -135,7 +135,7 @@
   private _retire (name: string, peer: Peer): void {
     this._peers.delete(name)
     const stillServed = [...this._peers.values()].some(other => other.upstream === peer.upstream)
-    if (!stillServed) this._views.get(peer.upstream)!.state = 'suspect'
+    if (!stillServed) this._views.get(peer.upstream)?.suspect(this._options.clock.now())
     const closeWhenIdle = (): void => {
       if (peer.channel.openAttempts === 0) peer.channel.close()
       else this._options.clock.after(closeCheckMs, closeWhenIdle)
@@ -166,7 +166,7 @@
 
   private _silent (peer: Peer): void {
     const view = this._views.get(peer.upstream)
-    if (view !== undefined && this._peers.get(peer.host.name) === peer) view.state = 'suspect'
+    if (view !== undefined && this._peers.get(peer.host.name) === peer) view.suspect(this._options.clock.now())
   }
 
   private _configChanged (config: Config, doc: ConfigDocument): void {
--- /dev/null
+++ b/packages/sidecar/src/test/load-permits.feature
@@ -0,0 +1,16 @@
+Feature: sidecars share the weight store
+  Symptom: loads take several times as long, and some are refused by the store.
+  Events: several sidecars load at the same time.
+  Cause: nothing told them of one another.
+
+  Scenario: permits taken at the same time
+    Given ten sidecars that want to load at the same time from a store that serves two
+    Then at most two load at any time and all have loaded in the end
+
+  Scenario: a holder that dies
+    Given a sidecar that took the only permit and died
+    Then another gets it after the permit has run out
+
+  Scenario: the key-value service is down
+    Given four sidecars that share four loads a second while the service is down
+    Then together they begin at most four loads in any second after their first
--- /dev/null
+++ b/packages/sidecar/src/test/load-permits.steps.ts
@@ -0,0 +1,90 @@
+/**
+ * Failure tests of load permits.
+ */
+import assert from 'node:assert/strict'
+import { Given, Then } from '@cucumber/cucumber'
+import { FakeClock, silentLog } from '@hazelford/core'
+import { LoadPermits, type PermitLimits } from '../lib/load-permits.js'
+import { FakeKv, type KvFault, settlePromises } from './support/fake-kv.js'
+
+const stepMs = 10
+let clock: FakeClock
+let kv: FakeKv
+
+function permitsOf (sidecar: string, limits: PermitLimits, fault: () => KvFault = () => 'none'): LoadPermits {
+  return new LoadPermits({ kv: kv.client(fault), clock, log: silentLog, sidecar, limits: () => limits })
+}
+
+async function passTime (ms: number): Promise<void> {
+  for (let past = 0; past < ms; past += stepMs) {
+    await settlePromises(30)
+    clock.advance(stepMs)
+  }
+}
+
+let most: number
+let loaded: number
+
+Given('ten sidecars that want to load at the same time from a store that serves two', async () => {
+  clock = new FakeClock()
+  kv = new FakeKv()
+  most = 0
+  loaded = 0
+  let active = 0
+  for (let i = 0; i < 10; i++) {
+    permitsOf(`s${i}`, { atOnce: 2, perSecond: 100, sharers: 10 }).acquire(1).then(permit => {
+      most = Math.max(most, ++active)
+      clock.after(200, () => {
+        active--
+        loaded++
+        permit.giveBack()
+      })
+    }, () => {})
+  }
+  await passTime(20_000)
+})
+
+Then('at most two load at any time and all have loaded in the end', () => {
+  assert.equal(most, 2)
+  assert.equal(loaded, 10)
+})
+
+let takenAt: number
+
+Given('a sidecar that took the only permit and died', async () => {
+  clock = new FakeClock()
+  kv = new FakeKv()
+  takenAt = 0
+  const limits = { atOnce: 1, perSecond: 100, sharers: 2 }
+  await permitsOf('dead', limits).acquire(0)
+  permitsOf('other', limits).acquire(0).then(() => { takenAt = clock.now() }, () => {})
+  await passTime(25_000)
+})
+
+Then('another gets it after the permit has run out', () => {
+  assert.ok(takenAt >= 15_000 && takenAt < 20_000, `taken after ${takenAt} ms`)
+})
+
+let begun: number[]
+
+Given('four sidecars that share four loads a second while the service is down', async () => {
+  clock = new FakeClock()
+  kv = new FakeKv()
+  begun = []
+  const load = async (permits: LoadPermits): Promise<void> => {
+    for (let i = 0; i < 10; i++) {
+      await permits.acquire(0)
+      begun.push(clock.now())
+    }
+  }
+  for (let i = 0; i < 4; i++) load(permitsOf(`s${i}`, { atOnce: 1, perSecond: 4, sharers: 4 }, () => 'refused')).catch(() => {})
+  await passTime(12_000)
+})
+
+Then('together they begin at most four loads in any second after their first', () => {
+  assert.equal(begun.length, 40)
+  for (const at of begun) {
+    const within = begun.filter(other => other >= at && other < at + 1_000).length
+    assert.ok(within <= 4, `${within} loads in the second from ${at}`)
+  }
+})
