--- a/packages/bench/src/lib/daemon-process.ts
+++ b/packages/bench/src/lib/daemon-process.ts
@@ -12,6 +12,8 @@
 
 const require = createRequire(import.meta.url)
 const daemonMain = join(dirname(require.resolve('@hazelford/daemon')), 'main.js')
+const standInMain = join(dirname(require.resolve('@hazelford/stand-ins')), 'main.js')
+const logLimit = 20_000
 const startTimeoutMs = 20_000
 
 /** A running daemon. */
@@ -42,6 +44,20 @@
   })
 }
 
+async function startChild (name: string, args: readonly string[], cleanUp: () => void): Promise<DaemonProcess> {
+  const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] })
+  let log = ''
+  child.stderr.on('data', (part: Buffer) => { log = (log + part.toString()).slice(-logLimit) })
+  const exited = new Promise<number | null>(resolve => {
+    child.once('exit', code => {
+      cleanUp()
+      resolve(code)
+    })
+  })
+  const ready = await waitReady(child, name, () => log)
+  return { name, pid: child.pid!, ...ready, signal: signal => { child.kill(signal) }, exited, output: () => log }
+}
+
 /**
  * Starts a daemon.
  *
@@ -50,19 +66,19 @@
  * @param nodeArgs - for node, such as `--cpu-prof`
  * @returns once it listens
  */
-export async function startDaemonProcess (name: string, settings: string, nodeArgs: readonly string[] = []): Promise<DaemonProcess> {
+export function startDaemonProcess (name: string, settings: string, nodeArgs: readonly string[] = []): Promise<DaemonProcess> {
   const dir = mkdtempSync(join(tmpdir(), 'hazelford-'))
   const file = join(dir, `${name}.toml`)
   writeFileSync(file, settings, { mode: 0o600 })
-  const child = spawn(process.execPath, [...nodeArgs, daemonMain, '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'] })
-  let log = ''
-  child.stderr.on('data', (part: Buffer) => { log = (log + part.toString()).slice(-20_000) })
-  const exited = new Promise<number | null>(resolve => {
-    child.once('exit', code => {
-      rmSync(dir, { recursive: true, force: true })
-      resolve(code)
-    })
-  })
-  const ready = await waitReady(child, name, () => log)
-  return { name, pid: child.pid!, ...ready, signal: signal => { child.kill(signal) }, exited, output: () => log }
+  return startChild(name, [...nodeArgs, daemonMain, '--settings', file], () => rmSync(dir, { recursive: true, force: true }))
+}
+
+/**
+ * Starts a stand-in as a process, so that it shares no core with what is measured.
+ *
+ * @param kind - which one
+ * @param options - of an engine
+ */
+export function startStandInProcess (kind: 'engine' | 'plain', options: object = {}): Promise<DaemonProcess> {
+  return startChild(kind, [standInMain, kind, JSON.stringify(options)], () => {})
 }
--- a/packages/engine/src/lib/engine-client.ts
+++ b/packages/engine/src/lib/engine-client.ts
@@ -51,7 +51,8 @@
 const unloadTimeoutMs = 5_000
 const reorderWindow = 64
 const resumeAttempts = 3
-const doneMark = '[DONE]'
+const doneLine = 'data: [DONE]'
+const dataFieldLength = 'data: '.length
 
 /** Tells whether an answer names the adapter that was asked for. */
 function namesModel (json: string, engineName: string): boolean {
@@ -63,17 +64,23 @@
   }
 }
 
+/** The JSON of an event's line, which was read byte by byte. */
+function eventJson (line: string): string {
+  return Buffer.from(line.slice(dataFieldLength), 'latin1').toString('utf8')
+}
+
 function wrongAdapter (engineName: string): ReturnType<typeof failure> {
   return failure('may-have-run', 'wrong-adapter', `The engine answered for another adapter than ${engineName}. The answer was dropped; repeat the request.`)
 }
 
 /** Runs one completion, over several connections if its stream breaks. */
 class CompletionRun implements CallHandle {
-  private readonly _events = new Sequencer<string>(data => this._take(data), reorderWindow)
-  private _ready: string[] = []
+  private readonly _events = new Sequencer<string>(line => this._take(line), reorderWindow)
+  private _ready = ''
   private _http: HttpHandle
   private _status = 0
   private _streamed = false
+  private readonly _modelMark: string
   private _whole: Buffer[] = []
   private _headSent = false
   private _over = false
@@ -83,6 +90,7 @@
   private _headers: Record<string, string | string[]> = {}
 
   constructor (private readonly _pool: Pool, private readonly _call: CompletionCall, private readonly _sink: AnswerSink) {
+    this._modelMark = `"model":"${_call.engineName}"`
     const fields = JSON.parse(Buffer.from(_call.body).toString('utf8')) as object
     const body = JSON.stringify({ ...fields, model: _call.engineName, priority: _call.priority })
     const headers = { 'content-type': 'application/json', 'x-request-id': _call.id }
@@ -135,7 +143,7 @@
       return
     }
     for (const event of splitter.push(data)) {
-      const verdict = this._events.offer(event.id ?? this._events.delivered, event.data)
+      const verdict = this._events.offer(event.id ?? this._events.delivered, event.line)
       if (verdict === 'overflow') return this._broken(failure('may-have-run', 'stream-incomplete', 'The engine skipped part of the stream.'))
       if (this._over) return
     }
@@ -143,31 +151,31 @@
   }
 
   /** Checks one event in order. */
-  private _take (data: string): void {
+  private _take (line: string): void {
     if (this._over) return
-    if (data === doneMark) {
-      this._ready.push('data: [DONE]\n\n')
+    if (line === doneLine) {
+      this._ready += `${doneLine}\n\n`
       this._flush()
       this._finish(() => this._sink.end())
       return
     }
-    if (!namesModel(data, this._call.engineName)) {
+    if (!line.includes(this._modelMark) && !namesModel(eventJson(line), this._call.engineName)) {
       // An engine that lost the adapter can fall back to another one. Passing its
       // words on would answer a caller from the wrong adapter.
       this._http.abort()
       this._finish(() => this._sink.fail(wrongAdapter(this._call.engineName)))
       return
     }
-    this._ready.push(`data: ${data.replace(this._call.engineName, this._call.shownName)}\n\n`)
+    this._ready += `${line.replace(this._call.engineName, this._call.shownName)}\n\n`
   }
 
   /** Passes on what one read completed. */
   private _flush (): void {
-    if (this._ready.length === 0) return
+    if (this._ready === '') return
     this._sendHead()
-    const text = this._ready.length === 1 ? this._ready[0]! : this._ready.join('')
-    this._ready = []
-    this._sink.data(Buffer.from(text, 'utf8'))
+    const bytes = Buffer.from(this._ready, 'latin1')
+    this._ready = ''
+    this._sink.data(bytes)
   }
 
   private _sendHead (): void {
--- a/packages/engine/src/lib/sse-splitter.ts
+++ b/packages/engine/src/lib/sse-splitter.ts
@@ -2,30 +2,48 @@
  * Splits a byte stream into server-sent events.
  */
 
-/** One event. */
+/** One event. Its text holds one byte in each character (latin1), as read. */
 export interface SseEvent {
   /** The `id` field, or undefined. */
   readonly id: number | undefined
-  /** The `data` field. */
-  readonly data: string
+  /** The `data` field, with its name in front: `data: ...`. */
+  readonly line: string
 }
 
-const separator = Buffer.from('\n\n')
-const empty = Buffer.alloc(0)
+const separator = '\n\n'
+const idField = 'id: '
+const dataField = 'data: '
 
 function parseEvent (text: string): SseEvent {
+  // Nearly every event is an id and one line of data; finding these two by position
+  // costs a fraction of splitting all lines.
+  if (text.startsWith(idField)) {
+    const end = text.indexOf('\n')
+    if (text.startsWith(dataField, end + 1) && !text.includes('\n', end + 1)) {
+      return { id: Number(text.slice(idField.length, end)), line: text.slice(end + 1) }
+    }
+  }
+  return parseLines(text)
+}
+
+function parseLines (text: string): SseEvent {
   let id: number | undefined
-  let data = ''
-  for (const line of text.split('\n')) {
-    if (line.startsWith('id: ')) id = Number(line.slice(4))
-    else if (line.startsWith('data: ')) data += line.slice(6)
+  let line = dataField
+  for (const part of text.split('\n')) {
+    if (part.startsWith(idField)) id = Number(part.slice(idField.length))
+    else if (part.startsWith(dataField)) line += part.slice(dataField.length)
   }
-  return { id, data }
+  return { id, line }
 }
 
-/** Keeps the unfinished event between two reads. */
+/**
+ * Keeps the unfinished event between two reads.
+ *
+ * Bytes are read as latin1, which keeps each byte as it is and costs no decoding; the
+ * answer leaves as the same bytes, so that UTF-8 passes unharmed.
+ */
 export class SseSplitter {
-  private _rest: Buffer = empty
+  private _rest = ''
 
   /**
    * Takes bytes.
@@ -34,14 +52,14 @@
    * @returns the events completed by it
    */
   push (bytes: Buffer): readonly SseEvent[] {
-    const buffer = this._rest.length === 0 ? bytes : Buffer.concat([this._rest, bytes])
+    const text = this._rest + bytes.toString('latin1')
     const events: SseEvent[] = []
     let from = 0
-    for (let end = buffer.indexOf(separator); end >= 0; end = buffer.indexOf(separator, from)) {
-      events.push(parseEvent(buffer.toString('utf8', from, end)))
+    for (let end = text.indexOf(separator); end >= 0; end = text.indexOf(separator, from)) {
+      events.push(parseEvent(text.slice(from, end)))
       from = end + separator.length
     }
-    this._rest = from === buffer.length ? empty : buffer.subarray(from)
+    this._rest = from === text.length ? '' : text.slice(from)
     return events
   }
 }
--- a/packages/entry/src/lib/channel-client.ts
+++ b/packages/entry/src/lib/channel-client.ts
@@ -4,7 +4,7 @@
 import { ChannelCredentials, type ClientDuplexStream } from '@grpc/grpc-js'
 import { type CancelTimer, type Clock, type ConfigDocument, type EventRing, failure, type FailureCode, type HybridClock, type Log, type Ms } from '@hazelford/core'
 import { fullJitter } from '@hazelford/decisions'
-import { ChannelClient as GrpcClient, channelOptions, type EntryBatch, type EntryFrame, FrameBatcher, type Request, type SidecarBatch, type SidecarFrame, type SidecarHeartbeat, toWireDocument, type Welcome } from '@hazelford/wire'
+import { ChannelClient as GrpcClient, channelOptions, type ChunkGroup, type EntryBatch, type EntryFrame, FrameBatcher, type Request, type SidecarBatch, type SidecarFrame, type SidecarHeartbeat, toWireDocument, type Welcome } from '@hazelford/wire'
 import type { AnswerReceiver, Attempt } from './answer-receiver.js'
 import { creditChunks, OpenAttempt } from './open-attempt.js'
 
@@ -157,7 +157,7 @@
     switch (body?.$case) {
       case 'welcome': return this._welcome(body.value)
       case 'head': return this._open.get(body.value.seq)?.takeHead(body.value)
-      case 'chunk': return this._open.get(body.value.seq)?.takeChunk(body.value)
+      case 'chunks': return this._takeChunks(body.value)
       case 'end': return this._end(body.value.seq, attempt => attempt.takeEnd(body.value))
       case 'heartbeat':
         if (this._connected) this._events.heartbeat(body.value)
@@ -168,6 +168,10 @@
     }
   }
 
+  private _takeChunks ({ seqs, indexes, data }: ChunkGroup): void {
+    for (let i = 0; i < seqs.length; i++) this._open.get(seqs[i]!)?.takeChunk(indexes[i]!, data[i]!)
+  }
+
   private _end (seq: number, take: (attempt: OpenAttempt) => void): void {
     const attempt = this._open.get(seq)
     if (attempt === undefined) {
--- a/packages/entry/src/lib/open-attempt.ts
+++ b/packages/entry/src/lib/open-attempt.ts
@@ -3,7 +3,7 @@
  */
 import { failure, type Failure, type FailureCode, type Ms, parseVerdict } from '@hazelford/core'
 import { Sequencer } from '@hazelford/decisions'
-import type { Chunk, End, Head, Request } from '@hazelford/wire'
+import type { End, Head, Request } from '@hazelford/wire'
 import type { AnswerReceiver } from './answer-receiver.js'
 
 /** Chunks that may be on their way or unread. */
@@ -41,9 +41,9 @@
     this._receiver.head({ status: head.status, headers: head.headers })
   }
 
-  takeChunk (chunk: Chunk): void {
+  takeChunk (index: number, data: Uint8Array): void {
     if (this._over) return
-    if (this._chunks.offer(chunk.index, chunk.data) === 'overflow') {
+    if (this._chunks.offer(index, data) === 'overflow') {
       return this.fail(failure('may-have-run', 'stream-incomplete', 'A part of the answer is missing.'))
     }
     this._maybeEnd()
--- a/packages/sidecar/src/lib/channel-server.ts
+++ b/packages/sidecar/src/lib/channel-server.ts
@@ -2,7 +2,7 @@
  * The sidecar's end of the channels: accepts connections from entries.
  */
 import { type Clock, type HybridClock, type Ms } from '@hazelford/core'
-import { ChannelService, channelOptions, type EntryBatch, type EntryFrame, FrameBatcher, type SidecarBatch, type SidecarFrame } from '@hazelford/wire'
+import { ChannelService, channelOptions, type EntryBatch, type EntryFrame, FrameBatcher, mergeChunks, type SidecarBatch, type SidecarFrame } from '@hazelford/wire'
 import { Server, ServerCredentials, type ServerDuplexStream } from '@grpc/grpc-js'
 
 /** Hears what comes over one connection. */
@@ -41,7 +41,8 @@
 function openConnection (stream: Stream, options: ChannelServerOptions): Connection {
   const { hlc } = options
   const batcher = new FrameBatcher<SidecarFrame>({
-    write: frames => stream.write({ hlc: hlc.tick(), frames })
+    write: frames => stream.write({ hlc: hlc.tick(), frames }),
+    merge: mergeChunks
   })
   stream.on('drain', () => batcher.drained())
   return {
--- a/packages/sidecar/src/lib/request-run.ts
+++ b/packages/sidecar/src/lib/request-run.ts
@@ -4,7 +4,7 @@
  */
 import type { Failure } from '@hazelford/core'
 import type { AnswerHeader, CallHandle } from '@hazelford/engine'
-import type { Chunk, Head, Request, SidecarFrame } from '@hazelford/wire'
+import { type Chunk, chunkFrame, type Head, type Request, type SidecarFrame } from '@hazelford/wire'
 
 /** Where a request stands. */
 export type RunState = 'queued' | 'claiming' | 'running' | 'ended'
@@ -53,7 +53,7 @@
     if (this.state === 'ended') return
     const chunk: Chunk = { seq: this.request.seq, index: this._nextIndex++, data: data as Buffer }
     this._unconfirmed.push(chunk)
-    this._send({ body: { $case: 'chunk', value: chunk } })
+    this._send(chunkFrame(chunk))
     this._steer()
   }
 
@@ -90,7 +90,7 @@
   replay (received: number): void {
     this.confirm(received)
     if (this._head !== undefined) this._send({ body: { $case: 'head', value: this._head } })
-    for (const chunk of this._unconfirmed) this._send({ body: { $case: 'chunk', value: chunk } })
+    for (const chunk of this._unconfirmed) this._send(chunkFrame(chunk))
     if (this._end !== undefined) this._send(this._end)
   }
 
--- a/packages/stand-ins/src/lib/model-engine.ts
+++ b/packages/stand-ins/src/lib/model-engine.ts
@@ -141,10 +141,11 @@
   })
 
   function tokenEvent (chat: boolean, id: string, model: string, text: string, finish: string | null): string {
-    const choice = chat
-      ? { index: 0, delta: { content: text }, finish_reason: finish }
-      : { index: 0, text, finish_reason: finish }
-    return JSON.stringify({ id, object: chat ? 'chat.completion.chunk' : 'text_completion', model, choices: [choice] })
+    const words = JSON.stringify(text)
+    const end = finish === null ? 'null' : `"${finish}"`
+    return chat
+      ? `{"id":"${id}","object":"chat.completion.chunk","model":"${model}","choices":[{"index":0,"delta":{"content":${words}},"finish_reason":${end}}]}`
+      : `{"id":"${id}","object":"text_completion","model":"${model}","choices":[{"index":0,"text":${words},"finish_reason":${end}}]}`
   }
 
   function wholeAnswer (chat: boolean, id: string, model: string, text: string, tokens: number): object {
@@ -187,7 +188,7 @@
       return RESPONSE_ALREADY_SENT
     }
 
-    const stream = new EngineStream(id, { ...faults })
+    const stream = new EngineStream(id, { ...faults }, options.keepsRecord !== false)
     streams.set(id, stream)
     stream.attach(outgoing as never, 0)
     batch.add({
