Add the operators' command line and spread loads over all engines

Cause: (1) operators could change the configuration only by hand in the key-value service. (2) "hazelford adapters" on the demo showed every adapter on one engine and none on the others: the first engine to load reported a measured 30 ms, the others a guess of 500 ms, so each further load went to the first as well. Ruled out for (2): the rendezvous order (its spread is even) and the load bound. Change: check, diff, apply, show, history, rollback, status, adapters, drain, undrain, requests, timeline and completion, with tables or JSON and exit codes. Upstreams report no time before they measured one; entries pool the known times.

--- a/packages/bench/src/lib/path-loads.ts
+++ b/packages/bench/src/lib/path-loads.ts
@@ -141,7 +141,8 @@
     all.push(stream().catch(() => {}))
     if (i % opensPerStep === opensPerStep - 1) await pause(openStepMs)
   }
-  while (begun + failed < streams) await pause(openStepMs)
+  const allOpen = (): boolean => begun + failed >= streams
+  while (!allOpen()) await pause(openStepMs)
   // Opening a stream costs far more than carrying it; the window begins once that is over.
   await pause(warmUpMs)
   await atEdge()
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,16 @@
+/**
+ * The operators' commands as a library.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/cli-context.js'
+export * from './lib/commands/apply.js'
+export * from './lib/commands/drain.js'
+export * from './lib/commands/rollback.js'
+export * from './lib/config-store.js'
+export * from './lib/exit-code.js'
+export * from './lib/processes.js'
+export * from './lib/queries/config-queries.js'
+export * from './lib/queries/process-queries.js'
+export * from './lib/queries/timeline.js'
+export * from './lib/text-diff.js'
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,169 @@
+#!/usr/bin/env node
+/**
+ * `hazelford`: the operators' command line.
+ */
+import { readFileSync } from 'node:fs'
+import { userInfo } from 'node:os'
+import { createKvClient } from '@hazelford/platform'
+import { cac } from 'cac'
+import type { CliContext } from './lib/cli-context.js'
+import { apply } from './lib/commands/apply.js'
+import { setDrain } from './lib/commands/drain.js'
+import { rollback } from './lib/commands/rollback.js'
+import { ConfigStore } from './lib/config-store.js'
+import { exitCodes, type Report, report } from './lib/exit-code.js'
+import { completion } from './lib/queries/completion.js'
+import { check, diff, history, show } from './lib/queries/config-queries.js'
+import { adapters, status } from './lib/queries/process-queries.js'
+import { requests, timeline } from './lib/queries/timeline.js'
+
+interface GlobalOptions {
+  readonly kv?: string
+  readonly hosts?: string
+  readonly json?: boolean
+}
+
+interface CommandOptions extends GlobalOptions {
+  readonly wait?: boolean
+  readonly dryRun?: boolean
+  readonly revision?: number
+  readonly watch?: boolean
+  readonly since?: string
+  readonly request?: string
+  readonly adapter?: string
+  readonly upstream?: string
+  readonly kind?: string
+  readonly html?: boolean
+}
+
+const watchMs = 1_000
+const bold = '\u001b[1m'
+const plain = '\u001b[0m'
+const clearScreen = '\u001b[2J\u001b[H'
+const unitsMs: Readonly<Record<string, number>> = { ms: 1, s: 1_000, m: 60_000, h: 3_600_000 }
+
+class UsageError extends Error {}
+
+function need (value: string | undefined, flag: string, variable: string): string {
+  const found = value ?? process.env[variable]
+  if (found === undefined) throw new UsageError(`Give ${flag} or set ${variable}.`)
+  return found
+}
+
+function context (options: GlobalOptions): CliContext {
+  // What a command does not need is not asked for until it is used.
+  const kvUrl = (): string => need(options.kv, '--kv URL', 'HAZELFORD_KV')
+  return {
+    connection: {
+      get kvUrl () { return kvUrl() },
+      get hostListUrl () { return need(options.hosts, '--hosts URL', 'HAZELFORD_HOSTS') },
+      get token () { return need(undefined, 'the operator token', 'HAZELFORD_TOKEN') }
+    },
+    get store () { return new ConfigStore(createKvClient(kvUrl())) },
+    author: process.env.HAZELFORD_AUTHOR ?? userInfo().username,
+    wall: () => Date.now(),
+    progress: line => process.stderr.write(`${line}\n`)
+  }
+}
+
+function readText (file: string): string {
+  try {
+    return readFileSync(file === '-' ? 0 : file, 'utf8')
+  } catch (error) {
+    throw new UsageError(`Cannot read ${file}: ${(error as Error).message}.`)
+  }
+}
+
+function parseSpan (text: string | undefined): number | undefined {
+  if (text === undefined) return undefined
+  const match = /^(\d+)(ms|s|m|h)$/.exec(text)
+  if (match === null) throw new UsageError(`--since takes a time span such as 30s, 5m or 1h, not "${text}".`)
+  return Number(match[1]) * unitsMs[match[2]!]!
+}
+
+/** The first line of a table stands out on a terminal that wants colour. */
+function emphasise (text: string): string {
+  if (!process.stdout.isTTY || process.env.NO_COLOR !== undefined) return text
+  const end = text.indexOf('\n')
+  return end < 0 ? text : `${bold}${text.slice(0, end)}${plain}${text.slice(end)}`
+}
+
+function print (done: Report, options: GlobalOptions): void {
+  const text = options.json === true ? JSON.stringify(done.data, undefined, 2) : emphasise(done.text)
+  const stream = done.code === exitCodes.done ? process.stdout : process.stderr
+  stream.write(text.endsWith('\n') ? text : `${text}\n`)
+}
+
+async function run (options: GlobalOptions, command: () => Report | Promise<Report>): Promise<void> {
+  let done: Report
+  try {
+    done = await command()
+  } catch (error) {
+    done = report(error instanceof UsageError ? exitCodes.badInput : exitCodes.failed, `hazelford: ${(error as Error).message}`)
+  }
+  print(done, options)
+  // Connections are kept open for a next call that does not come; ending does not wait for them.
+  const end = (): never => process.exit(done.code)
+  if (process.stdout.writableLength > 0) process.stdout.once('drain', end)
+  else end()
+}
+
+async function watchStatus (options: CommandOptions): Promise<void> {
+  for (;;) {
+    const seen = await status(context(options))
+    process.stdout.write(clearScreen)
+    print(seen, options)
+    await new Promise(resolve => { setTimeout(resolve, watchMs) })
+  }
+}
+
+const cli = cac('hazelford')
+cli.option('--kv <url>', 'Key-value service (or HAZELFORD_KV)')
+cli.option('--hosts <url>', 'Host list (or HAZELFORD_HOSTS)')
+cli.option('--json', 'Output for programs')
+
+cli.command('check <file>', 'Check a configuration text').example('hazelford check week.toml')
+  .action((file: string, options: CommandOptions) => run(options, () => check(readText(file), file)))
+cli.command('diff <file>', 'Show what a text would change')
+  .action((file: string, options: CommandOptions) => run(options, () => diff(context(options), readText(file), file)))
+cli.command('apply <file>', 'Put a configuration in force').option('--wait', 'Wait until it is in force everywhere').option('--dry-run', 'Show what would change')
+  .example('hazelford show > week.toml  # edit it, then:').example('hazelford apply week.toml --wait')
+  .action((file: string, options: CommandOptions) => run(options, () =>
+    apply(context(options), readText(file), { wait: options.wait === true, dryRun: options.dryRun === true, file })))
+cli.command('show', 'Show the configuration').option('--revision <n>', 'An earlier one')
+  .action((options: CommandOptions) => run(options, () => show(context(options), options.revision)))
+cli.command('history', 'List the revisions')
+  .action((options: CommandOptions) => run(options, () => history(context(options))))
+cli.command('rollback <revision>', 'Put the text of an earlier revision in force again').option('--wait', 'Wait until it is in force everywhere')
+  .action((revision: string, options: CommandOptions) => run(options, () => rollback(context(options), Number(revision), options.wait === true)))
+cli.command('status', 'Show every process').option('--watch', 'Again every second')
+  .action((options: CommandOptions) => options.watch === true ? watchStatus(options) : run(options, () => status(context(options))))
+cli.command('adapters', 'Show which adapters are loaded where')
+  .action((options: CommandOptions) => run(options, () => adapters(context(options))))
+cli.command('drain <upstream>', 'Give an upstream no new work').option('--wait', 'Wait until it is in force everywhere').example('hazelford drain m1 --wait')
+  .action((name: string, options: CommandOptions) => run(options, () => setDrain(context(options), name, true, options.wait === true)))
+cli.command('undrain <upstream>', 'Give an upstream work again').option('--wait', 'Wait until it is in force everywhere')
+  .action((name: string, options: CommandOptions) => run(options, () => setDrain(context(options), name, false, options.wait === true)))
+cli.command('requests <id>', 'Show the way of one request')
+  .action((id: string, options: CommandOptions) => run(options, () => requests(context(options), id)))
+cli.command('timeline', 'Show the events of all processes in causal order')
+  .option('--since <span>', 'Only the last 30s, 5m or 1h').option('--request <id>', 'Of one request').option('--adapter <name@version>', 'About one adapter')
+  .option('--upstream <name>', 'About one upstream').option('--kind <kind>', 'Of one kind, such as load-ended').option('--html', 'One self-contained page')
+  .example('hazelford timeline --since 5m --html > timeline.html')
+  .action((options: CommandOptions) => run(options, () => timeline(context(options), { ...options, since: parseSpan(options.since) })))
+cli.command('completion <shell>', 'Completion script for bash or zsh')
+  .action((shell: string, options: CommandOptions) => run(options, () => completion(shell, cli.commands.map(command => command.name))))
+cli.help()
+cli.version('0.1.0')
+
+try {
+  cli.parse(process.argv, { run: false })
+  if (cli.matchedCommand === undefined && cli.options.help !== true && cli.options.version !== true) {
+    process.stderr.write('hazelford: name a command. "hazelford --help" lists them.\n')
+    process.exit(exitCodes.badInput)
+  }
+  await cli.runMatchedCommand()
+} catch (error) {
+  process.stderr.write(`hazelford: ${(error as Error).message}\n`)
+  process.exit(exitCodes.badInput)
+}
--- a/packages/decisions/src/lib/choose-upstream.ts
+++ b/packages/decisions/src/lib/choose-upstream.ts
@@ -31,6 +31,31 @@
 /** Costs closer than this (ms) count as equal. */
 const costTolerance: Ms = 2
 
+/** Times that hold for all upstreams of a service. */
+interface Estimates { readonly loadMs: Ms, readonly serviceMs: Ms }
+
+const defaultLoadMs: Ms = 500
+const defaultServiceMs: Ms = 200
+
+function meanKnown (values: readonly Ms[], unknown: Ms): Ms {
+  const known = values.filter(value => value > 0)
+  return known.length === 0 ? unknown : known.reduce((sum, value) => sum + value, 0) / known.length
+}
+
+/**
+ * Pools what the upstreams measured.
+ *
+ * All load from one weight store. Taken each for itself, the first upstream to load
+ * anything shows a short time, the others still a guess, and all later loads go to
+ * the first while the rest stay empty.
+ */
+function estimatesOf (candidates: readonly UpstreamView[]): Estimates {
+  return {
+    loadMs: meanKnown(candidates.map(view => view.report.loadMs), defaultLoadMs),
+    serviceMs: meanKnown(candidates.map(view => view.report.serviceMs), defaultServiceMs)
+  }
+}
+
 function candidatesOf (query: RouteQuery, views: readonly UpstreamView[], now: Ms): readonly UpstreamView[] {
   const open = views.filter(view => view.accepts(now))
   const fresh = open.filter(view => !query.tried.has(view.name))
@@ -41,8 +66,9 @@
 function lighterOfTwo (candidates: readonly UpstreamView[], query: RouteQuery, weights: RouteWeights, now: Ms, random: () => number): UpstreamView {
   const pick = (): UpstreamView => candidates[Math.floor(random() * candidates.length)]!
   const [a, b] = [pick(), pick()]
+  const { serviceMs } = estimatesOf(candidates)
   const cost = (view: UpstreamView): number =>
-    (view.load + 1) / view.report.places / view.warmth(now) + (view.zone === query.zone ? 0 : weights.zonePenalty / view.report.serviceMs)
+    (view.load + 1) / view.report.places / view.warmth(now) + (view.zone === query.zone ? 0 : weights.zonePenalty / serviceMs)
   return cost(a) <= cost(b) ? a : b
 }
 
@@ -60,8 +86,8 @@
   return new Map(sorted.map((name, rank) => [name, rank]))
 }
 
-function stallCost (view: UpstreamView, adapter: AdapterKey, heldSomewhere: boolean): Ms {
-  const { loadMs, loadsWaiting } = view.report
+function stallCost (view: UpstreamView, adapter: AdapterKey, heldSomewhere: boolean, loadMs: Ms): Ms {
+  const { loadsWaiting } = view.report
   switch (view.adapterState(adapter)) {
     case 'loaded': return 0
     case 'loading': return loadMs / 2
@@ -70,8 +96,8 @@
 }
 
 /** Gain of joining a batch that runs and has room, in ms of service. */
-function batchGain (view: UpstreamView): Ms {
-  const { places, serviceMs } = view.report
+function batchGain (view: UpstreamView, serviceMs: Ms): Ms {
+  const { places } = view.report
   const room = places - view.load
   return room <= 0 ? 0 : Math.min(1, view.load / places) * serviceMs
 }
@@ -103,14 +129,15 @@
   const { adapter } = query
   const heldSomewhere = candidates.some(view => view.adapterState(adapter) !== 'absent')
   const placement = placementOrder(adapter, candidates, now)
+  const { loadMs, serviceMs } = estimatesOf(candidates)
   let best: UpstreamView | undefined
   let least = Infinity
   for (const view of candidates) {
-    const cost = weights.stall * stallCost(view, adapter, heldSomewhere) +
-      weights.queue * view.queueWait() / view.warmth(now) -
-      weights.batch * batchGain(view) +
+    const cost = weights.stall * stallCost(view, adapter, heldSomewhere, loadMs) +
+      weights.queue * view.queueWait(serviceMs) / view.warmth(now) -
+      weights.batch * batchGain(view, serviceMs) +
       (view.zone === query.zone ? 0 : weights.zonePenalty) +
-      (heldSomewhere ? 0 : placement.get(view.name)! * view.report.loadMs) +
+      (heldSomewhere ? 0 : placement.get(view.name)! * loadMs) +
       // Entries see the same late reports. A little noise keeps them from all
       // choosing the same upstream between two reports.
       random() * costTolerance
--- a/packages/decisions/src/lib/plan-messages.ts
+++ b/packages/decisions/src/lib/plan-messages.ts
@@ -45,7 +45,9 @@
   readonly places: number
   readonly slots: number
   readonly adapters: readonly { readonly adapter: AdapterKey, readonly state: 'loading' | 'loaded', readonly pins: number }[]
+  /** Recent time of a load; 0 before the first. */
   readonly loadMs: Ms
   readonly loadsWaiting: number
+  /** Recent time of a request at the upstream; 0 before the first. */
   readonly serviceMs: Ms
 }
--- a/packages/decisions/src/lib/smoothed.ts
+++ b/packages/decisions/src/lib/smoothed.ts
@@ -15,6 +15,9 @@
 
   get value (): number { return this._value }
 
+  /** The average, or 0 before the first sample. */
+  get measured (): number { return this._seen ? this._value : 0 }
+
   /** Takes a sample; the first replaces the initial value. */
   add (sample: number): void {
     this._value = this._seen ? this._value + this._weight * (sample - this._value) : sample
--- a/packages/decisions/src/lib/upstream-plan.ts
+++ b/packages/decisions/src/lib/upstream-plan.ts
@@ -58,9 +58,9 @@
       slots: this._limits.slots,
       adapters: held.flatMap(({ adapter, state, pins }) =>
         state === 'loading' || state === 'loaded' ? [{ adapter, state, pins }] : []),
-      loadMs: this._loadMs.value,
+      loadMs: this._loadMs.measured,
       loadsWaiting: this._adaptersToLoad().length,
-      serviceMs: this._serviceMs.value
+      serviceMs: this._serviceMs.measured
     }
   }
 
--- a/packages/decisions/src/lib/upstream-view.ts
+++ b/packages/decisions/src/lib/upstream-view.ts
@@ -91,10 +91,14 @@
   /** Requests running or queued there, own dispatches since the report included. */
   get load (): number { return this._report.running + this._report.queued + this._sentSince }
 
-  /** Expected ms in the queue. */
-  queueWait (): Ms {
+  /**
+   * Expected ms in the queue.
+   *
+   * @param serviceMs - time of a request at an upstream of this service
+   */
+  queueWait (serviceMs: Ms): Ms {
     const over = this.load + 1 - this._report.places
-    return over <= 0 ? 0 : over / this._report.places * this._report.serviceMs
+    return over <= 0 ? 0 : over / this._report.places * serviceMs
   }
 
   /** Share of full traffic this upstream should get while it warms up, 0 to 1. */
--- a/packages/decisions/src/test/small-decisions.feature
+++ b/packages/decisions/src/test/small-decisions.feature
@@ -25,5 +25,11 @@
     Cause: an entry forgot its own dispatches.
     Then a hundred requests between two reports are spread over all upstreams
 
+  Scenario: upstreams that have not loaded anything yet get their share of loads
+    Symptom: one engine holds all adapters and evicts them at every turn while the others are empty.
+    Events: one engine has measured its loads, the others still report a guess.
+    Cause: a measured time was compared with a guess.
+    Then a hundred new adapters are spread over all upstreams though one has measured short loads
+
   Scenario: the sidecar that holds an adapter gets its requests until its queue costs more than a load
     Then a request goes to the holder while it has room and elsewhere once its queue is long
--- a/packages/decisions/src/test/small-decisions.steps.ts
+++ b/packages/decisions/src/test/small-decisions.steps.ts
@@ -93,6 +93,16 @@
   for (const { name } of views) assert.ok((counts.get(name) ?? 0) >= 15, `${name} got ${counts.get(name) ?? 0}`)
 })
 
+Then('a hundred new adapters are spread over all upstreams though one has measured short loads', () => {
+  const views = [view('fast', { loadMs: 25 }), view('b', { loadMs: 0 }), view('c', { loadMs: 0 })]
+  const counts = new Map<string, number>()
+  for (let i = 0; i < 100; i++) {
+    const name = chooseUpstream({ adapter: `x${i}@1`, zone: 'z', tried: new Set() }, views, weights, 0, () => 0.5)!.name
+    counts.set(name, (counts.get(name) ?? 0) + 1)
+  }
+  for (const { name } of views) assert.ok((counts.get(name) ?? 0) >= 20, `${name} got ${counts.get(name) ?? 0}`)
+})
+
 Then('a request goes to the holder while it has room and elsewhere once its queue is long', () => {
   const held = [{ adapter: 'x@1', state: 'loaded' as const, pins: 0 }]
   const choose = (queued: number): string | undefined => {
--- a/packages/platform/src/lib/settled-write.ts
+++ b/packages/platform/src/lib/settled-write.ts
@@ -13,7 +13,8 @@
  */
 export type WriteOutcome =
   | { readonly kind: 'stored' }
-  | { readonly kind: 'conflict', readonly current: KvRead }
+  /** `certain` is false when our reply was lost: our value may have stood before the one seen now. */
+  | { readonly kind: 'conflict', readonly current: KvRead, readonly certain: boolean }
   | { readonly kind: 'not-applied', readonly message: string }
   | { readonly kind: 'unknown', readonly message: string }
 
@@ -37,12 +38,12 @@
   const read = await kv.read(key)
   if (read.isErr()) {
     const message = written.isErr() ? written.error.message : read.error.message
-    return written.isErr() ? { kind: 'unknown', message } : { kind: 'conflict', current: { entry: undefined, index: 0 } }
+    return written.isErr() ? { kind: 'unknown', message } : { kind: 'conflict', current: { entry: undefined, index: 0 }, certain: true }
   }
   const { entry } = read.value
   if (entry !== undefined && isOwn(entry.value)) return { kind: 'stored' }
   // A write whose reply was lost may still be on its way to the service. As long as
   // the key has the index it names, it could yet take effect after this read.
   if (written.isErr() && (entry?.modifyIndex ?? 0) === index) return { kind: 'unknown', message: written.error.message }
-  return { kind: 'conflict', current: read.value }
+  return { kind: 'conflict', current: read.value, certain: written.isOk() }
 }
--- a/packages/sidecar/src/lib/channel-server.ts
+++ b/packages/sidecar/src/lib/channel-server.ts
@@ -2,7 +2,7 @@
  * The sidecar's end of the channels: accepts connections from entries.
  */
 import { type Clock, type HybridClock, type Ms } from '@hazelford/core'
-import { ChannelService, channelOptions, type EntryBatch, type EntryFrame, FrameBatcher, mergeChunks, type SidecarBatch, type SidecarFrame } from '@hazelford/wire'
+import { ChannelService, channelOptions, type Chunk, type EntryBatch, type EntryFrame, type SidecarBatch, type SidecarFrame, SidecarOutbox } from '@hazelford/wire'
 import { Server, ServerCredentials, type ServerDuplexStream } from '@grpc/grpc-js'
 
 /** Hears what comes over one connection. */
@@ -14,6 +14,7 @@
 /** One connection from an entry. */
 export interface Connection {
   readonly send: (frame: SidecarFrame) => void
+  readonly sendChunk: (chunk: Chunk) => void
   readonly close: () => void
 }
 
@@ -40,15 +41,13 @@
 
 function openConnection (stream: Stream, options: ChannelServerOptions): Connection {
   const { hlc } = options
-  const batcher = new FrameBatcher<SidecarFrame>({
-    write: frames => stream.write({ hlc: hlc.tick(), frames }),
-    merge: mergeChunks
-  })
-  stream.on('drain', () => batcher.drained())
+  const outbox = new SidecarOutbox(frames => stream.write({ hlc: hlc.tick(), frames }))
+  stream.on('drain', () => outbox.drained())
   return {
-    send: frame => batcher.send(frame),
+    send: frame => outbox.send(frame),
+    sendChunk: chunk => outbox.sendChunk(chunk),
     close: () => {
-      batcher.close()
+      outbox.close()
       stream.end()
     }
   }
--- a/packages/sidecar/src/lib/request-desk.ts
+++ b/packages/sidecar/src/lib/request-desk.ts
@@ -77,7 +77,7 @@
   take (session: EntrySession, request: Request, refusal?: Failure): void {
     const verdict = session.ledger.take(request.seq)
     if (verdict === 'duplicate' && session.runs.has(request.seq)) return
-    const run = new RequestRun(`${session.incarnation}.${request.seq}`, request, session.send)
+    const run = new RequestRun(`${session.incarnation}.${request.seq}`, request, session)
     switch (verdict) {
       case 'duplicate':
         // The frame was taken before and its request is over. Nobody here remembers how.
--- a/packages/sidecar/src/lib/request-run.ts
+++ b/packages/sidecar/src/lib/request-run.ts
@@ -4,13 +4,16 @@
  */
 import type { Failure } from '@hazelford/core'
 import type { AnswerHeader, CallHandle } from '@hazelford/engine'
-import { type Chunk, chunkFrame, type Head, type Request, type SidecarFrame } from '@hazelford/wire'
+import type { Chunk, Head, Request, SidecarFrame } from '@hazelford/wire'
 
 /** Where a request stands. */
 export type RunState = 'queued' | 'claiming' | 'running' | 'ended'
 
-/** Sends a frame to the entry, if it is connected. */
-export type SendFrame = (frame: SidecarFrame) => void
+/** Sends to the entry, if it is connected. */
+export interface EntryLink {
+  readonly send: (frame: SidecarFrame) => void
+  readonly sendChunk: (chunk: Chunk) => void
+}
 
 /**
  * A request and its unconfirmed answer.
@@ -35,15 +38,15 @@
   /**
    * @param id - unique among all requests of this sidecar
    * @param request - as it came
-   * @param _send - to the entry
+   * @param _link - to the entry
    */
-  constructor (readonly id: string, readonly request: Request, private readonly _send: SendFrame) {}
+  constructor (readonly id: string, readonly request: Request, private readonly _link: EntryLink) {}
 
   /** Passes on status and headers. */
   head (status: number, headers: readonly AnswerHeader[]): void {
     if (this.state === 'ended') return
     this._head = { seq: this.request.seq, status, headers: [...headers] }
-    this._send({ body: { $case: 'head', value: this._head } })
+    this._link.send({ body: { $case: 'head', value: this._head } })
   }
 
   /** Passes on a piece of the body. */
@@ -53,7 +56,7 @@
     if (this.state === 'ended') return
     const chunk: Chunk = { seq: this.request.seq, index: this._nextIndex++, data: data as Buffer }
     this._unconfirmed.push(chunk)
-    this._send(chunkFrame(chunk))
+    this._link.sendChunk(chunk)
     this._steer()
   }
 
@@ -75,7 +78,7 @@
         }
       }
     }
-    this._send(this._end)
+    this._link.send(this._end)
   }
 
   /** The entry has passed on this many chunks. */
@@ -89,9 +92,9 @@
   /** Sends again what the entry lacks after a reconnect. */
   replay (received: number): void {
     this.confirm(received)
-    if (this._head !== undefined) this._send({ body: { $case: 'head', value: this._head } })
-    for (const chunk of this._unconfirmed) this._send(chunkFrame(chunk))
-    if (this._end !== undefined) this._send(this._end)
+    if (this._head !== undefined) this._link.send({ body: { $case: 'head', value: this._head } })
+    for (const chunk of this._unconfirmed) this._link.sendChunk(chunk)
+    if (this._end !== undefined) this._link.send(this._end)
   }
 
   private _steer (): void {
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -257,7 +257,7 @@
     const session = known ?? new EntrySession(hello.entry, hello.incarnation)
     this._sessions.set(hello.incarnation, session)
     this._connections.set(connection, session)
-    session.attach(connection.send)
+    session.attach(connection)
     const open = this._desk.reconcile(session, hello)
     this._options.events.add('channel-open', { peer: hello.entry, upstream: this._options.upstream })
     connection.send({
@@ -282,7 +282,7 @@
 
   private _lost (session: EntrySession, connection: Connection): void {
     const { clock, events, upstream } = this._options
-    if (!session.detach(connection.send)) return
+    if (!session.detach(connection)) return
     events.add('channel-lost', { peer: session.entry, upstream })
     clock.after(sessionGraceMs, () => {
       if (!session.connected) this._desk.abandon(session)
--- a/packages/wire/src/lib/frame-batcher.ts
+++ b/packages/wire/src/lib/frame-batcher.ts
@@ -6,8 +6,6 @@
 export interface FrameStream<F> {
   /** Sends a batch; false asks to hold back until {@link FrameBatcher.drained}. */
   readonly write: (frames: F[]) => boolean
-  /** Adds a frame to the one queued before it, if the two can travel as one. */
-  readonly merge?: (last: F, frame: F) => boolean
 }
 
 /**
@@ -28,8 +26,7 @@
   /** Queues a frame. */
   send (frame: F): void {
     if (this._closed) return
-    const last = this._queue.at(-1)
-    if (last === undefined || this._stream.merge?.(last, frame) !== true) this._queue.push(frame)
+    this._queue.push(frame)
     if (this._scheduled || this._blocked) return
     this._scheduled = true
     setImmediate(() => this._flush())
