--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -1,8 +1,9 @@
 /**
- * `npm run bench -- path`
+ * `npm run bench -- path | policy`
  */
 import { cac } from 'cac'
 import { benchPath } from './lib/bench-path.js'
+import { benchPolicy } from './lib/bench-policy.js'
 
 const say = (line: string): void => { process.stdout.write(`${line}\n`) }
 
@@ -14,5 +15,9 @@
     await benchPath(say, nodeArgs === undefined ? [] : nodeArgs.split(' '))
     process.exit(0)
   })
+cli
+  .command('policy', 'The decisions beside what users would build')
+  .option('--out <folder>', 'Where JSON and plots go', { default: 'out' })
+  .action(({ out }: { out: string }) => { benchPolicy(say, out) })
 cli.help()
 cli.parse()
--- /dev/null
+++ b/packages/bench/src/lib/policy/hazelford-policy.ts
@@ -0,0 +1,213 @@
+/**
+ * hazelford's own decisions in an experiment: the same `chooseUpstream` and
+ * `UpstreamPlan` that the daemons run.
+ */
+import { chooseUpstream, type PlanEffect, type PlanMessage, RetryBudget, UpstreamPlan, UpstreamView } from '@hazelford/decisions'
+import type { Arrival } from './deployment.js'
+import type { CreatePolicy, PolicyWorld } from './policy.js'
+import { SimBatch } from './sim-batch.js'
+import { addFills } from './simple-policies.js'
+
+const linkMs = 2
+const defaultReportMs = 250
+const permitMs = 6
+const retryShare = 0.1
+const maxAttempts = 4
+const queueLimit = 256
+const minGapMs = 20
+
+/** Permits of the weight store, as the key-value record hands them out. */
+class SimPermits {
+  private _free: number
+  private _waiting: { readonly rank: number, readonly take: () => void }[] = []
+  private readonly _lastShare = new Map<number, number>()
+
+  constructor (private readonly _world: PolicyWorld) { this._free = _world.deployment.fullSpeed }
+
+  acquire (engine: number, rank: number, take: () => void): void {
+    const { queue, conditions, deployment } = this._world
+    if (conditions.kvDown === true) {
+      const interval = 1_000 * deployment.engines / deployment.loadsPerSecond
+      const at = Math.max(queue.now, (this._lastShare.get(engine) ?? -Infinity) + interval)
+      this._lastShare.set(engine, at)
+      queue.after(at - queue.now, take)
+      return
+    }
+    this._waiting.push({ rank, take })
+    this._waiting.sort((a, b) => a.rank - b.rank)
+    this._grant()
+  }
+
+  giveBack (): void {
+    if (this._world.conditions.kvDown === true) return
+    this._free++
+    this._grant()
+  }
+
+  private _grant (): void {
+    const next = this._free > 0 ? this._waiting.shift() : undefined
+    if (next === undefined) return
+    this._free--
+    this._world.queue.after(permitMs, next.take)
+  }
+}
+
+/** A sidecar and its engine. */
+class PlannedEngine {
+  readonly batch: SimBatch
+  private readonly _plan: UpstreamPlan
+  private readonly _arrivals = new Map<string, Arrival>()
+  private readonly _loaded = new Set<string>()
+  private _epoch = 0
+  private _reportDue = false
+
+  constructor (
+    private readonly _world: PolicyWorld,
+    private readonly _index: number,
+    private readonly _permits: SimPermits,
+    private readonly _refused: (arrival: Arrival, code: string) => void,
+    private readonly _lost: (arrival: Arrival) => void,
+    private readonly _reportSoon: () => void
+  ) {
+    const { deployment, queue, events, random } = _world
+    this._plan = new UpstreamPlan({ slots: deployment.slots, places: deployment.places, queueLimit, draftLinger: deployment.draftLinger }, () => random.unit())
+    this.batch = new SimBatch(queue, deployment.stepMs, deployment.stepMsPerSequence, {
+      firstToken: id => events.firstToken(id),
+      finished: id => {
+        this._arrivals.delete(id)
+        events.finished(id)
+        this._post({ kind: 'finished', at: queue.now, id, ran: true })
+      }
+    })
+  }
+
+  report (): ReturnType<UpstreamPlan['report']> { return this._plan.report() }
+
+  arrive (arrival: Arrival): void {
+    const { queue } = this._world
+    this._arrivals.set(arrival.id, arrival)
+    const { id, adapter, trafficClass } = arrival
+    if (this._loaded.has(adapter)) this._world.events.ready(id)
+    this._post({ kind: 'arrive', at: queue.now, request: { id, adapter, trafficClass, arrivedAt: queue.now, deadlineAt: arrival.deadline } })
+  }
+
+  restart (): void {
+    const { queue } = this._world
+    this._epoch++
+    this._loaded.clear()
+    for (const id of this.batch.clear()) {
+      this._post({ kind: 'finished', at: queue.now, id, ran: false })
+      this._lost(this._arrivals.get(id)!)
+      this._arrivals.delete(id)
+    }
+    this._post({ kind: 'slots-listed', at: queue.now, loaded: [] })
+  }
+
+  private _post (msg: PlanMessage): void {
+    for (const effect of this._plan.handle(msg)) this._perform(effect)
+  }
+
+  private _perform (effect: PlanEffect): void {
+    const { queue } = this._world
+    switch (effect.kind) {
+      case 'start': {
+        const arrival = this._arrivals.get(effect.id)!
+        this._world.events.ready(effect.id)
+        this.batch.start(effect.id, arrival.tokens)
+        return
+      }
+      case 'refuse': {
+        const arrival = this._arrivals.get(effect.id)!
+        this._arrivals.delete(effect.id)
+        this._refused(arrival, effect.code)
+        return
+      }
+      case 'want-permit':
+        this._permits.acquire(this._index, effect.rank, () => this._post({ kind: 'permit', at: queue.now }))
+        return
+      case 'return-permit': return this._permits.giveBack()
+      case 'load': return this._load(effect.adapter)
+      case 'unload':
+        this._loaded.delete(effect.adapter)
+        this._world.events.evicted(effect.adapter)
+        queue.after(linkMs, () => this._post({ kind: 'unload-ended', at: queue.now, adapter: effect.adapter, outcome: 'unloaded' }))
+        return
+      case 'list-slots':
+        queue.after(linkMs, () => this._post({ kind: 'slots-listed', at: queue.now, loaded: [...this._loaded] }))
+        return
+      case 'wake':
+        queue.after(effect.after, () => this._post({ kind: 'tick', at: queue.now }))
+    }
+  }
+
+  private _load (adapter: string): void {
+    const { queue, store, random, conditions, events } = this._world
+    const from = queue.now
+    const epoch = this._epoch
+    store.load(() => {
+      this._permits.giveBack()
+      const loaded = epoch === this._epoch && random.unit() >= (conditions.failShare ?? 0)
+      if (loaded) {
+        this._loaded.add(adapter)
+        events.loaded(adapter)
+        for (const arrival of this._arrivals.values()) if (arrival.adapter === adapter) events.ready(arrival.id)
+      }
+      this._post({ kind: 'load-ended', at: queue.now, adapter, loaded, took: queue.now - from })
+      if (this._reportDue) return
+      this._reportDue = true
+      queue.after(minGapMs, () => {
+        this._reportDue = false
+        this._reportSoon()
+      })
+    })
+  }
+}
+
+/** hazelford as it is. */
+export const createHazelford: CreatePolicy = world => {
+  const { deployment, conditions, queue, random, events } = world
+  const permits = new SimPermits(world)
+  const budget = new RetryBudget(retryShare)
+  const tried = new Map<string, Set<string>>()
+  const names = Array.from({ length: deployment.engines }, (_, i) => `e${i}`)
+  const views = Array.from({ length: deployment.entries }, (_, entry) =>
+    names.map((name, i) => new UpstreamView(name, 'chat', `z${i % deployment.entries === entry ? entry : 'x'}`)))
+
+  const reportTo = (i: number): void => {
+    const seen = engines[i]!.report()
+    queue.after(linkMs, () => {
+      for (const entry of views) entry[i]!.update('serving', seen, queue.now)
+    })
+  }
+  const retry = (arrival: Arrival, code: string): void => {
+    const attempts = tried.get(arrival.id)?.size ?? 0
+    if (attempts >= maxAttempts || arrival.deadline <= queue.now || code === 'queue-deadline' || !budget.takeRetry()) return events.refused(arrival.id)
+    events.retried()
+    queue.after(linkMs, () => send(arrival))
+  }
+  const engines = names.map((_, i) => new PlannedEngine(world, i, permits, retry, arrival => retry(arrival, 'upstream-lost'), () => reportTo(i)))
+  const send = (arrival: Arrival): void => {
+    const entry = Number(arrival.id.slice(1)) % deployment.entries
+    const seen = tried.get(arrival.id) ?? new Set<string>()
+    tried.set(arrival.id, seen)
+    const view = chooseUpstream({ adapter: arrival.adapter, zone: `z${entry}`, tried: seen }, views[entry]!, deployment.weights, queue.now, () => random.unit())
+    if (view === undefined) return events.refused(arrival.id)
+    seen.add(view.name)
+    view.sent(arrival.adapter)
+    queue.after(linkMs, () => engines[names.indexOf(view.name)]!.arrive(arrival))
+  }
+  const everyReport = (): void => {
+    engines.forEach((_, i) => reportTo(i))
+    queue.after(conditions.reportMs ?? defaultReportMs, everyReport)
+  }
+  for (const entry of views) for (const view of entry) view.update('serving', engines[0]!.report(), -60_000)
+  everyReport()
+  return {
+    arrive: arrival => {
+      budget.firstAttempt()
+      send(arrival)
+    },
+    restartEngine: () => engines[0]!.restart(),
+    fill: () => addFills(engines.map(engine => engine.batch.fill))
+  }
+}
