Count the weight store's backlog when adding a replica

Cause: a second load of a held adapter was priced at the time of one load, without the loads that wait at other upstreams, and a fuller batch could pay for it. At Kalgoorlie half the loads were replicas and the store was the bottleneck. Change: an absent adapter costs the load time times the store's whole backlog, and a fuller batch never pays for a replica.

--- a/packages/decisions/src/lib/choose-upstream.ts
+++ b/packages/decisions/src/lib/choose-upstream.ts
@@ -32,7 +32,7 @@
 const costTolerance: Ms = 2
 
 /** Times that hold for all upstreams of a service. */
-interface Estimates { readonly loadMs: Ms, readonly serviceMs: Ms }
+interface Estimates { readonly loadMs: Ms, readonly serviceMs: Ms, readonly backlog: number }
 
 const defaultLoadMs: Ms = 500
 const defaultServiceMs: Ms = 200
@@ -52,7 +52,8 @@
 function estimatesOf (candidates: readonly UpstreamView[]): Estimates {
   return {
     loadMs: meanKnown(candidates.map(view => view.report.loadMs), defaultLoadMs),
-    serviceMs: meanKnown(candidates.map(view => view.report.serviceMs), defaultServiceMs)
+    serviceMs: meanKnown(candidates.map(view => view.report.serviceMs), defaultServiceMs),
+    backlog: candidates.reduce((sum, view) => sum + view.report.loadsWaiting, 0)
   }
 }
 
@@ -86,15 +87,21 @@
   return new Map(sorted.map((name, rank) => [name, rank]))
 }
 
-function stallCost (view: UpstreamView, adapter: AdapterKey, heldSomewhere: boolean, loadMs: Ms): Ms {
-  const { loadsWaiting } = view.report
+function stallCost (view: UpstreamView, adapter: AdapterKey, heldSomewhere: boolean, times: Estimates): Ms {
   switch (view.adapterState(adapter)) {
     case 'loaded': return 0
-    case 'loading': return loadMs / 2
-    case 'absent': return loadMs * (1 + loadsWaiting) * (heldSomewhere ? extraReplicaFactor : 1)
+    case 'loading': return times.loadMs / 2
+    // Every load takes its turn at the one weight store, behind those that wait at
+    // any upstream.
+    case 'absent': return times.loadMs * (1 + times.backlog) * (heldSomewhere ? extraReplicaFactor : 1)
   }
 }
 
+/** A fuller batch is no reason to load an adapter a second time. */
+function isExtraReplica (view: UpstreamView, adapter: AdapterKey, heldSomewhere: boolean): boolean {
+  return heldSomewhere && view.adapterState(adapter) === 'absent'
+}
+
 /** Gain of joining a batch that runs and has room, in ms of service. */
 function batchGain (view: UpstreamView, serviceMs: Ms): Ms {
   const { places } = view.report
@@ -129,15 +136,15 @@
   const { adapter } = query
   const heldSomewhere = candidates.some(view => view.adapterState(adapter) !== 'absent')
   const placement = placementOrder(adapter, candidates, now)
-  const { loadMs, serviceMs } = estimatesOf(candidates)
+  const times = estimatesOf(candidates)
   let best: UpstreamView | undefined
   let least = Infinity
   for (const view of candidates) {
-    const cost = weights.stall * stallCost(view, adapter, heldSomewhere, loadMs) +
-      weights.queue * view.queueWait(serviceMs) / view.warmth(now) -
-      weights.batch * batchGain(view, serviceMs) +
+    const cost = weights.stall * stallCost(view, adapter, heldSomewhere, times) +
+      weights.queue * view.queueWait(times.serviceMs) / view.warmth(now) -
+      weights.batch * (isExtraReplica(view, adapter, heldSomewhere) ? 0 : batchGain(view, times.serviceMs)) +
       (view.zone === query.zone ? 0 : weights.zonePenalty) +
-      (heldSomewhere ? 0 : placement.get(view.name)! * loadMs) +
+      (heldSomewhere ? 0 : placement.get(view.name)! * times.loadMs) +
       // Entries see the same late reports. A little noise keeps them from all
       // choosing the same upstream between two reports.
       random() * costTolerance
