Order loads by class and by how many wait, and raise a waiting permit's rank

Cause: at 110 % load receipts took 28 s to their first token (p99). Aging raised every request that had waited 10 s to the top, so that under lasting overload all were equal and the oldest, nearly expired, went first; and a sidecar that waited for a permit with a draft's rank kept it when a receipt came. Change: strict classes, with every fourth start going to the oldest of any class; within a class the load that serves most waiting requests goes first; a wish for a permit is renewed when its rank rises.

--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -18,6 +18,7 @@
 cli
   .command('policy', 'The decisions beside what users would build')
   .option('--out <folder>', 'Where JSON and plots go', { default: 'out' })
-  .action(({ out }: { out: string }) => { benchPolicy(say, out) })
+  .option('--seed <n>', 'Seed of arrivals and chance', { default: 7 })
+  .action(({ out, seed }: { out: string, seed: number }) => { benchPolicy(say, out, seed) })
 cli.help()
 cli.parse()
--- a/packages/bench/src/lib/policy/hazelford-policy.ts
+++ b/packages/bench/src/lib/policy/hazelford-policy.ts
@@ -19,7 +19,8 @@
 /** Permits of the weight store, as the key-value record hands them out. */
 class SimPermits {
   private _free: number
-  private _waiting: { readonly rank: number, readonly take: () => void }[] = []
+  private _waiting: { readonly engine: number, rank: number, readonly take: () => void }[] = []
+  private readonly _shareTaken = new Set<number>()
   private readonly _lastShare = new Map<number, number>()
 
   constructor (private readonly _world: PolicyWorld) { this._free = _world.deployment.fullSpeed }
@@ -27,13 +28,20 @@
   acquire (engine: number, rank: number, take: () => void): void {
     const { queue, conditions, deployment } = this._world
     if (conditions.kvDown === true) {
+      if (this._shareTaken.has(engine)) return
+      this._shareTaken.add(engine)
       const interval = 1_000 * deployment.engines / deployment.loadsPerSecond
       const at = Math.max(queue.now, (this._lastShare.get(engine) ?? -Infinity) + interval)
       this._lastShare.set(engine, at)
-      queue.after(at - queue.now, take)
+      queue.after(at - queue.now, () => {
+        this._shareTaken.delete(engine)
+        take()
+      })
       return
     }
-    this._waiting.push({ rank, take })
+    const wanted = this._waiting.find(other => other.engine === engine)
+    if (wanted === undefined) this._waiting.push({ engine, rank, take })
+    else wanted.rank = rank
     this._waiting.sort((a, b) => a.rank - b.rank)
     this._grant()
   }
--- a/packages/decisions/src/lib/upstream-plan.ts
+++ b/packages/decisions/src/lib/upstream-plan.ts
@@ -7,13 +7,15 @@
 import { type BackoffLimits, fullJitter } from './retry-budget.js'
 import { type Slot, SlotTable } from './slot-table.js'
 import { Smoothed } from './smoothed.js'
-import { compareUrgency, effectiveRank, type PlanRequest, WaitingLine } from './waiting-line.js'
+import { compareAge, compareUrgency, type PlanRequest, WaitingLine } from './waiting-line.js'
 
 const popularityHalfLife: Ms = 60_000
 const initialLoadMs: Ms = 500
 const initialServiceMs: Ms = 200
 const loadBackoff: BackoffLimits = { base: 500, cap: 10_000 }
 const minRetryAfter: Ms = 100
+/** One start in so many goes to whoever waits longest, so that no class starves. */
+const picksPerOldest = 4
 
 /** How long a request of each rank waits for a pinned slot before one is closed for it. */
 const closeAfter: readonly Ms[] = [250, 1_000, 3_000]
@@ -39,6 +41,8 @@
   private _effects: PlanEffect[] = []
   private _leaving = false
   private _permitWanted = false
+  private _wantedRank = 0
+  private _picks = 0
   private _hasPermit = false
   private _wakeAt = Infinity
 
@@ -117,12 +121,12 @@
     // queue from one that can. Refusing it at once keeps goodput up under overload.
     if (now + expected > request.deadlineAt) return this._refuse(request.id, 'overloaded', expected)
     this._waiting.add(request)
-    if (this._waiting.size > this._limits.queueLimit) this._refuse(this._waiting.last(now)!.id, 'overloaded', expected)
+    if (this._waiting.size > this._limits.queueLimit) this._refuse(this._waiting.last()!.id, 'overloaded', expected)
   }
 
   /** Expected ms until a request that arrives now would start. */
   private _expectedWait (request: PlanRequest, now: Ms): Ms {
-    const ahead = this._waiting.all().filter(other => compareUrgency(other, request, now) <= 0).length
+    const ahead = this._waiting.all().filter(other => compareUrgency(other, request) <= 0).length
     const freePlaces = this._limits.places - this._running.size
     const queueWait = ahead < freePlaces ? 0 : (ahead - freePlaces + 1) / this._limits.places * this._serviceMs.value
     const ready = request.adapter === undefined || this._slots.isReady(request.adapter)
@@ -217,8 +221,11 @@
 
   private _startReady (now: Ms): void {
     while (this._running.size < this._limits.places) {
-      const next = this._waiting.first(now, adapter => adapter === undefined || this._slots.isReady(adapter))
+      const isReady = (adapter: AdapterKey | undefined): boolean => adapter === undefined || this._slots.isReady(adapter)
+      const order = this._picks % picksPerOldest === picksPerOldest - 1 ? compareAge : compareUrgency
+      const next = this._waiting.first(order, isReady)
       if (next === undefined || this._lingers(next, now)) return
+      this._picks++
       this._waiting.remove(next.id)
       this._running.set(next.id, { request: next, since: now })
       if (next.adapter !== undefined) this._slots.pin(next.adapter, now)
@@ -237,13 +244,17 @@
   private _adaptersToLoad (): readonly PlanRequest[] {
     return this._waiting.adapters()
       .filter(adapter => this._slots.get(adapter) === undefined)
-      .map(adapter => this._waiting.of(adapter)[0]!)
+      .map(adapter => this._mostUrgent(adapter))
+  }
+
+  private _mostUrgent (adapter: AdapterKey): PlanRequest {
+    return this._waiting.of(adapter).reduce((best, request) => compareUrgency(request, best) < 0 ? request : best)
   }
 
   private _planLoads (now: Ms): void {
     const wanted = this._adaptersToLoad()
       .filter(request => (this._failures.get(request.adapter!)?.retryAt ?? 0) <= now)
-      .sort((a, b) => compareUrgency(a, b, now))
+      .sort((a, b) => this._compareLoads(a, b))
     const next = wanted[0]
     if (next === undefined) return this._returnPermit()
     if (!this._makeRoom(next, now)) return
@@ -253,9 +264,23 @@
       this._effects.push({ kind: 'load', adapter: next.adapter! })
       return
     }
-    if (this._permitWanted) return
+    // A receipt that comes while a draft's permit is awaited must not wait in the
+    // draft's place: the wish is renewed with its rank.
+    const rank = classRank(next.trafficClass)
+    if (this._permitWanted && rank >= this._wantedRank) return
     this._permitWanted = true
-    this._effects.push({ kind: 'want-permit', rank: effectiveRank(next, now) })
+    this._wantedRank = rank
+    this._effects.push({ kind: 'want-permit', rank })
+  }
+
+  /**
+   * Order of loads: class, then how many requests one load serves, then age. All loads
+   * cost the same, so serving the most waiting first gives the least waiting in sum.
+   */
+  private _compareLoads (a: PlanRequest, b: PlanRequest): number {
+    return classRank(a.trafficClass) - classRank(b.trafficClass) ||
+      this._waiting.of(b.adapter!).length - this._waiting.of(a.adapter!).length ||
+      a.arrivedAt - b.arrivedAt
   }
 
   private _returnPermit (): void {
--- a/packages/decisions/src/lib/waiting-line.ts
+++ b/packages/decisions/src/lib/waiting-line.ts
@@ -14,27 +14,22 @@
   readonly deadlineAt: Ms
 }
 
-/** Waiting this long raises a request by one class, so that none starves. */
-export const agingMs: Ms = 10_000
-
 /**
- * Urgency of a request; the lowest goes first.
+ * Orders two waiting requests by class, then by age.
  *
- * @param request - who waits
- * @param now - time on the same clock as its arrival
+ * @returns negative when `a` goes first
  */
-export function effectiveRank (request: PlanRequest, now: Ms): number {
-  const raised = Math.floor((now - request.arrivedAt) / agingMs)
-  return Math.max(0, classRank(request.trafficClass) - raised)
+export function compareUrgency (a: PlanRequest, b: PlanRequest): number {
+  return classRank(a.trafficClass) - classRank(b.trafficClass) || compareAge(a, b)
 }
 
 /**
- * Orders two waiting requests.
+ * Orders two waiting requests by age alone.
  *
- * @returns negative when `a` goes first
+ * @returns negative when `a` came first
  */
-export function compareUrgency (a: PlanRequest, b: PlanRequest, now: Ms): number {
-  return effectiveRank(a, now) - effectiveRank(b, now) || a.arrivedAt - b.arrivedAt
+export function compareAge (a: PlanRequest, b: PlanRequest): number {
+  return a.arrivedAt - b.arrivedAt
 }
 
 /** Key under which requests without an adapter wait. */
@@ -75,27 +70,27 @@
   }
 
   /**
-   * Most urgent request that passes a test.
+   * First request in an order that passes a test.
    *
-   * @param now - for aging
+   * @param compare - negative when its first argument goes first
    * @param passes - tested once per group: whether its adapter can run
    */
-  first (now: Ms, passes: (adapter: AdapterKey | undefined) => boolean): PlanRequest | undefined {
+  first (compare: (a: PlanRequest, b: PlanRequest) => number, passes: (adapter: AdapterKey | undefined) => boolean): PlanRequest | undefined {
     let best: PlanRequest | undefined
     for (const [key, group] of this._groups) {
       if (!passes(key === noAdapter ? undefined : key)) continue
       for (const request of group) {
-        if (best === undefined || compareUrgency(request, best, now) < 0) best = request
+        if (best === undefined || compare(request, best) < 0) best = request
       }
     }
     return best
   }
 
   /** Least urgent and youngest, the one to give up first under overload. */
-  last (now: Ms): PlanRequest | undefined {
+  last (): PlanRequest | undefined {
     let worst: PlanRequest | undefined
     for (const request of this._byId.values()) {
-      if (worst === undefined || compareUrgency(request, worst, now) > 0) worst = request
+      if (worst === undefined || compareUrgency(request, worst) > 0) worst = request
     }
     return worst
   }
--- a/packages/decisions/src/test/support/plan-bench.ts
+++ b/packages/decisions/src/test/support/plan-bench.ts
@@ -20,6 +20,7 @@
   readonly unloading = new Set<string>()
   readonly running = new Map<string, PlanRequest>()
   permitWanted = false
+  readonly wantedRanks: number[] = []
   listWanted = false
   /** Lost in a restart that the plan has not noticed. */
   private readonly _lost = new Set<string>()
@@ -86,6 +87,7 @@
       }
       case 'want-permit':
         this.permitWanted = true
+        this.wantedRanks.push(effect.rank)
         break
       case 'list-slots':
         this.listWanted = true
--- a/packages/decisions/src/test/upstream-plan.steps.ts
+++ b/packages/decisions/src/test/upstream-plan.steps.ts
@@ -133,6 +133,35 @@
   bench.arrive(request('draft-2', undefined, 'draft', 2, forever), 2)
 })
 
+When('receipts keep coming for each one that is answered', () => {
+  for (let i = 0; i < 8; i++) {
+    bench.arrive(request(`receipt-${i}`, undefined, 'receipt', 10 + i, forever), 10 + i)
+    bench.finishOne(10 + i)
+  }
+})
+
+Then('every fourth start is the oldest draft', () => {
+  const drafts = bench.started.flatMap((id, i) => id.startsWith('draft') ? [i] : [])
+  assert.deepEqual(drafts, [3, 7])
+})
+
+Given('a draft that waits for a permit to load', () => {
+  bench = new PlanBench({ slots: 2, places: 4, queueLimit: 10, draftLinger: 0 })
+  bench.arrive(request('draft', 'd@1', 'draft', 0, forever), 0)
+  assert.deepEqual(bench.wantedRanks, [2])
+})
+
+When('a receipt for another adapter arrives', () => {
+  bench.arrive(request('receipt', 'r@1', 'receipt', 1, forever), 1)
+})
+
+Then('the permit is asked for with the receipt\'s rank', () => assert.deepEqual(bench.wantedRanks, [2, 0]))
+
+Then('the receipt\'s adapter is loaded first', () => {
+  bench.engineStep(true, 2)
+  assert.deepEqual([...bench.loading], ['r@1'])
+})
+
 When('a receipt arrives last', () => {
   bench.arrive(request('receipt', undefined, 'receipt', 3, forever), 3)
 })
--- a/packages/sidecar/src/lib/load-permits.ts
+++ b/packages/sidecar/src/lib/load-permits.ts
@@ -67,14 +67,16 @@
   /**
    * Waits for a permit.
    *
-   * @param rank - urgency of the load, 0 first: less urgent ones try a little later
+   * @param currentRank - urgency of the load, 0 first: less urgent ones try a little
+   * later. It is asked anew each time, since a more urgent request may have come.
    * @returns the permit; there is always one in the end
    */
-  async acquire (rank: number): Promise<HeldPermit> {
+  async acquire (currentRank: () => number): Promise<HeldPermit> {
     const { clock, kv } = this._options
     const token = newId('permit')
     for (;;) {
       const attempt = await this._try(token)
+      const rank = currentRank()
       switch (attempt.kind) {
         case 'taken':
           return this._held(token)
--- a/packages/sidecar/src/lib/request-desk.ts
+++ b/packages/sidecar/src/lib/request-desk.ts
@@ -44,6 +44,7 @@
   private readonly _runs = new Map<string, RequestRun>()
   private readonly _reloads = new Map<string, number>()
   private _permit: HeldPermit | undefined
+  private _wantedRank: number | undefined
 
   constructor (private readonly _options: SidecarOptions, private readonly _parts: DeskParts) {
     this._plan = new UpstreamPlan(_parts.limits, _options.random ?? Math.random)
@@ -214,7 +215,11 @@
   }
 
   private _wantPermit (rank: number): void {
-    this._parts.model?.permits.acquire(rank).then(permit => {
+    const alreadyAsking = this._wantedRank !== undefined
+    this._wantedRank = rank
+    if (alreadyAsking) return
+    this._parts.model?.permits.acquire(() => this._wantedRank ?? rank).then(permit => {
+      this._wantedRank = undefined
       this._permit = permit
       this._post({ kind: 'permit', at: this._now() })
     }, () => {})
