Tie pins to their slot, keep them until the engine has stopped, end drains

An engine restarted, one request hung, its adapter was loaded anew; when the hung request was given up it took a pin from the new slot. Ruled out: adoption of listed adapters and late unloads (their names carry a load generation, and the record named a request of the same generation). Change: a request keeps the slot it pinned; a cancel ends its pin when the engine has answered; a sidecar returns to work after a drain.

--- a/packages/bench/src/test/engine.steps.ts
+++ b/packages/bench/src/test/engine.steps.ts
@@ -4,6 +4,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { createEngineClient, parseEngineName } from '@hazelford/engine'
+import { request } from 'undici'
 import { complete } from '../lib/callers.js'
 import { until } from './support/local-system.js'
 import type { SystemWorld } from './support/world.js'
@@ -36,6 +37,21 @@
   this.system.engines[0]!.faults.lostUnloadReplies = 1
 })
 
+Given('the engine takes {int} ms to hear of a cancel', function (this: SystemWorld, ms: number) {
+  this.system.engines[0]!.faults.cancelDelay = ms
+})
+
+When('a caller asks for {int} tokens of {string} whole and leaves while {int} tokens of {string} are asked for', async function (this: SystemWorld, tokens: number, model: string, otherTokens: number, other: string) {
+  const leaving = new AbortController()
+  const body = JSON.stringify({ model, prompt: 'p', max_tokens: tokens })
+  const left = request(`${this.system.url}/v1/completions`, { method: 'POST', headers: { 'content-type': 'application/json' }, body, signal: leaving.signal }).catch(() => {})
+  await until('it runs', () => this.system.engines[0]!.running() === 1)
+  const next = complete(this.system.url, other, 'p', otherTokens, true)
+  leaving.abort()
+  await left
+  this.results.push(await next)
+})
+
 When('the engine restarts', function (this: SystemWorld) { this.system.engines[0]!.restart() })
 
 When('the engine runs {int} request(s)', async function (this: SystemWorld, count: number) {
--- a/packages/bench/src/test/eviction.feature
+++ b/packages/bench/src/test/eviction.feature
@@ -12,6 +12,16 @@
     And the caller that began gets all 30 tokens of "a@1"
     And no adapter was evicted in use
 
+  Scenario: a slot wanted while its request is being cancelled
+    Symptom: the engine evicts an adapter in the middle of a decode step.
+    Events: a caller leaves; the only slot is wanted by the next request at the same moment.
+    Cause: the pin ended with the decision to cancel, not when the engine had stopped.
+    Given a system with 1 slow engine of 1 slot and 4 places
+    And the engine takes 100 ms to hear of a cancel
+    When a caller asks for 200 tokens of "a@1" whole and leaves while 5 tokens of "b@1" are asked for
+    Then the answer is all 5 tokens of "b@1"
+    And no adapter was evicted in use
+
   Scenario: an unload whose reply is lost
     Symptom: requests fail on an adapter that the sidecar shows as loaded, or the engine's slots run out.
     Events: the engine unloads, the connection breaks before the reply.
--- a/packages/bench/src/test/leaving.feature
+++ b/packages/bench/src/test/leaving.feature
@@ -15,6 +15,15 @@
       | the operators drain "m0"           |
       | the host list shows "m0" leaving   |
 
+  Scenario: a drain that ends
+    Symptom: a host that was drained for a repair never gets work again.
+    Events: the operators drain an upstream and undrain it.
+    Cause: the sidecar showed itself as serving, and its queue went on refusing.
+    Given a system with 1 booking service and 1 entry
+    When the operators drain "b0" and undrain it
+    And a booking "after" is sent
+    Then the booking is confirmed
+
   Scenario: an entry shuts down under load
     Given a whole system with 2 engines, 2 booking services and 2 entries
     When requests flow while an entry shuts down
--- a/packages/bench/src/test/leaving.steps.ts
+++ b/packages/bench/src/test/leaving.steps.ts
@@ -60,6 +60,15 @@
   })
 })
 
+When('the operators drain "b0" and undrain it', async function (this: SystemWorld) {
+  for (const drained of [['b0'], []]) {
+    this.system.drained = drained
+    await this.system.inForce(await this.system.applyConfig())
+    const accepts = (): boolean => this.system.entries[0]!.entry.directory.view('b0')!.accepts(performance.now())
+    await until('the entry knows', () => accepts() === (drained.length === 0))
+  }
+})
+
 When('requests flow while the host list shows "m0" leaving', async function (this: FlowWorld) {
   await flow(this, everyEntry(this), async () => {
     this.system.hostList.put({ name: 'sidecar-m0', role: 'sidecar', zone: 'z1', port: this.system.sidecarPort('m0'), operatorPort: 0, leaving: true })
--- a/packages/cli/src/lib/queries/timeline-page.ts
+++ b/packages/cli/src/lib/queries/timeline-page.ts
@@ -23,6 +23,7 @@
 circle:hover { stroke: #000; stroke-width: 2 }
 `
 
+// Inside a function: at the top level `top` and others are names of the window.
 const script = `
 const rowHeight = 34, left = 150, top = 24
 const colors = { request: '#2563a8', load: '#b3600b', unload: '#b3600b', claim: '#6b3fa0', fence: '#6b3fa0', channel: '#a3202f', config: '#187a44', drain: '#a3202f', leaving: '#a3202f', process: '#55606e', engine: '#a3202f' }
@@ -78,6 +79,7 @@
 <body><header><h1>hazelford time line</h1><input id="filter" placeholder="filter: request, adapter, kind" size="40">
 <button id="in">zoom in</button><button id="out">zoom out</button><span id="count"></span><span id="warn"></span></header>
 <div id="chart"><svg id="svg"></svg></div><div id="detail">Click an event to follow its request.</div>
-<script>const data = ${safeJson(merged)}
-${script}</script></body></html>`
+<script>(() => {
+const data = ${safeJson(merged)}
+${script}})()</script></body></html>`
 }
--- a/packages/config/src/lib/checked-text.ts
+++ b/packages/config/src/lib/checked-text.ts
@@ -48,5 +48,6 @@
   }
   const parsed = schema.safeParse(raw)
   if (parsed.success) return ok({ value: parsed.data, lines })
-  return err(parsed.error.issues.map(issue => problemOf(issue, lines, known)))
+  const problems = parsed.error.issues.map(issue => problemOf(issue, lines, known))
+  return err(problems.sort((a, b) => a.line - b.line))
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,3 +4,4 @@
  * @packageDocumentation
  */
 export * from './lib/run-daemon.js'
+export * from './lib/serve-operators.js'
--- a/packages/decisions/src/lib/plan-messages.ts
+++ b/packages/decisions/src/lib/plan-messages.ts
@@ -25,6 +25,8 @@
   | { readonly kind: 'slots-listed', readonly at: Ms, readonly loaded: readonly AdapterKey[] }
   | { readonly kind: 'limits', readonly at: Ms, readonly limits: PlanLimits }
   | { readonly kind: 'leave', readonly at: Ms }
+  /** A drain was ended: work is welcome again. */
+  | { readonly kind: 'return', readonly at: Ms }
   | { readonly kind: 'tick', readonly at: Ms }
 
 /** What the task must do. */
--- a/packages/decisions/src/lib/slot-table.ts
+++ b/packages/decisions/src/lib/slot-table.ts
@@ -44,17 +44,27 @@
     return slot !== undefined && slot.state === 'loaded' && !slot.closing
   }
 
-  pin (adapter: AdapterKey, at: Ms): void {
+  /**
+   * Marks an adapter as used by one more request.
+   *
+   * @returns the slot, which the request must give to {@link SlotTable.unpin}
+   */
+  pin (adapter: AdapterKey, at: Ms): Slot | undefined {
     const slot = this._slots.get(adapter)
-    if (slot === undefined) return
+    if (slot === undefined) return undefined
     slot.pins++
     slot.lastUsed = at
+    return slot
   }
 
-  unpin (adapter: AdapterKey): void {
-    const slot = this._slots.get(adapter)
-    if (slot !== undefined && slot.pins > 0) slot.pins--
-  }
+  /**
+   * Takes back the pin of one request.
+   *
+   * By slot, not by adapter: after an engine restart the adapter may have been loaded
+   * anew, and a request that hung since before would take a pin from the requests that
+   * use the new slot, which could then be evicted under them.
+   */
+  unpin (slot: Slot): void { slot.pins-- }
 
   /**
    * Picks the slot whose adapter is worth least.
--- a/packages/decisions/src/lib/upstream-plan.ts
+++ b/packages/decisions/src/lib/upstream-plan.ts
@@ -22,7 +22,7 @@
 
 interface LoadFailures { readonly count: number, readonly retryAt: Ms }
 
-interface Running { readonly request: PlanRequest, readonly since: Ms }
+interface Running { readonly request: PlanRequest, readonly since: Ms, readonly slot: Slot | undefined }
 
 /**
  * State and rules of one upstream.
@@ -99,6 +99,9 @@
       case 'slots-listed': return this._reconcile(msg.loaded, msg.at)
       case 'limits': this._limits = msg.limits; return
       case 'leave': return this._leave()
+      case 'return':
+        this._leaving = false
+        return
       case 'tick': return this._clearWake(msg.at)
       default: return assertNever(msg)
     }
@@ -143,7 +146,7 @@
     const running = this._running.get(id)
     if (running === undefined) return
     this._running.delete(id)
-    if (running.request.adapter !== undefined) this._slots.unpin(running.request.adapter)
+    if (running.slot !== undefined) this._slots.unpin(running.slot)
     if (ran) this._serviceMs.add(now - running.since)
   }
 
@@ -227,8 +230,8 @@
       if (next === undefined || this._lingers(next, now)) return
       this._picks++
       this._waiting.remove(next.id)
-      this._running.set(next.id, { request: next, since: now })
-      if (next.adapter !== undefined) this._slots.pin(next.adapter, now)
+      const slot = next.adapter === undefined ? undefined : this._slots.pin(next.adapter, now)
+      this._running.set(next.id, { request: next, since: now, slot })
       this._effects.push({ kind: 'start', id: next.id })
     }
   }
--- a/packages/decisions/src/test/upstream-plan.feature
+++ b/packages/decisions/src/test/upstream-plan.feature
@@ -37,6 +37,14 @@
     When a receipt arrives last
     Then the receipt starts first and the drafts follow in order
 
+  Scenario: a request that hung since before an engine restart
+    Symptom: an adapter is evicted under a request that has just begun.
+    Events: the engine restarts, one request hangs, the adapter is loaded anew for others, the hung one is given up.
+    Cause: giving it up took a pin from the slot that was loaded after it.
+    Given a request that hangs on an adapter since before an engine restart
+    When the adapter is loaded anew for another request and the hung one is given up
+    Then the adapter is not unloaded while the other runs
+
   Scenario: an unload whose reply was lost
     Given one slot whose adapter was unloaded with its reply lost
     Then nothing starts on it until the engine was asked
--- a/packages/decisions/src/test/upstream-plan.steps.ts
+++ b/packages/decisions/src/test/upstream-plan.steps.ts
@@ -162,6 +162,29 @@
   assert.deepEqual([...bench.loading], ['r@1'])
 })
 
+Given('a request that hangs on an adapter since before an engine restart', () => {
+  bench = new PlanBench({ slots: 1, places: 4, queueLimit: 10, draftLinger: 0 })
+  bench.arrive(request('hung', 'a@1', 'interactive', 0, forever), 0)
+  bench.engineStep(true, 0)
+  bench.engineStep(true, 0)
+  bench.loaded.clear()
+  bench.post({ kind: 'slots-listed', at: 1, loaded: [] })
+})
+
+When('the adapter is loaded anew for another request and the hung one is given up', () => {
+  bench.arrive(request('fresh', 'a@1', 'interactive', 2, forever), 2)
+  bench.engineStep(true, 2)
+  bench.engineStep(true, 2)
+  assert.ok(bench.running.has('fresh'))
+  bench.running.delete('hung')
+  bench.post({ kind: 'finished', at: 3, id: 'hung', ran: false })
+})
+
+Then('the adapter is not unloaded while the other runs', () => {
+  bench.arrive(request('other', 'b@1', 'interactive', 4, forever), 4)
+  assert.deepEqual(bench.unloaded, [])
+})
+
 When('a receipt arrives last', () => {
   bench.arrive(request('receipt', undefined, 'receipt', 3, forever), 3)
 })
--- a/packages/engine/src/lib/answer-sink.ts
+++ b/packages/engine/src/lib/answer-sink.ts
@@ -25,6 +25,10 @@
   /** Stops reading, so that the upstream is held back. */
   readonly pause: () => void
   readonly resume: () => void
-  /** Gives the call up; the sink hears nothing more. */
-  readonly cancel: () => void
+  /**
+   * Gives the call up; the sink hears nothing more.
+   *
+   * @returns when the upstream has stopped, as far as can be known
+   */
+  readonly cancel: () => Promise<void>
 }
--- a/packages/engine/src/lib/engine-client.ts
+++ b/packages/engine/src/lib/engine-client.ts
@@ -49,6 +49,7 @@
 const listTimeoutMs = 2_000
 const loadTimeoutMs = 120_000
 const unloadTimeoutMs = 5_000
+const cancelTimeoutMs = 2_000
 const reorderWindow = 64
 const resumeAttempts = 3
 const doneLine = 'data: [DONE]'
@@ -107,15 +108,13 @@
     this._http.resume()
   }
 
-  cancel = (): void => {
+  cancel = async (): Promise<void> => {
     this._over = true
     this._http.abort()
-    if (!this._streamed) return
-    // A cut connection only detaches a stream that can be resumed; its place in the
-    // batch stays taken until the engine is told.
-    this._pool.request({ method: 'DELETE', path: `/v1/streams/${this._call.id}` })
-      .then(res => res.body.dump())
-      .catch(() => {})
+    // A cut connection tells the engine late or, when the stream can be resumed, not at
+    // all. Until it has stopped it still uses the adapter, which must stay pinned.
+    await this._pool.request({ method: 'DELETE', path: `/v1/streams/${this._call.id}`, signal: AbortSignal.timeout(cancelTimeoutMs) })
+      .then(res => res.body.dump(), () => {})
   }
 
   private _open (call: Parameters<typeof startHttpCall>[1]): HttpHandle {
@@ -162,8 +161,7 @@
     if (!line.includes(this._modelMark) && !namesModel(eventJson(line), this._call.engineName)) {
       // An engine that lost the adapter can fall back to another one. Passing its
       // words on would answer a caller from the wrong adapter.
-      this._http.abort()
-      this._finish(() => this._sink.fail(wrongAdapter(this._call.engineName)))
+      this.cancel().then(() => this._sink.fail(wrongAdapter(this._call.engineName)), () => {})
       return
     }
     this._ready += `${line.replace(this._call.engineName, this._call.shownName)}\n\n`
--- a/packages/engine/src/lib/plain-client.ts
+++ b/packages/engine/src/lib/plain-client.ts
@@ -40,7 +40,7 @@
         end: () => sink.end(),
         fail: cause => sink.fail(cause)
       })
-      return { pause: http.pause, resume: http.resume, cancel: http.abort }
+      return { pause: http.pause, resume: http.resume, cancel: async () => http.abort() }
     },
     close: () => pool.destroy()
   }
--- a/packages/sidecar/src/lib/request-desk.ts
+++ b/packages/sidecar/src/lib/request-desk.ts
@@ -69,6 +69,9 @@
   /** Refuses what waits and whatever comes. */
   leave (): void { this._post({ kind: 'leave', at: this._now() }) }
 
+  /** Takes work again after a drain. */
+  returnToWork (): void { this._post({ kind: 'return', at: this._now() }) }
+
   /** Takes the engine's own word on what is loaded. */
   slotsListed (loaded: readonly string[]): void {
     this._post({ kind: 'slots-listed', at: this._now(), loaded })
@@ -147,9 +150,9 @@
       case 'running': {
         this._options.events.add('request-withdrawn', { request: request.id, upstream: this._options.upstream })
         if (request.idempotent) {
-          run.handle?.cancel()
           run.end(failure('may-have-run', 'withdrawn', 'The request was stopped while it ran.'))
-          return this._finished(run, false)
+          this._cancel(run)
+          return
         }
         // A booking under way can't be called back. Its place stays taken and its
         // outcome is kept under its key; only the wait for it ends here.
@@ -162,6 +165,13 @@
     }
   }
 
+  /** The request keeps its place and its pin until the upstream has stopped. */
+  private _cancel (run: RequestRun): void {
+    const { handle } = run
+    if (handle === undefined) return this._finished(run, false)
+    handle.cancel().then(() => this._finished(run, false), () => this._finished(run, false))
+  }
+
   private _now (): Ms { return this._options.clock.now() }
 
   private _post (msg: PlanMessage): void { this._task.post(msg) }
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -235,6 +235,7 @@
     this._options.log.info('sidecar', 'state changed.', { state: next })
     this._options.events.add('drain', { upstream: this._options.upstream, note: next })
     if (next === 'leaving') this._desk.leave()
+    else this._desk.returnToWork()
     this._sendReport()
   }
 
--- a/packages/stand-ins/src/lib/engine-batch.ts
+++ b/packages/stand-ins/src/lib/engine-batch.ts
@@ -57,8 +57,9 @@
     this._waiting = []
   }
 
-  uses (model: string): boolean {
-    return this._running.some(sequence => sequence.model === model && sequence.isRead())
+  /** Requests that use a model and that somebody still reads. */
+  users (model: string): readonly string[] {
+    return this._running.filter(sequence => sequence.model === model && sequence.isRead()).map(sequence => sequence.id)
   }
 
   private _schedule (): void {
--- a/packages/stand-ins/src/lib/model-engine.ts
+++ b/packages/stand-ins/src/lib/model-engine.ts
@@ -33,6 +33,8 @@
   wrongAdapter: number
   /** The next so many completions end without their last event. */
   truncate: number
+  /** Ms until the engine hears of a cancel or of a cut connection. */
+  cancelDelay: number
 }
 
 /** One completion as the engine saw it. */
@@ -84,7 +86,7 @@
   let order = 0
   let instance = 0
 
-  const faults: EngineFaults = { failLoads: 0, lostUnloadReplies: 0, wrongAdapter: 0, truncate: 0, doubled: false, swapped: false, cutAfter: 0 }
+  const faults: EngineFaults = { failLoads: 0, lostUnloadReplies: 0, wrongAdapter: 0, truncate: 0, cancelDelay: 0, doubled: false, swapped: false, cutAfter: 0 }
 
   function takeFault (name: 'failLoads' | 'lostUnloadReplies' | 'wrongAdapter' | 'truncate'): boolean {
     if (faults[name] === 0) return false
@@ -133,7 +135,8 @@
     const { lora_name: name } = await c.req.json<{ lora_name: string }>()
     if (isFenced(c)) return c.json({ error: 'old fencing number' }, 409)
     if (!loaded.has(name)) return c.json({ error: 'not loaded' }, 404)
-    if (batch.uses(name)) engine.evictedInUse.push(name)
+    const users = batch.users(name)
+    if (users.length > 0) engine.evictedInUse.push(`${name} used by ${users.join(', ')}`)
     loaded.delete(name)
     if (!takeFault('lostUnloadReplies')) return c.text('unloaded')
     c.env.incoming.socket.destroy()
@@ -173,7 +176,7 @@
       outgoing.on('close', () => {
         if (outgoing.writableFinished) return
         run.cancelled = true
-        batch.remove(id)
+        setTimeout(() => batch.remove(id), faults.cancelDelay)
       })
       batch.add({
         ...base,
@@ -218,8 +221,9 @@
     stream.attach(c.env.outgoing as never, from)
     return RESPONSE_ALREADY_SENT
   })
-  app.delete('/v1/streams/:id', c => {
+  app.delete('/v1/streams/:id', async c => {
     const id = c.req.param('id')
+    await new Promise(resolve => { setTimeout(resolve, faults.cancelDelay) })
     batch.remove(id)
     streams.get(id)?.cut()
     streams.delete(id)
--- a/packages/stand-ins/src/lib/plain-service.ts
+++ b/packages/stand-ins/src/lib/plain-service.ts
@@ -21,6 +21,8 @@
   /** How often each booking ran, by the token in its body. */
   readonly bookings: Map<string, number>
   readonly running: () => number
+  /** Headers of the last call of `/echo`. */
+  readonly echoed: () => Record<string, string>
 }
 
 /**
@@ -32,6 +34,7 @@
   const faults: PlainFaults = { delay: 0, lostReplies: 0, lostShare: 0 }
   const bookings = new Map<string, number>()
   let running = 0
+  let echoed: Record<string, string> = {}
 
   function replyLost (): boolean {
     if (faults.lostReplies > 0) {
@@ -44,6 +47,10 @@
   const app = new Hono<Raw>()
   app.get('/health', c => c.text('ok'))
   app.get('/stock', c => c.json({ chairs: 12, accept: c.req.header('accept') }))
+  app.all('/echo', c => {
+    echoed = c.req.header()
+    return c.text('ok', 200, { 'keep-alive': 'timeout=99', 'x-own': 'yes' })
+  })
   app.post('/reservations', async c => {
     const { token } = await c.req.json<{ token: string }>()
     running++
@@ -55,5 +62,5 @@
     return RESPONSE_ALREADY_SENT
   })
   const listening = await serve(app, port)
-  return { ...listening, faults, bookings, running: () => running }
+  return { ...listening, faults, bookings, running: () => running, echoed: () => echoed }
 }
