--- /dev/null
+++ b/guards.cucumber.js
@@ -0,0 +1,5 @@
+export default {
+  import: ['packages/*/dist/test/*.steps.js'],
+  format: ['summary'],
+  publishQuiet: true
+}
--- a/packages/bench/src/test/leaving.feature
+++ b/packages/bench/src/test/leaving.feature
@@ -43,3 +43,11 @@
     When requests flow while the sidecar of "m0" shuts down
     Then every request was answered whole
     And upstream "m0" got no new work after that
+
+  Scenario: an entry that has not heard of a drain
+    Symptom: a drained host keeps getting work from one zone.
+    Events: the operators drain an upstream; one entry lags and sends to it.
+    Cause: only entries kept work away from it.
+    Given a system with 2 booking services and 1 entry
+    When a sidecar is drained behind its entry's back and bookings are sent
+    Then every booking is confirmed and none ran at the drained service
--- a/packages/bench/src/test/leaving.steps.ts
+++ b/packages/bench/src/test/leaving.steps.ts
@@ -3,6 +3,7 @@
  */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { nextDocument } from '@hazelford/config'
 import { book, type CallerResult, complete } from '../lib/callers.js'
 import { until } from './support/local-system.js'
 import type { SystemWorld } from './support/world.js'
@@ -88,6 +89,24 @@
   await flow(this, ready, async () => { await Promise.all([shutDownEntry(this), shutDownSidecar(this)]) })
 })
 
+When('a sidecar is drained behind its entry\'s back and bookings are sent', async function (this: SystemWorld) {
+  const { entry } = this.system.entries[0]!
+  // The entry goes on as if it had heard nothing, as one whose channel lags would.
+  const view = entry.directory.view('b0')!
+  view.update = () => {}
+  Object.defineProperty(view, 'barred', { get: () => false, set: () => {} })
+  const sidecar = this.system.sidecars.get('b0')!
+  const text = this.system.configText().replace('drained = []', 'drained = ["b0"]')
+  sidecar.config.offer(nextDocument(this.system.revision, text, 'test', 0), 'test')
+  const sent = Array.from({ length: 20 }, (_, i) => book(this.system.url, `t${i}`))
+  this.results = await Promise.all(sent)
+})
+
+Then('every booking is confirmed and none ran at the drained service', function (this: SystemWorld) {
+  for (const result of this.results) assert.equal(result.status, 201, result.code)
+  assert.equal(this.system.plains[0]!.bookings.size, 0)
+})
+
 Then('every request was answered whole', function (this: SystemWorld) {
   assert.equal(this.results.length, requestCount)
   for (const result of this.results) {
