--- a/packages/config/src/test/texts.feature
+++ b/packages/config/src/test/texts.feature
@@ -53,3 +53,6 @@
       operator = { token = "short" }
       """
     Then the settings have 3 problems, at lines "4, 6, 8"
+
+  Scenario: the reference page
+    Then docs/SETTINGS.md is what the schemas give
--- a/packages/config/src/test/texts.steps.ts
+++ b/packages/config/src/test/texts.steps.ts
@@ -2,7 +2,9 @@
  * Tests of checked texts.
  */
 import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
 import { Given, Then } from '@cucumber/cucumber'
+import { settingsPage } from '../lib/settings-page.js'
 import { parseConfig } from '../lib/config.js'
 import type { Problem } from '../lib/problem.js'
 import { parseSettings } from '../lib/settings.js'
@@ -27,3 +29,7 @@
   assert.equal(problems.length, count, JSON.stringify(problems))
   assert.equal(problems.map(problem => problem.line).join(', '), lines)
 })
+
+Then('docs/SETTINGS.md is what the schemas give', () => {
+  assert.equal(readFileSync('docs/SETTINGS.md', 'utf8'), settingsPage())
+})
