Keep a sidecar cold until it holds a fencing number

Cause: a sidecar that started during an outage of the key-value service showed itself as serving, could load nothing and refused requests as load-failed. Change: it serves once it holds a number; until then entries use other upstreams.

--- a/packages/bench/src/test/config-in-force.feature
+++ b/packages/bench/src/test/config-in-force.feature
@@ -51,3 +51,14 @@
     When a document with a text that does not match its digest is stored
     Then no process goes back to an older revision
     And the next change is in force everywhere
+
+  Scenario: a sidecar that starts during an outage
+    Symptom: requests wait at a sidecar that can load nothing, while others could answer.
+    Events: a sidecar of a model engine starts while the key-value service is down.
+    Cause: it showed itself as serving before it held a fencing number.
+    Given a whole system with 2 engines, 1 booking services and 1 entries
+    And the key-value service is down
+    When the sidecar of "m0" is replaced
+    Then it stays cold and requests are answered by "m1"
+    When the key-value service is back
+    Then the sidecar of "m0" serves again
--- a/packages/bench/src/test/config-in-force.steps.ts
+++ b/packages/bench/src/test/config-in-force.steps.ts
@@ -82,3 +82,22 @@
   this.system.version = '3'
   await this.system.inForce(await this.system.applyConfig())
 })
+
+When('the sidecar of "m0" is replaced', async function (this: SystemWorld) {
+  this.system.sidecars.get('m0')!.stop()
+  await this.system.startSidecar('m0')
+  await until('the entry has dialled it', () => this.system.entries[0]!.entry.directory.view('m0')?.state === 'cold')
+})
+
+Then('it stays cold and requests are answered by "m1"', async function (this: SystemWorld) {
+  for (let i = 0; i < 5; i++) {
+    const result = await complete(this.system.url, 'a@1', `p${i}`, 3, true)
+    assert.equal(result.text, expectedText('a@1', 3))
+  }
+  assert.equal(this.system.sidecars.get('m0')!.state, 'cold')
+  assert.equal(this.system.engines[0]!.runs.length, 0)
+})
+
+Then('the sidecar of "m0" serves again', async function (this: SystemWorld) {
+  await until('it serves', () => this.system.sidecars.get('m0')!.state === 'serving')
+})
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -65,6 +65,8 @@
   private readonly _slots: EngineSlots | undefined
   private _server: ChannelServer | undefined
   private _state: SidecarState = 'cold'
+  /** Whether everything that serving needs is there. */
+  private _warm = false
   private _shuttingDown = false
   private _stopped = false
   private _reportDue = false
@@ -203,10 +205,15 @@
     for (const connection of this._connections.keys()) connection.send({ body: { $case: 'config', value: doc } })
   }
 
-  /** A model engine: take a number, see what the engine holds, then serve. */
+  /**
+   * A model engine: take a number, then serve. Until then no adapter can be loaded, and
+   * taking requests would only keep them from upstreams that can answer.
+   */
   private _startModel (): void {
-    this._fence.acquire(() => this._stopped).then(() => this._watchEngine(), () => {})
-    this._warmUp()
+    this._fence.acquire(() => this._stopped).then(() => {
+      this._warmUp()
+      this._watchEngine()
+    }, () => {})
   }
 
   private _warmUp (): void {
@@ -214,8 +221,6 @@
     this._updateState()
   }
 
-  private _warm = false
-
   /** Lists the engine now and then: a restarted engine has lost everything. */
   private _watchEngine (): void {
     if (this._stopped) return
