--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -4,7 +4,7 @@
 import { type ConfigDocument, failure, type Failure, newId, type Ms } from '@hazelford/core'
 import { type Config, ConfigState, type Upstream } from '@hazelford/config'
 import { type PlanLimits, type PlanReport } from '@hazelford/decisions'
-import { type EntryFrame, type Hello, type Request, type SidecarFrame, type SidecarHeartbeat, toWireDocument } from '@hazelford/wire'
+import { type EntryFrame, type Hello, type Request, toWireDocument } from '@hazelford/wire'
 import { type ChannelServer, type Connection, type ConnectionHandler, defaultHeartbeatMs, startChannelServer } from './channel-server.js'
 import { Claims } from './claims.js'
 import { EngineSlots } from './engine-slots.js'
@@ -12,6 +12,7 @@
 import { Fence } from './fence.js'
 import { LoadPermits, type PermitLimits } from './load-permits.js'
 import { type ModelParts, RequestDesk } from './request-desk.js'
+import { Reporter } from './reporter.js'
 import type { SidecarOptions } from './sidecar-options.js'
 import { createModelRunner, createPlainRunner, type RunnerEvents, type UpstreamRunner } from './upstream-runner.js'
 
@@ -40,7 +41,6 @@
 const sessionKeepMs: Ms = 10 * 60_000
 const leaveNoticeMs: Ms = 50
 const listIntervalMs: Ms = 1_000
-const minReportGapMs: Ms = 20
 
 /**
  * A sidecar.
@@ -58,10 +58,9 @@
   readonly config: ConfigState
   private readonly _sessions = new Map<string, EntrySession>()
   private readonly _connections = new Map<Connection, EntrySession>()
-  /** Adapters that each connection was last told of. */
-  private readonly _toldAdapters = new Map<Connection, string>()
   private readonly _fence: Fence
   private readonly _desk: RequestDesk
+  private readonly _reporter: Reporter
   private readonly _slots: EngineSlots | undefined
   private _server: ChannelServer | undefined
   private _state: SidecarState = 'cold'
@@ -69,7 +68,6 @@
   private _warm = false
   private _shuttingDown = false
   private _stopped = false
-  private _reportDue = false
   private _lastTick: Ms
 
   constructor (private readonly _options: SidecarOptions) {
@@ -79,11 +77,17 @@
     this._fence = new Fence({ kv, clock, log, events, upstream, sidecar: name, leaseMs })
     const model = this._createModelParts()
     this._slots = model?.slots
+    this._reporter = new Reporter(clock, {
+      state: () => this._state,
+      revision: () => this.config.revision,
+      report: () => this._desk.report(),
+      connections: () => this._connections.keys()
+    })
     this._desk = new RequestDesk(_options, {
       limits: unsetLimits,
       ...(model === undefined ? {} : { model }),
       createRunner: runnerEvents => this._createRunner(runnerEvents, model),
-      changed: () => this._reportSoon()
+      changed: () => this._reporter.sendSoon()
     })
     this.config.onChange(config => this._configChanged(config))
   }
@@ -241,7 +245,7 @@
     this._options.events.add('drain', { upstream: this._options.upstream, note: next })
     if (next === 'leaving') this._desk.leave()
     else this._desk.returnToWork()
-    this._sendReport()
+    this._reporter.send()
   }
 
   private _accept (connection: Connection): ConnectionHandler {
@@ -253,7 +257,7 @@
       },
       closed: () => {
         this._connections.delete(connection)
-        this._toldAdapters.delete(connection)
+        this._reporter.forget(connection)
         if (session !== undefined) this._lost(session, connection)
       }
     }
@@ -277,7 +281,7 @@
           revision: this.config.revision,
           highestSeq: session.ledger.highest,
           open: [...open],
-          report: this._heartbeat(),
+          report: this._reporter.heartbeat(),
           resumed: known !== undefined
         }
       }
@@ -333,28 +337,11 @@
     connection.send({ body: { $case: 'config', value: toWireDocument(document) } })
   }
 
-  private _heartbeat (): SidecarHeartbeat {
-    const { running, places, queued, slots, adapters, loadMs, loadsWaiting, serviceMs } = this._desk.report()
-    return {
-      revision: this.config.revision,
-      state: this._state,
-      running,
-      places,
-      queued,
-      slots,
-      adapters: adapters.map(({ adapter, state, pins }) => ({ adapter, state, pins })),
-      loadMs,
-      loadsWaiting,
-      serviceMs,
-      sameAdapters: false
-    }
-  }
-
   private _beat (): void {
     if (this._stopped) return
     this._noticePause()
     this._updateState()
-    this._sendReport()
+    this._reporter.send()
     this._options.clock.after(this._options.heartbeatMs ?? defaultHeartbeatMs, () => this._beat())
   }
 
@@ -368,28 +355,4 @@
     }
     this._lastTick = now
   }
-
-  private _reportSoon (): void {
-    if (this._reportDue) return
-    this._reportDue = true
-    this._options.clock.after(minReportGapMs, () => {
-      this._reportDue = false
-      this._sendReport()
-    })
-  }
-
-  private _sendReport (): void {
-    if (this._connections.size === 0) return
-    const full = this._heartbeat()
-    const adapters = full.adapters.map(({ adapter, state }) => `${adapter} ${state}`).join()
-    const short: SidecarHeartbeat = { ...full, adapters: [], sameAdapters: true }
-    // Most heartbeats tell of the same adapters as the one before. Naming them each time
-    // made nine tenths of an entry's control traffic.
-    for (const connection of this._connections.keys()) {
-      const value = this._toldAdapters.get(connection) === adapters ? short : full
-      this._toldAdapters.set(connection, adapters)
-      const frame: SidecarFrame = { body: { $case: 'heartbeat', value } }
-      connection.send(frame)
-    }
-  }
 }
