Tell the worst verdict also when a deadline ends a later attempt

Cause: read over the whole change: the answer to a withdraw at the deadline went to the caller as it was. An idempotent request whose first attempt may have run and whose second was withdrawn before it began was told "not run". The property test did not draw that sequence. Change: the verdict of earlier attempts goes into the attempt, and the withdraw's answer is softened by it as every other failure is. A scenario brings it about.

--- a/packages/decisions/src/lib/request-flow.ts
+++ b/packages/decisions/src/lib/request-flow.ts
@@ -131,7 +131,7 @@
 }
 
 /** Waits for the sidecar's answer to a withdraw. */
-function * settleWithdraw (answer: HeldAnswer): Generator<readonly FlowEffect[], AttemptResult, FlowMessage> {
+function * settleWithdraw (answer: HeldAnswer, worst: Verdict): Generator<readonly FlowEffect[], AttemptResult, FlowMessage> {
   let effects: readonly FlowEffect[] = [{ kind: 'withdraw', reason: 'deadline' }]
   for (;;) {
     const msg = yield effects
@@ -139,7 +139,7 @@
     switch (msg.kind) {
       case 'end':
         if (msg.end.failure === undefined) return { kind: 'done', effects: [...answer.release(), { kind: 'answer-end' }] }
-        return { kind: 'done', effects: finalFailure(answer, deadlineFailure(msg.end)) }
+        return { kind: 'done', effects: finalFailure(answer, soften(deadlineFailure(msg.end), worst)) }
       case 'withdraw-timeout':
         return { kind: 'done', effects: finalFailure(answer, deadlineFailure(undefined)) }
       case 'caller-gone':
@@ -158,8 +158,8 @@
   }
 }
 
-/** One attempt, from its dispatch to its end. */
-function * attempt (upstream: string, answer: HeldAnswer): Generator<readonly FlowEffect[], AttemptResult, FlowMessage> {
+/** One attempt, from its dispatch to its end; `worst` is the verdict of those before. */
+function * attempt (upstream: string, answer: HeldAnswer, worst: Verdict): Generator<readonly FlowEffect[], AttemptResult, FlowMessage> {
   let effects: readonly FlowEffect[] = [{ kind: 'send', upstream }]
   for (;;) {
     const msg = yield effects
@@ -175,7 +175,7 @@
         if (msg.end.failure !== undefined) return { kind: 'failed', failure: msg.end.failure }
         return { kind: 'done', effects: [...answer.release(), { kind: 'answer-end' }] }
       case 'deadline':
-        return yield * settleWithdraw(answer)
+        return yield * settleWithdraw(answer, worst)
       case 'caller-gone':
         return { kind: 'done', effects: [{ kind: 'withdraw', reason: 'caller-gone' }, { kind: 'forget' }] }
       case 'waited':
@@ -231,7 +231,7 @@
       return
     }
     tried.add(upstream)
-    const result = yield * attempt(upstream, answer)
+    const result: AttemptResult = yield * attempt(upstream, answer, worst)
     if (result.kind === 'done') {
       yield result.effects
       return
--- a/packages/decisions/src/test/request-flow.feature
+++ b/packages/decisions/src/test/request-flow.feature
@@ -19,3 +19,11 @@
     Then the caller is told that it may have run
     When the deadline passes and the sidecar says that it had not begun
     Then the caller is told that it did not run
+
+  Scenario: a deadline after an attempt that may have run
+    Symptom: a caller is told "not run" although the first attempt may have run.
+    Events: the first attempt's channel breaks, the second is withdrawn at the deadline before it began.
+    Cause: the answer to the withdraw was taken for the whole request.
+    Given an idempotent request whose first attempt may have run and whose second waits
+    When the deadline passes and the sidecar says that the second had not begun
+    Then the caller is told that it may have run
--- a/packages/decisions/src/test/request-flow.steps.ts
+++ b/packages/decisions/src/test/request-flow.steps.ts
@@ -134,6 +134,18 @@
   tell(endMessage('not-run', true))
 })
 
+Given('an idempotent request whose first attempt may have run and whose second waits', () => {
+  begin(true, false)
+  tell(endMessage('may-have-run', true))
+  tell({ kind: 'waited' })
+  assert.deepEqual(last.map(effect => effect.kind), ['send'])
+})
+
+When('the deadline passes and the sidecar says that the second had not begun', () => {
+  tell({ kind: 'deadline' })
+  tell(endMessage('not-run', true))
+})
+
 function toldVerdict (): Verdict {
   const effect = last[0]
   assert.equal(effect?.kind, 'fail')
