--- a/packages/bench/src/lib/bench-path.ts
+++ b/packages/bench/src/lib/bench-path.ts
@@ -3,7 +3,7 @@
  * calling the same stand-in directly in the same run.
  */
 import { configKey, nextDocument } from '@hazelford/config'
-import { createKvClient } from '@hazelford/platform'
+import { createKvClient } from '@hazelford/consul'
 import { startHostListService, startKvService } from '@hazelford/stand-ins'
 import { type DaemonProcess, launcherToken, startDaemonProcess, startStandInProcess } from './daemon-process.js'
 import { cpuMs } from './process-usage.js'
--- a/packages/bench/src/lib/bench-slopes.ts
+++ b/packages/bench/src/lib/bench-slopes.ts
@@ -4,7 +4,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { configKey, nextDocument, parseConfig } from '@hazelford/config'
 import { chooseUpstream, UpstreamPlan, UpstreamView } from '@hazelford/decisions'
-import { createKvClient } from '@hazelford/platform'
+import { createKvClient } from '@hazelford/consul'
 import { startHostListService, startKvService } from '@hazelford/stand-ins'
 import { adapterName, configText } from './config-text.js'
 import { type DaemonProcess, launcherToken, startDaemonProcess, startStandInProcess } from './daemon-process.js'
--- a/packages/bench/src/lib/fleet.ts
+++ b/packages/bench/src/lib/fleet.ts
@@ -3,7 +3,7 @@
  */
 import { type HostListService, type KvService, type ModelEngine, type PlainService, startHostListService, startKvService, startModelEngine, startPlainService, startWeightStore, type WeightStore } from '@hazelford/stand-ins'
 import { configKey, nextDocument } from '@hazelford/config'
-import { createKvClient, type KvClient } from '@hazelford/platform'
+import { createKvClient, type KvClient } from '@hazelford/consul'
 import { adapterName, configText, type FleetConfig } from './config-text.js'
 import { type DaemonProcess, launcherToken, startDaemonProcess } from './daemon-process.js'
 import { entrySettings, type FleetAddresses, sidecarSettings, type UpstreamAddress } from './settings-text.js'
--- a/packages/bench/src/lib/guards.ts
+++ b/packages/bench/src/lib/guards.ts
@@ -153,7 +153,7 @@
   },
   {
     promise: 'configuration: a lost reply is settled by reading back',
-    file: 'packages/platform/dist/lib/settled-write.js',
+    file: 'packages/consul/dist/lib/settled-write.js',
     find: 'if (entry !== undefined && isOwn(entry.value))',
     replace: 'if (false)',
     feature: 'packages/cli/src/test/operators.feature',
--- a/packages/bench/src/test/support/local-system.ts
+++ b/packages/bench/src/test/support/local-system.ts
@@ -6,7 +6,7 @@
 import { configKey, nextDocument } from '@hazelford/config'
 import { createEngineClient, createPlainClient } from '@hazelford/engine'
 import { type CallerServer, Entry, serveCallers } from '@hazelford/entry'
-import { createHostListClient, createKvClient, withBreaker } from '@hazelford/platform'
+import { createHostListClient, createKvClient, withBreaker } from '@hazelford/consul'
 import { Sidecar, silentMeter } from '@hazelford/sidecar'
 import { type EngineOptions, type HostListService, type KvService, type ModelEngine, type PlainService, startHostListService, startKvService, startModelEngine, startPlainService } from '@hazelford/stand-ins'
 
--- a/packages/cli/src/lib/config-store.ts
+++ b/packages/cli/src/lib/config-store.ts
@@ -3,7 +3,7 @@
  */
 import type { ConfigDocument, Ms } from '@hazelford/core'
 import { configKey, historyPrefix, nextDocument, readDocument } from '@hazelford/config'
-import { type KvClient, settledWrite } from '@hazelford/platform'
+import { type KvClient, settledWrite } from '@hazelford/consul'
 import { err, ok, type Result } from 'neverthrow'
 
 /** The stored configuration; `index` is what a change must name. */
--- a/packages/cli/src/lib/processes.ts
+++ b/packages/cli/src/lib/processes.ts
@@ -3,7 +3,7 @@
  * themselves.
  */
 import type { Ms, TimelineEvent } from '@hazelford/core'
-import { createHostListClient, type Host } from '@hazelford/platform'
+import { createHostListClient, type Host } from '@hazelford/consul'
 import { request } from 'undici'
 
 /** Where a command looks and with what secret. */
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,7 +4,7 @@
  */
 import { readFileSync } from 'node:fs'
 import { userInfo } from 'node:os'
-import { createKvClient } from '@hazelford/platform'
+import { createKvClient } from '@hazelford/consul'
 import { cac } from 'cac'
 import type { CliContext } from './lib/cli-context.js'
 import { apply } from './lib/commands/apply.js'
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export * from './lib/config.js'
+export * from './lib/checked-text.js'
 export * from './lib/config-state.js'
 export * from './lib/document.js'
 export * from './lib/problem.js'
--- a/packages/core/src/lib/log.ts
+++ b/packages/core/src/lib/log.ts
@@ -4,7 +4,9 @@
  */
 
 /** Parts of the system that write logs; each is the prefix of its lines. */
-export type LogPrefix = 'entry' | 'sidecar' | 'channel' | 'config' | 'fence' | 'claims' | 'loads' | 'daemon' | 'operator'
+export type LogPrefix =
+  | 'entry' | 'sidecar' | 'channel' | 'config' | 'fence' | 'claims' | 'loads' | 'daemon' | 'operator'
+  | 'store' | 'membership' | 'lease' | 'request' | 'peers'
 
 /** Writes short sentences with fields beside them. */
 export interface Log {
--- a/packages/daemon/src/lib/process-parts.ts
+++ b/packages/daemon/src/lib/process-parts.ts
@@ -3,7 +3,7 @@
  */
 import { type Clock, EventRing, HybridClock, type Log, systemClock } from '@hazelford/core'
 import type { Settings } from '@hazelford/config'
-import { createKvClient, type KvClient, withBreaker } from '@hazelford/platform'
+import { createKvClient, type KvClient, withBreaker } from '@hazelford/consul'
 import type { Meter } from '@hazelford/sidecar'
 import { createBunyanLog } from './bunyan-log.js'
 import { createStatsdMeter } from './statsd-meter.js'
--- /dev/null
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -0,0 +1,224 @@
+/**
+ * The life of one request that an entry sends to upstreams directly.
+ */
+import { assertNever, type Ms } from '@hazelford/core'
+
+/** Why a placed request was refused by its upstream. Each is a true "not run". */
+export type UpstreamRefusal = 'full' | 'other-instance' | 'adapter-missing'
+
+/** Why an entry gives a request up. Logs and metrics name it. */
+export type RelayFailure =
+  | 'no-upstream' | 'adapter-unavailable' | 'refused' | 'attempts-spent' | 'budget-spent'
+  | 'lost' | 'timeout-unsent' | 'timeout-sent' | 'stream-lost' | 'shutting-down'
+
+/** What happens to a request. */
+export type RelayMessage =
+  /** An upstream can take it now. */
+  | { readonly kind: 'placed', readonly upstream: string }
+  | { readonly kind: 'unplaced', readonly cause: 'no-upstream' | 'adapter-unavailable' }
+  | { readonly kind: 'refused', readonly refusal: UpstreamRefusal }
+  /** No connection: nothing was sent. */
+  | { readonly kind: 'unreachable' }
+  /** The connection broke or the upstream fell silent after bytes were sent. */
+  | { readonly kind: 'lost' }
+  /** A whole answer is at hand; `failed` when it is the upstream's own error. */
+  | { readonly kind: 'whole', readonly failed: boolean }
+  /** The first bytes of a stream are at hand. */
+  | { readonly kind: 'streaming' }
+  | { readonly kind: 'stream-ended' }
+  | { readonly kind: 'waited' }
+  | { readonly kind: 'timeout' }
+  | { readonly kind: 'caller-gone' }
+
+/** What the entry must do. */
+export type RelayEffect =
+  /** Find an upstream outside `avoid`, or the one named by `again`. */
+  | { readonly kind: 'place', readonly avoid: ReadonlySet<string>, readonly again?: string }
+  | { readonly kind: 'send', readonly upstream: string }
+  /** Close the connection to the upstream, so that it stops work. */
+  | { readonly kind: 'abandon' }
+  | { readonly kind: 'wait', readonly delay: Ms }
+  /** Keep the whole answer at hand: it is an error, and a better one may come. */
+  | { readonly kind: 'hold' }
+  /** Pass the answer at hand on to the caller. */
+  | { readonly kind: 'deliver' }
+  | { readonly kind: 'finish' }
+  /** Nothing has gone to the caller: answer with an error. */
+  | { readonly kind: 'fail', readonly failure: RelayFailure, readonly notRun: boolean }
+  /** Part of the answer has gone out: break it, so that it can't look whole. */
+  | { readonly kind: 'break', readonly failure: RelayFailure }
+  | { readonly kind: 'forget' }
+
+/** What bears on repeats. */
+export interface RelayRequest {
+  readonly kind: 'read-only' | 'non-idempotent' | 'stream'
+  readonly resumable: boolean
+  /** Upstreams that it may be sent to. */
+  readonly maxAttempts: number
+}
+
+/** What the decisions ask of the entry. */
+export interface RelayDeps {
+  /** Takes a repeat from the service's budget. */
+  readonly takeRepeat: () => boolean
+}
+
+/** Connections that may fail before a request is refused; nothing was sent on them. */
+const maxUnreachable = 6
+/** Sends to the upstream that said its adapter isn't there yet: the load is a little late. */
+const maxSameUpstream = 3
+/** Pause before the same upstream is asked again; about a third of a reload from memory. */
+const adapterPause: Ms = 15
+
+type Effects = readonly RelayEffect[]
+
+/** What a request has been through. */
+class Progress {
+  /** Upstreams that bytes of the request may have reached. */
+  readonly tried = new Set<string>()
+  /** Upstreams that took no connection. */
+  readonly unreachable = new Set<string>()
+  sends = 0
+  missing = 0
+  /** The upstream that has the request now. */
+  current: string | undefined
+  /** An upstream that only lacked the adapter for a moment. */
+  again: string | undefined
+  /** Whether an upstream may have worked on the request. */
+  mayHaveRun = false
+  /** Whether part of an answer has gone to the caller. */
+  begun = false
+  /** Whether an upstream's own error is at hand, to be delivered if nothing better comes. */
+  holdsError = false
+
+  /** Where not to go next. */
+  get avoid (): ReadonlySet<string> { return new Set([...this.tried, ...this.unreachable]) }
+}
+
+function isIdempotent (request: RelayRequest): boolean {
+  return request.kind === 'read-only' || (request.kind === 'stream' && request.resumable)
+}
+
+/**
+ * Stops work that nobody waits for any more. A non-idempotent request that runs is left to
+ * end: closing its connection would not undo it.
+ */
+function abandon (request: RelayRequest, progress: Progress): Effects {
+  return progress.current !== undefined && request.kind !== 'non-idempotent' ? [{ kind: 'abandon' }] : []
+}
+
+function giveUp (progress: Progress, failure: RelayFailure): Effects {
+  if (progress.holdsError) return [{ kind: 'deliver' }, { kind: 'finish' }]
+  if (progress.begun) return [{ kind: 'break', failure: 'stream-lost' }]
+  return [{ kind: 'fail', failure, notRun: !progress.mayHaveRun }]
+}
+
+/** What a message leads to; `over` when the last effect is final. */
+interface Turn { readonly effects: Effects, readonly over: boolean }
+
+function goOn (effects: Effects): Turn { return { effects, over: false } }
+function end (effects: Effects): Turn { return { effects, over: true } }
+
+function placed (upstream: string, request: RelayRequest, progress: Progress, deps: RelayDeps): Turn {
+  if (progress.sends > 0) {
+    if (!progress.tried.has(upstream) && progress.tried.size >= request.maxAttempts) return end(giveUp(progress, 'attempts-spent'))
+    if (!deps.takeRepeat()) return end(giveUp(progress, 'budget-spent'))
+  }
+  progress.tried.add(upstream)
+  progress.sends++
+  progress.current = upstream
+  return goOn([{ kind: 'send', upstream }])
+}
+
+function elsewhere (request: RelayRequest, progress: Progress, failure: RelayFailure): Turn {
+  if (progress.tried.size >= request.maxAttempts) return end(giveUp(progress, failure))
+  return goOn([{ kind: 'place', avoid: progress.avoid }])
+}
+
+function unreachable (upstream: string, progress: Progress): Turn {
+  // Nothing arrived there: neither the attempts nor the order of upstreams is touched.
+  progress.sends--
+  progress.tried.delete(upstream)
+  progress.unreachable.add(upstream)
+  if (progress.unreachable.size > maxUnreachable) return end(giveUp(progress, 'no-upstream'))
+  return goOn([{ kind: 'place', avoid: progress.avoid }])
+}
+
+function refused (upstream: string, refusal: UpstreamRefusal, request: RelayRequest, progress: Progress): Turn {
+  if (refusal === 'adapter-missing' && ++progress.missing <= maxSameUpstream) {
+    progress.again = upstream
+    return goOn([{ kind: 'wait', delay: adapterPause * progress.missing }])
+  }
+  return elsewhere(request, progress, 'refused')
+}
+
+function lost (request: RelayRequest, progress: Progress): Turn {
+  progress.mayHaveRun = true
+  // What has gone out of a plain answer can't be taken back, nor gone on with elsewhere.
+  if (!isIdempotent(request) || (progress.begun && request.kind !== 'stream')) return end(giveUp(progress, 'lost'))
+  const next = elsewhere(request, progress, 'attempts-spent')
+  return next.over ? next : goOn([{ kind: 'abandon' }, ...next.effects])
+}
+
+function whole (failed: boolean, request: RelayRequest, progress: Progress): Turn {
+  const deliver: Effects = [{ kind: 'deliver' }, { kind: 'finish' }]
+  if (!failed || request.kind !== 'read-only' || progress.tried.size >= request.maxAttempts) return end(deliver)
+  progress.mayHaveRun = true
+  progress.holdsError = true
+  return goOn([{ kind: 'hold' }, { kind: 'place', avoid: progress.avoid }])
+}
+
+function interrupted (cause: 'timeout' | 'caller-gone', request: RelayRequest, progress: Progress): Turn {
+  const stop = abandon(request, progress)
+  if (cause === 'caller-gone') return end([...stop, { kind: 'forget' }])
+  if (progress.current !== undefined) progress.mayHaveRun = true
+  return end([...stop, ...giveUp(progress, progress.mayHaveRun ? 'timeout-sent' : 'timeout-unsent')])
+}
+
+function turn (msg: RelayMessage, request: RelayRequest, progress: Progress, deps: RelayDeps): Turn {
+  const { current } = progress
+  switch (msg.kind) {
+    case 'placed': return placed(msg.upstream, request, progress, deps)
+    case 'unplaced': return end(giveUp(progress, msg.cause))
+    case 'waited': return goOn([{ kind: 'place', avoid: progress.avoid, ...(progress.again === undefined ? {} : { again: progress.again }) }])
+    case 'timeout':
+    case 'caller-gone': return interrupted(msg.kind, request, progress)
+    case 'streaming':
+      progress.begun = true
+      return goOn([{ kind: 'deliver' }])
+    case 'stream-ended': return end([{ kind: 'finish' }])
+  }
+  // The exchange is over; from here on the upstream has nothing of this request.
+  progress.current = undefined
+  progress.again = undefined
+  switch (msg.kind) {
+    case 'refused': return refused(current!, msg.refusal, request, progress)
+    case 'unreachable': return unreachable(current!, progress)
+    case 'lost': return lost(request, progress)
+    case 'whole': return whole(msg.failed, request, progress)
+    default: return assertNever(msg)
+  }
+}
+
+/**
+ * Runs one request.
+ *
+ * At most one upstream works on it at any time. It goes to a further one only after a true
+ * refusal, or when running twice does no harm.
+ *
+ * @param request - what bears on repeats
+ * @param deps - the budget
+ * @returns takes messages, yields effects; ends after the one final effect
+ */
+export function * relayFlow (request: RelayRequest, deps: RelayDeps): Generator<Effects, void, RelayMessage> {
+  const progress = new Progress()
+  let effects: Effects = [{ kind: 'place', avoid: progress.avoid }]
+  for (;;) {
+    const next = turn(yield effects, request, progress, deps)
+    if (next.over) {
+      yield next.effects
+      return
+    }
+    effects = next.effects
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/lib/route-table.ts
@@ -0,0 +1,69 @@
+/**
+ * Finds the route of a request.
+ */
+import type { Route, RouteConfig, ServiceSpec } from '@hazelford/ports'
+import { rendezvousWeight } from './rendezvous.js'
+
+/** The host without its port, in lower case. */
+function plainHost (host: string): string {
+  const colon = host.lastIndexOf(':')
+  return (colon > 0 && /^\d+$/.test(host.slice(colon + 1)) ? host.slice(0, colon) : host).toLowerCase()
+}
+
+const hashRange = 2 ** 32
+
+/** One configuration, prepared for look-ups. */
+export class RouteTable {
+  private readonly _byHost = new Map<string, Route[]>()
+  private readonly _services = new Map<string, ServiceSpec>()
+
+  constructor (readonly config: RouteConfig) {
+    for (const route of config.routes) {
+      const host = route.host.toLowerCase()
+      const routes = this._byHost.get(host)
+      if (routes === undefined) this._byHost.set(host, [route])
+      else routes.push(route)
+    }
+    // The longest prefix wins, so the first match in this order is the route.
+    for (const routes of this._byHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    for (const service of config.services) this._services.set(service.name, service)
+  }
+
+  get version (): number { return this.config.version }
+
+  /**
+   * Finds a route.
+   *
+   * @param host - as the caller sent it
+   * @param target - path, with its query if it has one
+   */
+  match (host: string, target: string): Route | undefined {
+    const query = target.indexOf('?')
+    const path = query < 0 ? target : target.slice(0, query)
+    return this._byHost.get(plainHost(host))?.find(route => path.startsWith(route.pathPrefix))
+  }
+
+  service (name: string): ServiceSpec | undefined { return this._services.get(name) }
+
+  /** Whether any route sends requests to a service. */
+  serves (service: string): boolean {
+    return this.config.routes.some(route => route.targets.some(target => target.service === service))
+  }
+}
+
+/**
+ * Chooses the service of a split route.
+ *
+ * @param route - whose weights count
+ * @param requestId - the same id always goes the same way
+ */
+export function pickService (route: Route, requestId: string): string | undefined {
+  if (route.targets.length <= 1) return route.targets[0]?.service
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0)
+  let point = rendezvousWeight(requestId, route.name) / hashRange * total
+  for (const target of route.targets) {
+    point -= target.weight
+    if (point < 0) return target.service
+  }
+  return route.targets.at(-1)?.service
+}
--- /dev/null
+++ b/packages/decisions/src/lib/upstream-health.ts
@@ -0,0 +1,77 @@
+/**
+ * What an entry makes of the answers of one upstream.
+ */
+import type { Ms } from '@hazelford/core'
+import { Smoothed } from './smoothed.js'
+
+/**
+ * How one exchange went.
+ *
+ * - `unreachable`: no connection.
+ * - `lost`: the connection broke or fell silent after the request was sent.
+ * - `refused`: the upstream said that it is full or leaving; it lives.
+ * - `error`: a whole answer with a status of 500 or more.
+ */
+export type ExchangeOutcome = 'answered' | 'unreachable' | 'lost' | 'refused' | 'error'
+
+/** Failures in a row after which an upstream gets no new requests for a while. */
+const ejectAfter = 2
+/** First ejection; a crashed upstream is back or gone within a few of these. */
+const ejectBase: Ms = 500
+const ejectCap: Ms = 4_000
+/**
+ * Share of failures above which an upstream is ejected though some answers are good.
+ * Applications answer a few requests in a hundred with errors of their own; one that
+ * fails a third of them is ill.
+ */
+const illShare = 0.3
+const illSamples = 8
+/** Weight of one outcome in the share of failures: about the last ten count. */
+const shareWeight = 0.1
+
+/** Ejects an upstream that fails, and lets it back step by step. */
+export class UpstreamHealth {
+  private readonly _failureShare = new Smoothed(0, shareWeight)
+  private readonly _latency = new Smoothed(0, 0.1)
+  private _samples = 0
+  private _inRow = 0
+  private _ejections = 0
+  private _ejectedUntil: Ms = -Infinity
+
+  /** Smoothed ms to the first byte of an answer; 0 before the first. */
+  get latency (): Ms { return this._latency.measured }
+
+  get failureShare (): number { return this._failureShare.measured }
+
+  /** Whether it should get new requests while others can have them. */
+  accepts (now: Ms): boolean { return now >= this._ejectedUntil }
+
+  /**
+   * Notes how an exchange went.
+   *
+   * @param outcome - as seen by this entry
+   * @param now - time
+   * @param latency - ms to the first byte, for an answer
+   * @returns whether the upstream was ejected by it
+   */
+  note (outcome: ExchangeOutcome, now: Ms, latency?: Ms): boolean {
+    if (latency !== undefined) this._latency.add(latency)
+    const failed = outcome !== 'answered' && outcome !== 'refused'
+    this._samples++
+    this._failureShare.add(failed ? 1 : 0)
+    // An error is an answer: the upstream lives, and only a high share of errors counts.
+    this._inRow = outcome === 'unreachable' || outcome === 'lost' ? this._inRow + 1 : 0
+    if (outcome === 'answered' && this._failureShare.measured < illShare / 2) this._ejections = 0
+    const ill = this._samples >= illSamples && this._failureShare.measured > illShare && failed
+    if (outcome !== 'unreachable' && this._inRow < ejectAfter && !ill) return false
+    this._eject(now)
+    return true
+  }
+
+  private _eject (now: Ms): void {
+    const wasOut = now < this._ejectedUntil
+    if (!wasOut) this._ejections++
+    this._ejectedUntil = now + Math.min(ejectCap, ejectBase * 2 ** (this._ejections - 1))
+    this._inRow = 0
+  }
+}
--- /dev/null
+++ b/packages/direct/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * An entry that sends requests to upstreams directly and orders their adapters under leases.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/direct-entry.js'
+export * from './lib/entry-settings.js'
+export * from './lib/hop-headers.js'
+export * from './lib/json-client.js'
+export * from './lib/json-log.js'
+export * from './lib/metrics.js'
+export * from './lib/platform-port.js'
--- /dev/null
+++ b/packages/direct/src/lib/caller-answer.ts
@@ -0,0 +1,108 @@
+/**
+ * Writes the one answer to a caller.
+ */
+import type { ServerResponse } from 'node:http'
+import type { Ms } from '@hazelford/core'
+import type { RelayFailure } from '@hazelford/decisions'
+import type { AnswerHead, WholeAnswer } from './exchange.js'
+
+/** Errors of the entry's own, with the status that says whether the request ran. */
+export type EntryError =
+  | { readonly kind: 'relay', readonly failure: RelayFailure, readonly notRun: boolean, readonly retryAfter: Ms }
+  | { readonly kind: 'bad-request', readonly message: string }
+  | { readonly kind: 'no-route' }
+  | { readonly kind: 'body-too-large' }
+  | { readonly kind: 'no-config', readonly retryAfter: Ms }
+
+/** Whether the failure is that time ran out. */
+function isTimeout (failure: RelayFailure): boolean { return failure === 'timeout-sent' || failure === 'timeout-unsent' }
+
+/**
+ * Status of an error.
+ *
+ * 503 promises that the request has not run and won't; what may have run gets 502 or 504,
+ * which promise nothing.
+ *
+ * @param error - what the caller is told
+ */
+export function statusOf (error: EntryError): number {
+  switch (error.kind) {
+    case 'bad-request': return 400
+    case 'no-route': return 404
+    case 'body-too-large': return 413
+    case 'no-config': return 503
+    case 'relay':
+      if (error.notRun) return 503
+      return isTimeout(error.failure) ? 504 : 502
+  }
+}
+
+function messageOf (error: EntryError): string {
+  switch (error.kind) {
+    case 'bad-request': return error.message
+    case 'no-route': return 'No route matches this host and path.'
+    case 'body-too-large': return 'The body is larger than the configuration allows.'
+    case 'no-config': return 'No configuration is known yet. Send the request again later.'
+    case 'relay': return error.notRun
+      ? `The request did not run (${error.failure}). Send it again later.`
+      : `The request may have run (${error.failure}). Repeat it only if that does no harm.`
+  }
+}
+
+/** The response to one caller. */
+export class CallerAnswer {
+  private _begun = false
+  private _ended = false
+
+  /**
+   * @param _res - the raw response
+   * @param _closing - whether the connection ends after this answer
+   */
+  constructor (private readonly _res: ServerResponse, private readonly _closing: () => boolean) {}
+
+  get begun (): boolean { return this._begun }
+  get ended (): boolean { return this._ended }
+
+  whole (answer: WholeAnswer): void {
+    this._begun = true
+    this._ended = true
+    this._res.writeHead(answer.status, answer.message, [...answer.headers, 'Content-Length', String(answer.body.length), ...this._connection()])
+    this._res.end(answer.body)
+  }
+
+  /** Begins an answer that is passed on as it comes. */
+  begin (head: AnswerHead): void {
+    this._begun = true
+    this._res.writeHead(head.status, head.message, [...head.headers, ...this._connection()])
+  }
+
+  /** @returns false when the caller reads too slowly, until {@link onDrain} */
+  data (bytes: Buffer): boolean { return this._res.write(bytes) }
+
+  onDrain (run: () => void): void { this._res.once('drain', run) }
+
+  end (): void {
+    this._ended = true
+    this._res.end()
+  }
+
+  fail (error: EntryError): void {
+    this._begun = true
+    this._ended = true
+    const body = JSON.stringify({ error: { message: messageOf(error), code: error.kind === 'relay' ? error.failure : error.kind } })
+    const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...this._connection()]
+    if ('retryAfter' in error) headers.push('Retry-After', (error.retryAfter / 1_000).toFixed(3))
+    this._res.writeHead(statusOf(error), headers)
+    this._res.end(body)
+  }
+
+  /** Cuts an answer that has begun, without its end, so that it can't be taken for whole. */
+  break (): void {
+    this._ended = true
+    this._res.destroy()
+  }
+
+  private _connection (): string[] {
+    return this._closing() ? ['Connection', 'close'] : []
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/config-holder.ts
@@ -0,0 +1,78 @@
+/**
+ * The configuration in force and the declared versions of adapters.
+ */
+import type { Log } from '@hazelford/core'
+import { RouteTable } from '@hazelford/decisions'
+import type { AdapterVersion, RouteConfig, StoreEvent, StoreItem } from '@hazelford/ports'
+import type { PlatformPort } from './platform-port.js'
+
+/** Hears of what operators decided. */
+export interface ConfigListener {
+  readonly configured: (table: RouteTable) => void
+  readonly declared: (version: AdapterVersion) => void
+}
+
+function versionKey (model: string, adapter: string): string { return `${model}/${adapter}` }
+
+/** Takes what operators write; never goes back. */
+export class ConfigHolder {
+  private _table: RouteTable | undefined
+  private readonly _versions = new Map<string, number>()
+
+  constructor (private readonly _platform: PlatformPort, private readonly _log: Log, private readonly _listener: ConfigListener) {}
+
+  /** The configuration in force, if any is known. */
+  get table (): RouteTable | undefined { return this._table }
+
+  /** Declared version of an adapter. */
+  versionOf (model: string, adapter: string): number | undefined { return this._versions.get(versionKey(model, adapter)) }
+
+  reset (items: readonly StoreItem[]): void { for (const item of items) this._take(item) }
+
+  apply (event: StoreEvent): void {
+    // A key that is removed takes nothing back: what was in force stays.
+    if (event.kind === 'put') this._take(event.item)
+  }
+
+  private _take ({ key, value, revision }: StoreItem): void {
+    if (this._platform.isConfigKey(key)) this._takeConfig(value, revision)
+    else if (this._platform.isVersionKey(key)) this._takeVersion(key, value)
+  }
+
+  private _takeConfig (value: string, revision: number): void {
+    const decoded = this._platform.decodeConfig(value)
+    if (decoded.isErr()) {
+      this._log.warn('config', 'configuration can not be read, the last one stays in force.', { revision, problem: decoded.error.message, inForce: this._table?.version })
+      return
+    }
+    this.offer(decoded.value)
+  }
+
+  /**
+   * Puts a configuration in force unless a newer one is.
+   *
+   * A read that was answered late, or a peer that lags, may bring an older version after a
+   * newer one. Requests would then be routed as operators no longer want.
+   */
+  offer (config: RouteConfig): void {
+    if (this._table !== undefined && config.version <= this._table.version) return
+    const before = this._table?.version
+    this._table = new RouteTable(config)
+    this._log.info('config', 'in force.', { version: config.version, before, routes: config.routes.length, services: config.services.length })
+    this._listener.configured(this._table)
+  }
+
+  private _takeVersion (key: string, value: string): void {
+    const decoded = this._platform.decodeVersion(value)
+    if (decoded.isErr()) {
+      this._log.warn('config', 'adapter version can not be read.', { key, problem: decoded.error.message })
+      return
+    }
+    const { model, adapter, version } = decoded.value
+    const known = versionKey(model, adapter)
+    if (version <= (this._versions.get(known) ?? 0)) return
+    this._versions.set(known, version)
+    this._log.info('config', 'adapter version declared.', { model, adapter, version })
+    this._listener.declared(decoded.value)
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -0,0 +1,296 @@
+/**
+ * An entry that sends requests to upstreams directly.
+ */
+import type { Server } from 'node:http'
+import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
+import { type AdapterWant, type ExchangeOutcome, pickService, type RelayFailure, type RouteTable, SharedRetryBudget } from '@hazelford/decisions'
+import type { Route, StoreEvent } from '@hazelford/ports'
+import { AdapterDirectory } from './adapter-directory.js'
+import { CallerServer, createReadyServer, type Incoming } from './caller-server.js'
+import { ConfigHolder } from './config-holder.js'
+import { EngineDesk } from './engine-desk.js'
+import { type DirectSettings, splitAddress } from './entry-settings.js'
+import { LeaseKeeper } from './lease-keeper.js'
+import { Membership } from './membership.js'
+import type { EntryMetrics } from './metrics.js'
+import { type AskMessage, PeerClient, servePeers } from './peer-calls.js'
+import { entryKey, ownPrefix, type PeerAddress, PeerTable } from './peer-table.js'
+import { Placer } from './placer.js'
+import type { PlatformPort } from './platform-port.js'
+import { RelayTask } from './relay-task.js'
+import { StoreMirror } from './store-mirror.js'
+import type { Upstream } from './upstream.js'
+
+/** What an entry is built from. */
+export interface DirectEntryOptions {
+  readonly settings: DirectSettings
+  readonly platform: PlatformPort
+  readonly clock: Clock
+  readonly log: Log
+  readonly metrics: EntryMetrics
+}
+
+/** Part of an upstream's connections that one entry uses; the rest is for entries not seen yet. */
+const connectionShare = 0.9
+const defaultConnections = 100
+/** Retry-After: long enough for an ejection or a load to be over, short against any caller's patience. */
+const retryAfterBase: Ms = 150
+const retryAfterSpread: Ms = 250
+const noConfigRetryAfter: Ms = 500
+/** The balancer asks once a second and takes an entry out after two misses. */
+const balancerNotice: Ms = 2_600
+/** Left of the grace period for the process itself to end. */
+const graceMargin: Ms = 700
+const defaultMaxBody = 4 << 20
+
+/** One entry. */
+export class DirectEntry {
+  readonly config: ConfigHolder
+  readonly members: Membership
+  readonly peers: PeerTable
+  readonly desk: EngineDesk
+  private readonly _directory: AdapterDirectory
+  private readonly _placer: Placer
+  private readonly _lease: LeaseKeeper
+  private readonly _mirrors: readonly StoreMirror[]
+  private readonly _client = new PeerClient()
+  private readonly _callers: CallerServer
+  private readonly _budgets = new Map<string, SharedRetryBudget>()
+  private readonly _servers: Server[] = []
+  private readonly _self: PeerAddress
+  private _closing = false
+  private _lastAnswer = false
+
+  constructor (private readonly _options: DirectEntryOptions) {
+    const { settings, platform, clock, log } = _options
+    this._self = { node: settings.name, host: settings.host, port: settings.peer_port }
+    this.config = new ConfigHolder(platform, log, {
+      configured: table => this._configured(table),
+      declared: version => this.desk.prefetch(version)
+    })
+    this.members = new Membership(clock, log, service => this._connections(service))
+    this.peers = new PeerTable(() => this.desk.review())
+    this.desk = new EngineDesk({
+      self: this._self,
+      store: platform.store,
+      clock,
+      log,
+      peers: this.peers,
+      upstreams: () => this.members.all(),
+      engineSpec: service => this.config.table?.service(service)?.engine,
+      control: upstream => platform.control(upstream.record),
+      loaded: took => _options.metrics.loadStall.observe(took)
+    }, () => this._lease)
+    this._lease = new LeaseKeeper(platform.store, clock, log, {
+      granted: lease => { this._register(lease).catch((error: Error) => log.warn('peers', 'not registered.', { error: error.message })) },
+      ended: () => this.desk.dropAll()
+    })
+    this._directory = new AdapterDirectory(clock, log, this.peers, this._client, this.desk)
+    this._placer = new Placer(clock, settings.zone, this.members, this._directory, () => this.peers.entryCount)
+    this._mirrors = this._createMirrors()
+    this._callers = new CallerServer({
+      clock,
+      maxBodyBytes: () => this.config.table?.config.limits.maxBodyBytes ?? defaultMaxBody,
+      closing: () => this._lastAnswer,
+      handle: incoming => this._handle(incoming)
+    })
+  }
+
+  /** Whether new connections are wanted. */
+  get ready (): boolean { return !this._closing && this.config.table !== undefined && this.members.known }
+
+  private _createMirrors (): readonly StoreMirror[] {
+    const { platform, clock, log } = this._options
+    const { layout, store } = platform
+    const watchLoss = (name: string, lost: () => void, regained: () => void) => ({
+      lost: () => {
+        log.warn('store', 'lost.', { prefix: name })
+        lost()
+      },
+      regained: () => {
+        log.info('store', 'regained.', { prefix: name })
+        regained()
+      }
+    })
+    const nothing = (): void => {}
+    return [
+      new StoreMirror(store, layout.operators, clock, log, {
+        reset: items => this.config.reset(items),
+        changed: event => this.config.apply(event),
+        ...watchLoss(layout.operators, nothing, nothing)
+      }),
+      new StoreMirror(store, layout.upstreams, clock, log, {
+        reset: items => this.members.reset(items.flatMap(item => this._decodeUpstream(item.key, item.value))),
+        changed: event => this._upstreamChanged(event),
+        ...watchLoss(layout.upstreams, () => this.members.storeLost(), () => this.members.storeRegained())
+      }),
+      new StoreMirror(store, ownPrefix, clock, log, {
+        reset: items => this.peers.reset(items),
+        changed: event => this.peers.apply(event),
+        ...watchLoss(ownPrefix, nothing, nothing)
+      })
+    ]
+  }
+
+  private _decodeUpstream (key: string, value: string) {
+    const decoded = this._options.platform.decodeUpstream(key, value)
+    if (decoded.isOk()) return [decoded.value]
+    this._options.log.warn('membership', 'record can not be read.', { key, problem: decoded.error.message })
+    return []
+  }
+
+  private _upstreamChanged (event: StoreEvent): void {
+    if (event.kind === 'put') {
+      for (const record of this._decodeUpstream(event.item.key, event.item.value)) this.members.put(record)
+    } else {
+      const id = event.key.slice(this._options.platform.layout.upstreams.length)
+      this.members.remove(id)
+      this._directory.forget(id)
+    }
+    this.desk.review()
+  }
+
+  private _connections (service: string): number {
+    const spec = this.config.table?.service(service)
+    return Math.max(2, Math.floor((spec?.maxConnections ?? defaultConnections) * connectionShare / this.peers.entryCount))
+  }
+
+  private _configured (table: RouteTable): void {
+    this._options.metrics.configVersion.set(table.version)
+    this._callers.limit(table.config.limits)
+    this.desk.review()
+  }
+
+  private async _register (lease: number): Promise<void> {
+    const { platform, log } = this._options
+    const put = { key: entryKey(this._self.node), value: JSON.stringify(this._self), lease }
+    for (let attempt = 1; attempt <= 5 && this._lease.lease === lease; attempt++) {
+      const outcome = await platform.store.commit({ conditions: [], puts: [put], removals: [] })
+      if (outcome.isOk()) return
+      log.info('peers', 'registration unanswered.', { attempt, cause: outcome.error.message })
+      await sleep(this._options.clock, 200)
+    }
+  }
+
+  /** Starts; returns once it listens. */
+  async start (): Promise<void> {
+    const { settings, platform, clock, metrics } = this._options
+    for (const mirror of this._mirrors) mirror.start()
+    this._lease.start()
+    const callers = splitAddress(settings.listen_callers)
+    await this._callers.listen(callers.host, callers.port)
+    const ready = splitAddress(settings.listen_ready)
+    this._servers.push(createReadyServer(() => this.ready, platform.readinessPath).listen(ready.port, ready.host))
+    this._servers.push(await servePeers({
+      ask: msg => this._answerPeer(msg),
+      now: () => clock.now(),
+      state: () => undefined
+    }, settings.host, settings.peer_port))
+    this._servers.push(metrics.serve(settings.host, settings.metrics_port, '/metrics'))
+  }
+
+  private async _answerPeer (msg: AskMessage) {
+    const { upstream, urgency, patience, missing, model, adapter, version } = msg
+    const want = { model, ...(adapter === undefined ? {} : { adapter }), ...(version === undefined ? {} : { version }) }
+    return await this.desk.ask(upstream, want, urgency, patience, missing) ?? { kind: 'unavailable' as const, cause: 'not held here' }
+  }
+
+  /** Leaves without cutting off a request. */
+  async shutdown (): Promise<void> {
+    const { clock, settings, log } = this._options
+    this._closing = true
+    const until = clock.now() + settings.grace_s * 1_000 - graceMargin
+    // The balancer still sends connections until it has noticed; they are served.
+    this._lastAnswer = true
+    await Promise.all([sleep(clock, balancerNotice), this._lease.stop()])
+    await Promise.race([this._callers.drained(), sleep(clock, until - clock.now())])
+    log.info('entry', 'drained.', { open: this._callers.open })
+    this._callers.close()
+    for (const mirror of this._mirrors) mirror.stop()
+    for (const server of this._servers) server.close()
+  }
+
+  private _handle (incoming: Incoming): void {
+    const { log, metrics } = this._options
+    const { table } = this.config
+    if (table === undefined || !this.members.known) return incoming.answer.fail({ kind: 'no-config', retryAfter: noConfigRetryAfter })
+    const route = table.match(incoming.host, incoming.target)
+    if (route === undefined) {
+      log.info('request', 'no route.', { host: incoming.host, target: incoming.target, version: table.version })
+      metrics.requests.inc({ kind: 'none', end: 'no-route' })
+      return incoming.answer.fail({ kind: 'no-route' })
+    }
+    const facts = this._options.platform.codec.readCall(incoming.headers)
+    if (facts.isErr()) {
+      log.info('request', 'bad request.', { host: incoming.host, target: incoming.target, problem: facts.error })
+      return incoming.answer.fail({ kind: 'bad-request', message: facts.error })
+    }
+    const service = pickService(route, facts.value.id)
+    if (service === undefined) return incoming.answer.fail({ kind: 'no-route' })
+    this._relay(incoming, route, service, table, { ...incoming, facts: facts.value, path: incoming.target })
+  }
+
+  private _wanted (table: RouteTable, service: string, model: string | undefined, adapter: string | undefined): AdapterWant | undefined {
+    if (model === undefined || table.service(service)?.engine === undefined) return undefined
+    if (adapter === undefined) return { model }
+    const version = this.config.versionOf(model, adapter)
+    return { model, adapter, ...(version === undefined ? {} : { version }) }
+  }
+
+  private _relay (incoming: Incoming, route: Route, service: string, table: RouteTable, call: ConstructorParameters<typeof RelayTask>[0]): void {
+    const { clock, log, metrics, platform } = this._options
+    const { id, model, adapter, patience } = call.facts
+    const want = this._wanted(table, service, model, adapter)
+    const budget = this._budgetOf(service)
+    budget.request(clock.now())
+    this._placer.count(service, want)
+    metrics.open.inc()
+    log.info('request', 'taken.', { request: id, route: route.name, service, kind: route.kind, patience, want, config: table.version })
+    const task = new RelayTask(call, route, service, want, incoming.answer, {
+      clock,
+      log,
+      codec: platform.codec,
+      place: query => this._placer.place(query),
+      member: upstream => this.members.get(upstream),
+      takeRepeat: () => this._takeRepeat(budget, id),
+      retryAfter: failure => this._retryAfter(failure),
+      adapterBroken: (upstream, broken) => this._directory.broken(upstream, broken),
+      exchanged: (upstream, outcome, latency) => this._exchanged(upstream, outcome, latency, route),
+      over: end => {
+        const took = clock.now() - call.arrivedAt
+        metrics.open.dec()
+        metrics.requests.inc({ kind: route.kind, end })
+        metrics.latency.observe({ kind: route.kind }, took)
+        log.info('request', 'over.', { request: id, end, took: Math.round(took) })
+      }
+    })
+    incoming.onGone(() => task.callerGone())
+  }
+
+  private _budgetOf (service: string): SharedRetryBudget {
+    const known = this._budgets.get(service)
+    if (known !== undefined) return known
+    const { retry_budget_ratio: ratio, retry_budget_slack: slack, budget_window_s: seconds } = this._options.settings
+    const budget = new SharedRetryBudget({ ratio, slack, window: seconds * 1_000 })
+    this._budgets.set(service, budget)
+    return budget
+  }
+
+  private _takeRepeat (budget: SharedRetryBudget, request: string): boolean {
+    const allowed = budget.takeRepeat(this._options.clock.now(), this.peers.entryCount)
+    this._options.metrics.repeats.inc({ allowed: String(allowed) })
+    if (!allowed) this._options.log.info('request', 'retry budget spent.', { request, entries: this.peers.entryCount })
+    return allowed
+  }
+
+  /** Jittered, so that callers who were refused together don't come back together. */
+  private _retryAfter (_failure: RelayFailure): Ms { return retryAfterBase + Math.random() * retryAfterSpread }
+
+  private _exchanged (upstream: Upstream, outcome: ExchangeOutcome, latency: Ms | undefined, route: Route): void {
+    const { clock, log, metrics } = this._options
+    metrics.sends.inc({ outcome })
+    if (latency !== undefined) metrics.firstByte.observe({ kind: route.kind }, latency)
+    if (!upstream.health.note(outcome, clock.now(), latency)) return
+    log.info('membership', 'upstream ejected.', { upstream: upstream.id, outcome, failureShare: upstream.health.failureShare })
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -0,0 +1,169 @@
+/**
+ * Claims engines in the store and orders those that this entry holds.
+ */
+import type { CancelTimer, Clock, Log, Ms } from '@hazelford/core'
+import { type AdapterWant, rendezvousOrder } from '@hazelford/decisions'
+import type { EngineControl, EngineSpec, Store } from '@hazelford/ports'
+import { type AskOutcome, EngineHolder } from './engine-holder.js'
+import type { LeaseKeeper } from './lease-keeper.js'
+import type { Upstream } from './upstream.js'
+import { holderKey, type PeerAddress, type PeerTable } from './peer-table.js'
+
+/** What the desk needs of its entry. */
+export interface DeskOptions {
+  readonly self: PeerAddress
+  readonly store: Store
+  readonly clock: Clock
+  readonly log: Log
+  readonly peers: PeerTable
+  readonly upstreams: () => Iterable<Upstream>
+  readonly engineSpec: (service: string) => EngineSpec | undefined
+  readonly control: (upstream: Upstream) => EngineControl
+  readonly loaded: (took: Ms) => void
+}
+
+/**
+ * How long the next in line waits for the one before it to claim an engine. A claim takes a
+ * few ms and is seen by the others within a watch's pause.
+ */
+const claimStep: Ms = 500
+/** Time after the start in which the other entries register; all start within 0.3 s. */
+const settleTime: Ms = 900
+/** Keys that one transaction may name. */
+const claimsAtOnce = 16
+
+/** The engines this entry orders. */
+export class EngineDesk {
+  private readonly _holders = new Map<string, EngineHolder>()
+  /** Engines without a holder, and since when. */
+  private readonly _free = new Map<string, Ms>()
+  private readonly _startedAt: Ms
+  private _claiming = false
+  private _timer: CancelTimer | undefined
+
+  constructor (private readonly _options: DeskOptions, private readonly _lease: () => LeaseKeeper) {
+    this._startedAt = _options.clock.now()
+  }
+
+  get held (): number { return this._holders.size }
+
+  holder (upstream: string): EngineHolder | undefined { return this._holders.get(upstream) }
+
+  /** Asks a holder of this entry; undefined when it doesn't hold the engine. */
+  ask (upstream: string, want: AdapterWant, urgency: number, patience: Ms, missing: boolean): Promise<AskOutcome> | undefined {
+    return this._holders.get(upstream)?.ask(want, urgency, patience, missing)
+  }
+
+  /** Loads a new version wherever an older one is held here. */
+  prefetch (want: AdapterWant): void {
+    for (const holder of this._holders.values()) {
+      if (want.adapter !== undefined && holder.holds(want.model, want.adapter)) holder.prefetch(want)
+    }
+  }
+
+  /** The lease ended: somebody else may order from now on. */
+  dropAll (): void {
+    for (const holder of this._holders.values()) holder.release()
+    this._holders.clear()
+  }
+
+  /** Looks at what changed in the store, soon. */
+  review (): void {
+    if (this._timer !== undefined) return
+    this._timer = this._options.clock.after(20, () => {
+      this._timer = undefined
+      this._review()
+    })
+  }
+
+  private _review (): void {
+    this._dropLost()
+    const now = this._options.clock.now()
+    const claims = this._claimable(now)
+    if (claims.length > 0) this._claim(claims).catch((error: Error) => this._options.log.warn('loads', 'claim failed.', { error: error.message }))
+    if (this._free.size > 0) this._options.clock.after(claimStep / 2, () => this.review())
+  }
+
+  /** Drops engines that are gone, or that somebody else holds by now. */
+  private _dropLost (): void {
+    const { peers, self, log } = this._options
+    const living = new Set([...this._options.upstreams()].map(({ id }) => id))
+    for (const [id, holder] of this._holders) {
+      const record = peers.holder(id)
+      const taken = record !== undefined && record.fence > holder.fence
+      if (living.has(id) && !taken) continue
+      holder.release()
+      this._holders.delete(id)
+      log.info('loads', 'engine released.', { upstream: id, cause: taken ? 'held by another' : 'gone', by: record?.node, node: self.node })
+    }
+  }
+
+  private _claimable (now: Ms): readonly Upstream[] {
+    const { peers, self, clock } = this._options
+    const claimable: Upstream[] = []
+    const seen = new Set<string>()
+    if (clock.now() - this._startedAt < settleTime || !this._lease().valid) {
+      this._options.clock.after(settleTime / 3, () => this.review())
+      return []
+    }
+    for (const upstream of this._options.upstreams()) {
+      const { record } = upstream
+      if (record.state !== 'ready' || this._options.engineSpec(record.service) === undefined || this._holders.has(upstream.id)) continue
+      const holder = peers.holder(upstream.id)
+      // Our own key of an earlier life: nobody else orders this engine.
+      const ours = holder?.node === self.node
+      if (holder !== undefined && !ours) continue
+      seen.add(upstream.id)
+      const since = this._free.get(upstream.id) ?? now
+      this._free.set(upstream.id, since)
+      const rank = rendezvousOrder(upstream.id, peers.nodes).indexOf(self.node)
+      if (ours || (rank >= 0 && now - since >= rank * claimStep)) claimable.push(upstream)
+    }
+    for (const id of this._free.keys()) if (!seen.has(id)) this._free.delete(id)
+    return claimable.slice(0, claimsAtOnce)
+  }
+
+  private async _claim (upstreams: readonly Upstream[]): Promise<void> {
+    const { store, self, peers, log } = this._options
+    const { lease } = this._lease()
+    if (this._claiming || lease === undefined) return
+    this._claiming = true
+    const value = JSON.stringify(self)
+    const txn = {
+      conditions: upstreams.map(({ id }) => ({ key: holderKey(id), revision: peers.holder(id)?.fence ?? 0 })),
+      puts: upstreams.map(({ id }) => ({ key: holderKey(id), value, lease })),
+      removals: []
+    }
+    const outcome = await store.commit(txn)
+    this._claiming = false
+    if (outcome.isErr()) {
+      // If it took effect after all, our own key comes back by the watch and is claimed anew.
+      log.info('loads', 'claim unanswered.', { upstreams: upstreams.map(({ id }) => id), cause: outcome.error.message })
+    } else if (outcome.value.kind === 'stored' && this._lease().lease === lease) {
+      for (const upstream of upstreams) this._hold(upstream, outcome.value.revision)
+    } else {
+      log.info('loads', 'claim lost.', { upstreams: upstreams.map(({ id }) => id), outcome: outcome.value.kind })
+    }
+    this.review()
+  }
+
+  private _hold (upstream: Upstream, fence: number): void {
+    const { clock, log, self, control, engineSpec, loaded } = this._options
+    const spec = engineSpec(upstream.record.service)
+    if (spec === undefined) return
+    this._free.delete(upstream.id)
+    this._holders.get(upstream.id)?.release()
+    this._holders.set(upstream.id, new EngineHolder({
+      upstream: upstream.id,
+      node: self.node,
+      fence,
+      spec,
+      control: control(upstream),
+      clock,
+      log,
+      mayOrder: () => this._lease().valid,
+      loaded
+    }))
+    log.info('loads', 'engine held.', { upstream: upstream.id, fence })
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -0,0 +1,181 @@
+/**
+ * Orders one engine, while this entry holds it.
+ */
+import { type Clock, type Log, type Ms } from '@hazelford/core'
+import { AdapterPlan, type AdapterWant, type PlanAction, type Readiness } from '@hazelford/decisions'
+import type { EngineControl, EngineSpec, LoadTarget, OrderOutcome } from '@hazelford/ports'
+
+/** Why an adapter can't be had here now. */
+export type AskOutcome = Readiness & { readonly kind: 'ready' } | { readonly kind: 'unavailable', readonly cause: string }
+
+/** What a holder needs. */
+export interface HolderOptions {
+  readonly upstream: string
+  readonly node: string
+  readonly fence: number
+  readonly spec: EngineSpec
+  readonly control: EngineControl
+  readonly clock: Clock
+  readonly log: Log
+  /** Whether the lease on the engine surely holds. */
+  readonly mayOrder: () => boolean
+  readonly loaded: (took: Ms) => void
+}
+
+interface Waiter {
+  readonly want: AdapterWant
+  readonly urgency: number
+  readonly since: Ms
+  readonly resolve: (outcome: AskOutcome) => void
+  cancel: () => void
+}
+
+/** Pause before an order is tried again while the lease is in doubt. */
+const doubtPause: Ms = 200
+
+/** Runs an {@link AdapterPlan} against its engine. */
+export class EngineHolder {
+  private readonly _plan: AdapterPlan
+  private _waiters: Waiter[] = []
+  private _orders = 0
+  private _busy = false
+  private _released = false
+  private _wake: (() => void) | undefined
+
+  constructor (private readonly _options: HolderOptions) {
+    this._plan = new AdapterPlan(_options.spec)
+    this._pump()
+  }
+
+  get fence (): number { return this._options.fence }
+  get slotsUsed (): number { return this._plan.slotsUsed }
+
+  /**
+   * Asks for an adapter and waits until it can be used.
+   *
+   * @param want - the adapter
+   * @param urgency - 0 is the most urgent
+   * @param patience - ms to wait
+   * @param missing - the engine has just refused a request for lack of it
+   */
+  ask (want: AdapterWant, urgency: number, patience: Ms, missing: boolean): Promise<AskOutcome> {
+    const { clock } = this._options
+    if (this._released) return Promise.resolve({ kind: 'unavailable', cause: 'not held' })
+    const readiness = this._plan.ask(want, urgency, clock.now(), missing)
+    if (readiness.kind === 'ready') return Promise.resolve(readiness)
+    return new Promise(resolve => {
+      const waiter: Waiter = { want, urgency, since: clock.now(), resolve, cancel: () => {} }
+      waiter.cancel = clock.after(patience, () => this._settle(waiter, { kind: 'unavailable', cause: 'not loaded in time' }))
+      this._waiters.push(waiter)
+      this._pump()
+    })
+  }
+
+  /** Loads an adapter that nobody waits for yet, such as a new version of one that is held. */
+  prefetch (want: AdapterWant): void {
+    if (this._released) return
+    this._plan.ask(want, Number.MAX_SAFE_INTEGER, this._options.clock.now())
+    this._pump()
+  }
+
+  /** Versions held of an adapter. */
+  holds (model: string, adapter: string): boolean { return this._plan.holdsAdapter(model, adapter) }
+
+  /** Orders nothing more. */
+  release (): void {
+    this._released = true
+    this._wake?.()
+    for (const waiter of [...this._waiters]) this._settle(waiter, { kind: 'unavailable', cause: 'no longer held' })
+  }
+
+  private _settle (waiter: Waiter, outcome: AskOutcome): void {
+    if (!this._waiters.includes(waiter)) return
+    this._waiters = this._waiters.filter(other => other !== waiter)
+    waiter.cancel()
+    if (outcome.kind === 'ready') this._options.loaded(this._options.clock.now() - waiter.since)
+    waiter.resolve(outcome)
+  }
+
+  private _answerWaiters (): void {
+    const now = this._options.clock.now()
+    for (const waiter of [...this._waiters]) {
+      const readiness = this._plan.promise(waiter.want, now)
+      if (readiness !== undefined) this._settle(waiter, readiness)
+    }
+  }
+
+  /** Carries out the plan until there is nothing to do before some time. */
+  private _pump (): void {
+    if (this._busy || this._released) return
+    this._wake?.()
+    const { clock } = this._options
+    const now = clock.now()
+    const action = this._plan.next(now)
+    this._answerWaiters()
+    if (action.kind === 'idle') {
+      const until = Math.min(action.until, this._plan.nextReady(now) ?? Infinity)
+      if (until !== Infinity) this._sleep(until - now)
+      return
+    }
+    if (!this._options.mayOrder()) {
+      this._sleep(doubtPause)
+      return
+    }
+    this._busy = true
+    this._carryOut(action).then(() => {
+      this._busy = false
+      this._pump()
+    }, (error: Error) => {
+      this._busy = false
+      this._options.log.warn('loads', 'order failed.', { upstream: this._options.upstream, error: error.message })
+      this._sleep(doubtPause)
+    })
+    const ready = this._plan.nextReady(now)
+    if (ready !== undefined) this._sleep(ready - now)
+  }
+
+  private _sleep (delay: Ms): void {
+    const cancel = this._options.clock.after(Math.max(1, delay), () => {
+      this._wake = undefined
+      if (this._busy) this._answerWaiters()
+      else this._pump()
+    })
+    this._wake = () => {
+      cancel()
+      this._wake = undefined
+    }
+  }
+
+  private async _carryOut (action: PlanAction & { readonly kind: 'load' | 'unload' | 'report' }): Promise<void> {
+    if (action.kind === 'report') await this._report()
+    else await this._order(action)
+  }
+
+  private async _report (): Promise<void> {
+    const { control, clock, log, upstream } = this._options
+    const askedAt = clock.now()
+    const report = await control.report()
+    if (report.isErr()) {
+      log.info('loads', 'no report.', { upstream, cause: report.error.message })
+      await new Promise<void>(resolve => { clock.after(doubtPause, resolve) })
+      return
+    }
+    this._orders = report.value.orders
+    this._plan.takeReport(report.value, askedAt)
+  }
+
+  private async _order (action: PlanAction & { readonly kind: 'load' | 'unload' }): Promise<void> {
+    const { control, clock, fence, node } = this._options
+    const order = { holder: node, fence, afterOrders: this._orders }
+    const answer = await (action.kind === 'load' ? control.load(action.target, order) : control.unload(action.target, order))
+    const outcome = answer.isOk() ? answer.value : undefined
+    if (outcome === 'accepted' || (outcome === 'holds' && action.kind === 'unload')) this._orders++
+    this._plan.ordered(action, outcome, clock.now())
+    this._note(action.kind, action.target, outcome)
+  }
+
+  private _note (kind: 'load' | 'unload', target: LoadTarget, outcome: OrderOutcome | undefined): void {
+    const { log, upstream, fence } = this._options
+    log.info('loads', `${kind} ${outcome ?? 'unanswered'}.`, { upstream, ...target, fence, afterOrders: this._orders, waiting: this._plan.waiting, slotsUsed: this._plan.slotsUsed })
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/exchange.ts
@@ -0,0 +1,238 @@
+/**
+ * One request to one upstream, and its answer.
+ */
+import { type ClientRequest, type IncomingMessage, request } from 'node:http'
+import type { Clock, Ms } from '@hazelford/core'
+import type { UpstreamRefusal } from '@hazelford/decisions'
+import type { CallCodec } from '@hazelford/ports'
+import type { ConnectionPool } from './connection-pool.js'
+import { EventFramer } from './event-framer.js'
+import { endToEndHeaders } from './hop-headers.js'
+
+/** The start of an answer. */
+export interface AnswerHead {
+  readonly status: number
+  readonly message: string
+  /** Names and values in turn, without those of one connection. */
+  readonly headers: string[]
+}
+
+/** A whole answer. */
+export interface WholeAnswer extends AnswerHead { readonly body: Buffer }
+
+/** What an exchange tells. After `refused`, `unreachable`, `lost`, `whole` and `end` nothing follows. */
+export interface ExchangeSink {
+  readonly refused: (refusal: UpstreamRefusal) => void
+  readonly unreachable: (cause: string) => void
+  readonly lost: (cause: string) => void
+  readonly whole: (answer: WholeAnswer) => void
+  /** The first bytes of an answer that is passed on as it comes. */
+  readonly begin: (head: AnswerHead) => void
+  readonly data: (bytes: Buffer, lastEventId: number | undefined) => void
+  readonly end: () => void
+}
+
+/** What to send, and how long to wait for what. */
+export interface ExchangeRequest {
+  readonly id: string
+  readonly instance: string
+  readonly host: string
+  readonly port: number
+  readonly method: string
+  readonly path: string
+  readonly headers: string[]
+  readonly body: Buffer | undefined
+  /** Whether it may be sent again after a reset. */
+  readonly repeatable: boolean
+  /** Time for the first byte of the answer, or the first event; undefined waits for the caller's limits. */
+  readonly firstByteTimeout: Ms | undefined
+  /** Longest silence between events. */
+  readonly gapTimeout: Ms | undefined
+  readonly lastEventId: number | undefined
+}
+
+/** Answers up to this size are held until they are whole, so that a broken one can be replaced. */
+const holdLimit = 512 * 1024
+const badGatewayStatus = 500
+const otherInstanceStatus = 421
+const eventStream = 'text/event-stream'
+
+/** An exchange under way. */
+export class Exchange {
+  private readonly _req: ClientRequest
+  private _res: IncomingMessage | undefined
+  private _over = false
+  private _begun = false
+  private _sent = false
+  private _answered = false
+  private _timer: (() => void) | undefined
+
+  constructor (
+    private readonly _clock: Clock,
+    private readonly _codec: CallCodec,
+    private readonly _pool: ConnectionPool,
+    private readonly _call: ExchangeRequest,
+    private readonly _sink: ExchangeSink
+  ) {
+    const { method, path, host, port, headers, body } = _call
+    const framed = body === undefined ? headers : [...headers, 'Content-Length', String(body.length)]
+    this._req = request({ agent: _pool.agent(_call.repeatable), host, port, method, path, headers: framed })
+    this._req.on('socket', socket => {
+      const markSent = (): void => { this._sent = true }
+      if (socket.connecting) socket.once('connect', markSent)
+      else markSent()
+    })
+    this._req.on('response', res => this._respond(res))
+    this._req.on('error', error => this._failed(error.message))
+    this._req.on('close', () => this._failed('The connection closed without an answer.'))
+    this._req.end(body)
+    this._await(_call.firstByteTimeout, 'No first byte')
+  }
+
+  /** Closes the connection; the sink hears nothing more. */
+  abandon (): void {
+    if (this._over) return
+    this._finish()
+    this._req.destroy()
+  }
+
+  /** Stops hearing of the answer but lets the upstream end its work. */
+  ignore (): void {
+    if (this._over) return
+    this._finish()
+    this._res?.resume()
+  }
+
+  pause (): void { this._res?.pause() }
+  resume (): void { this._res?.resume() }
+
+  private _finish (): void {
+    this._over = true
+    this._timer?.()
+  }
+
+  private _await (limit: Ms | undefined, what: string): void {
+    this._timer?.()
+    if (limit === undefined) return
+    this._timer = this._clock.after(limit, () => this._broken(`${what} within ${Math.round(limit)} ms.`))
+  }
+
+  /** The answer can't be had any more. */
+  private _broken (cause: string): void {
+    if (this._over) return
+    this._finish()
+    this._req.destroy()
+    this._sink.lost(cause)
+  }
+
+  private _failed (cause: string): void {
+    if (this._over) return
+    if (this._sent) {
+      this._broken(cause)
+      return
+    }
+    this._finish()
+    this._req.destroy()
+    this._sink.unreachable(cause)
+  }
+
+  private _respond (res: IncomingMessage): void {
+    this._answered = true
+    if (this._over) {
+      res.resume()
+      return
+    }
+    this._res = res
+    const facts = this._codec.readAnswer(res.statusCode ?? 0, res.rawHeaders)
+    // A late answer to an earlier request can arrive where this one's is expected. Its
+    // caller would get another caller's answer; the id in it tells them apart.
+    if (facts.requestId !== undefined && facts.requestId !== this._call.id) return this._broken(`The answer is to request ${facts.requestId}.`)
+    this._noteIdle(res)
+    if (facts.notRun) return this._refused(res, res.statusCode === otherInstanceStatus && facts.instance !== this._call.instance)
+    if (facts.requestId === undefined || !facts.sealed) return this._broken('The answer lacks its request id or its seal.')
+    const ok = (res.statusCode ?? 0) < 300
+    if (ok && String(res.headers['content-type']).startsWith(eventStream)) this._readEvents(res)
+    else this._readBody(res)
+  }
+
+  private _noteIdle (res: IncomingMessage): void {
+    const match = /timeout=(\d+)/.exec(String(res.headers['keep-alive']))
+    if (match !== null) this._pool.announceIdle(Number(match[1]))
+  }
+
+  private _refused (res: IncomingMessage, otherInstance: boolean): void {
+    this._finish()
+    res.on('error', () => this._req.destroy())
+    res.resume()
+    if (otherInstance) this._sink.refused('other-instance')
+    else this._sink.refused(res.statusCode === otherInstanceStatus ? 'adapter-missing' : 'full')
+  }
+
+  private _head (res: IncomingMessage): AnswerHead {
+    return { status: res.statusCode ?? badGatewayStatus, message: res.statusMessage ?? '', headers: endToEndHeaders(res.rawHeaders) }
+  }
+
+  private _readBody (res: IncomingMessage): void {
+    let chunks: Buffer[] = []
+    let size = 0
+    const release = (): void => {
+      this._await(undefined, '')
+      this._begin(res)
+      for (const chunk of chunks) this._sink.data(chunk, undefined)
+      chunks = []
+    }
+    res.on('data', (chunk: Buffer) => {
+      if (this._over) return
+      if (this._begun) return this._sink.data(chunk, undefined)
+      chunks.push(chunk)
+      size += chunk.length
+      if (size > holdLimit) release()
+    })
+    res.on('end', () => this._ended(res, () => {
+      if (this._begun) this._sink.end()
+      else this._sink.whole({ ...this._head(res), body: Buffer.concat(chunks) })
+    }))
+    this._watchBreaks(res)
+  }
+
+  private _readEvents (res: IncomingMessage): void {
+    const framer = new EventFramer(this._call.lastEventId)
+    res.on('data', (chunk: Buffer) => {
+      if (this._over) return
+      const events = framer.push(chunk)
+      if (events === undefined) return
+      if (!events.inOrder) return this._broken('The event ids are out of order.')
+      this._await(this._call.gapTimeout, 'No further event')
+      this._begin(res)
+      this._sink.data(events.bytes, events.lastId)
+    })
+    res.on('end', () => this._ended(res, () => {
+      if (framer.hasRest) return this._sink.lost('The stream ended within an event.')
+      if (!this._begun) this._sink.begin(this._head(res))
+      this._sink.end()
+    }))
+    this._watchBreaks(res)
+  }
+
+  private _begin (res: IncomingMessage): void {
+    if (this._begun) return
+    this._begun = true
+    this._sink.begin(this._head(res))
+  }
+
+  private _ended (res: IncomingMessage, done: () => void): void {
+    if (this._over) return
+    // A body that is cut short ends too; only a complete one may be passed on as whole.
+    if (!res.complete) return this._broken('The answer was cut short.')
+    this._finish()
+    done()
+  }
+
+  private _watchBreaks (res: IncomingMessage): void {
+    res.on('aborted', () => this._broken('The connection broke within the answer.'))
+    res.on('error', error => this._broken(error.message))
+  }
+
+  /** Whether the upstream has begun to answer. */
+  get answered (): boolean { return this._answered }
+}
--- /dev/null
+++ b/packages/direct/src/lib/json-client.ts
@@ -0,0 +1,98 @@
+/**
+ * Calls that send and receive JSON over HTTP/1.1.
+ */
+import { type Agent, type IncomingMessage, request } from 'node:http'
+import type { Ms } from '@hazelford/core'
+
+/** One call. */
+export interface JsonCall {
+  readonly host: string
+  readonly port: number
+  readonly method: string
+  readonly path: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: object
+  /** Ms until the answer must be whole; a silent connection shows only by this. */
+  readonly timeout: Ms
+}
+
+/** A whole answer. */
+export interface JsonAnswer {
+  readonly status: number
+  /** Undefined when the body is empty. */
+  readonly body: unknown
+  readonly headers: IncomingMessage['headers']
+}
+
+/** A call without an answer. */
+export class NoAnswer extends Error {
+  /** @param sent - whether the call may have reached the other side */
+  constructor (message: string, readonly sent: boolean) { super(message) }
+}
+
+/** Larger answers are not what they seem; the largest value of the store is a megabyte, a page of it too. */
+const maxAnswerBytes = 8 << 20
+
+/**
+ * Reads a JSON body.
+ *
+ * @param source - a request or an answer
+ * @param limit - bytes
+ * @returns the value; undefined for an empty body
+ */
+export function readJson (source: IncomingMessage, limit: number): Promise<unknown> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = []
+    let size = 0
+    source.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size > limit) source.destroy(new Error('The message is too large.'))
+      else chunks.push(chunk)
+    })
+    source.on('end', () => {
+      const text = Buffer.concat(chunks).toString('utf8')
+      try {
+        resolve(text === '' ? undefined : JSON.parse(text))
+      } catch (error) {
+        reject(error as Error)
+      }
+    })
+    source.on('error', reject)
+    source.on('aborted', () => reject(new Error('The message was cut short.')))
+  })
+}
+
+/**
+ * Makes a call.
+ *
+ * @param agent - connections to use
+ * @param call - what to send
+ * @returns rejects with {@link NoAnswer} when no whole answer came in time
+ */
+export function callJson (agent: Agent, call: JsonCall): Promise<JsonAnswer> {
+  const { host, port, method, path, timeout } = call
+  const body = call.body === undefined ? undefined : JSON.stringify(call.body)
+  const framing = body === undefined ? {} : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }
+  return new Promise((resolve, reject) => {
+    let sent = false
+    const req = request({ agent, host, port, method, path, headers: { ...call.headers, ...framing } })
+    const timer = setTimeout(() => req.destroy(new Error(`No answer within ${Math.round(timeout)} ms.`)), timeout)
+    const fail = (error: Error): void => {
+      clearTimeout(timer)
+      req.destroy()
+      reject(new NoAnswer(error.message, sent))
+    }
+    req.on('socket', socket => {
+      if (socket.connecting) socket.once('connect', () => { sent = true })
+      else sent = true
+    })
+    req.on('error', fail)
+    req.on('response', res => {
+      readJson(res, maxAnswerBytes).then(value => {
+        clearTimeout(timer)
+        resolve({ status: res.statusCode ?? 0, body: value, headers: res.headers })
+      }, fail)
+    })
+    req.end(body)
+  })
+}
--- /dev/null
+++ b/packages/direct/src/lib/lease-keeper.ts
@@ -0,0 +1,110 @@
+/**
+ * Keeps this process's one lease at the store, and knows when it may have ended.
+ */
+import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
+import type { Store } from '@hazelford/ports'
+
+/**
+ * Time to live. Longer than most outages of the store, so that orders go on through them;
+ * after a crash the engines of the dead holder wait this long for another.
+ */
+const ttl: Ms = 8_000
+const renewEvery: Ms = 1_500
+const retryAfter: Ms = 300
+/** The holder stops this long before the store may end its lease: for orders under way. */
+const safety: Ms = 1_000
+/**
+ * Difference between the wall clock and the monotonic clock that tells of a pause. The
+ * monotonic clock stands still while the machine is suspended, the lease doesn't.
+ */
+const pauseSign: Ms = 250
+
+/** Hears of the lease. */
+export interface LeaseListener {
+  readonly granted: (lease: number) => void
+  readonly ended: () => void
+}
+
+/** Holds a lease for as long as the process lives. */
+export class LeaseKeeper {
+  private _lease: number | undefined
+  private _validUntil: Ms = -Infinity
+  private _drift: Ms
+  private _stopped = false
+
+  constructor (private readonly _store: Store, private readonly _clock: Clock, private readonly _log: Log, private readonly _listener: LeaseListener) {
+    this._drift = this._currentDrift()
+  }
+
+  get lease (): number | undefined { return this._lease }
+
+  /**
+   * Whether the lease surely holds now.
+   *
+   * A process that was suspended thinks that no time has passed. Another may hold its
+   * engines by then, and orders of both would interleave. The wall clock went on; a jump
+   * of it says that only a renewal can tell.
+   */
+  get valid (): boolean {
+    return this._lease !== undefined && this._clock.now() < this._validUntil && Math.abs(this._currentDrift() - this._drift) < pauseSign
+  }
+
+  private _currentDrift (): Ms { return this._clock.wall() - this._clock.now() }
+
+  start (): void { this._run().catch((error: Error) => this._log.warn('lease', 'keeper stopped.', { error: error.message })) }
+
+  /** Gives the lease back, so that its keys go at once. */
+  async stop (): Promise<void> {
+    this._stopped = true
+    const lease = this._lease
+    this._lose('stopping')
+    if (lease === undefined) return
+    const ended = await this._store.endLease(lease)
+    if (ended.isErr()) this._log.info('lease', 'not given back, it will lapse.', { lease, cause: ended.error.message })
+  }
+
+  private async _run (): Promise<void> {
+    while (!this._stopped) {
+      const kept = this._lease === undefined ? await this._grant() : await this._renew(this._lease)
+      if (this._lease !== undefined && this._clock.now() >= this._validUntil) this._lose('not renewed in time')
+      await sleep(this._clock, kept ? renewEvery : retryAfter)
+    }
+  }
+
+  private async _grant (): Promise<boolean> {
+    const [sentAt, drift] = [this._clock.now(), this._currentDrift()]
+    const granted = await this._store.grantLease(ttl)
+    if (granted.isErr() || this._stopped) return false
+    this._lease = granted.value.lease
+    this._extend(sentAt, drift, granted.value.ttl)
+    this._log.info('lease', 'granted.', { lease: this._lease, ttl: granted.value.ttl })
+    this._listener.granted(this._lease)
+    return true
+  }
+
+  private async _renew (lease: number): Promise<boolean> {
+    const [sentAt, drift] = [this._clock.now(), this._currentDrift()]
+    const renewed = await this._store.renewLease(lease)
+    if (renewed.isOk()) {
+      this._extend(sentAt, drift, ttl)
+      return true
+    }
+    if (renewed.error.kind === 'no-lease') this._lose('ended at the store')
+    return false
+  }
+
+  /** The store counts from the call's arrival, so counting from its sending is safe. */
+  private _extend (sentAt: Ms, drift: Ms, granted: Ms): void {
+    this._validUntil = sentAt + granted - safety
+    // A pause between sending and reply leaves the old drift, and the lease unproved.
+    this._drift = drift
+  }
+
+  private _lose (cause: string): void {
+    if (this._lease === undefined) return
+    this._log.info('lease', 'lost.', { lease: this._lease, cause })
+    this._lease = undefined
+    this._validUntil = -Infinity
+    this._listener.ended()
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/metrics.ts
@@ -0,0 +1,53 @@
+/**
+ * Counters and histograms, as text for a scraper.
+ */
+import { createServer, type Server } from 'node:http'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Bounds in ms: fine around the latency targets of plain calls and of streams. */
+const latencyBuckets = [5, 10, 20, 40, 80, 120, 160, 240, 400, 800, 1_200, 2_000, 4_000, 8_000, 16_000]
+
+/** What an entry measures. */
+export class EntryMetrics {
+  private readonly _registry = new Registry()
+  readonly requests = this._counter('hazelford_requests_total', 'Requests by route kind and end.', ['kind', 'end'])
+  readonly sends = this._counter('hazelford_sends_total', 'Requests sent to upstreams, by outcome.', ['outcome'])
+  readonly repeats = this._counter('hazelford_repeats_total', 'Repeats by whether the budget allowed them.', ['allowed'])
+  readonly storeCalls = this._counter('hazelford_store_calls_total', 'Calls to the store, by outcome.', ['call', 'outcome'])
+  readonly dropped = this._counter('hazelford_log_lines_dropped_total', 'Log lines left out.', [])
+  readonly latency = this._histogram('hazelford_request_ms', 'From a request to the end of its answer.', ['kind'])
+  readonly firstByte = this._histogram('hazelford_first_byte_ms', 'From a send to the first byte of its answer.', ['kind'])
+  readonly loadStall = this._histogram('hazelford_load_stall_ms', 'Wait of requests for an adapter.', [])
+  readonly open = new Gauge({ name: 'hazelford_open_requests', help: 'Requests without their whole answer.', registers: [this._registry] })
+  readonly configVersion = new Gauge({ name: 'hazelford_config_version', help: 'Version of the configuration in force.', registers: [this._registry] })
+
+  private _counter<L extends string> (name: string, help: string, labelNames: readonly L[]): Counter<L> {
+    return new Counter({ name, help, labelNames, registers: [this._registry] })
+  }
+
+  private _histogram<L extends string> (name: string, help: string, labelNames: readonly L[]): Histogram<L> {
+    return new Histogram({ name, help, labelNames, buckets: latencyBuckets, registers: [this._registry] })
+  }
+
+  text (): Promise<string> { return this._registry.metrics() }
+
+  /** Serves the metrics at `path`. */
+  serve (host: string, port: number, path: string): Server {
+    const server = createServer((req, res) => {
+      if (req.url !== path) {
+        res.writeHead(404)
+        res.end()
+        return
+      }
+      this.text().then(text => {
+        res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+        res.end(text)
+      }, () => {
+        res.writeHead(500)
+        res.end()
+      })
+    })
+    server.listen(port, host)
+    return server
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -0,0 +1,108 @@
+/**
+ * Calls between entries: an adapter is asked of the entry that orders its engine.
+ */
+import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Ms } from '@hazelford/core'
+import type { AdapterWant } from '@hazelford/decisions'
+import type { AskOutcome } from './engine-holder.js'
+import { callJson, readJson } from './json-client.js'
+import type { PeerAddress } from './peer-table.js'
+
+/** An adapter asked of another entry. */
+export interface AskMessage extends AdapterWant {
+  readonly upstream: string
+  readonly urgency: number
+  readonly patience: Ms
+  /** The engine has just refused a request for lack of it. */
+  readonly missing: boolean
+}
+
+/** The answer; a promise is told as the time left, since clocks differ. */
+type AskReply =
+  | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number }
+  | { readonly kind: 'unavailable', readonly cause: string }
+
+const askPath = '/adapters/ask'
+const statePath = '/state'
+const maxBody = 4_096
+/** Peers are a few ms apart; one that takes longer is cut off, frozen or gone. */
+const answerMargin: Ms = 150
+const stateTimeout: Ms = 1_000
+
+/** What an entry does for its peers. */
+export interface PeerService {
+  readonly ask: (msg: AskMessage) => Promise<AskOutcome>
+  readonly now: () => Ms
+  /** Configuration and upstreams, for a peer that starts while the store is away. */
+  readonly state: () => object | undefined
+}
+
+function sendJson (res: ServerResponse, status: number, value: object): void {
+  const body = JSON.stringify(value)
+  res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) })
+  res.end(body)
+}
+
+async function answer (service: PeerService, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  if (req.method === 'GET' && req.url === statePath) {
+    const state = service.state()
+    sendJson(res, state === undefined ? 503 : 200, state ?? { error: 'Nothing is known here yet.' })
+    return
+  }
+  if (req.method !== 'POST' || req.url !== askPath) return sendJson(res, 404, { error: `Nothing is served at ${req.url ?? ''}.` })
+  const outcome = await service.ask(await readJson(req, maxBody) as AskMessage)
+  const reply: AskReply = outcome.kind === 'ready'
+    ? { kind: 'ready', lasts: outcome.until - service.now(), ...(outcome.version === undefined ? {} : { version: outcome.version }) }
+    : outcome
+  sendJson(res, 200, reply)
+}
+
+/**
+ * Serves the other entries.
+ *
+ * @param service - what it does for them
+ * @param host - address to listen on
+ * @param port - 0 lets the kernel choose
+ */
+export function servePeers (service: PeerService, host: string, port: number): Promise<Server> {
+  const server = createServer((req, res) => {
+    answer(service, req, res).catch((error: Error) => {
+      if (!res.headersSent) sendJson(res, 400, { error: error.message })
+    })
+  })
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => resolve(server))
+  })
+}
+
+/** Calls other entries. */
+export class PeerClient {
+  private readonly _agent = new Agent({ keepAlive: true, maxSockets: 16 })
+
+  /**
+   * Asks for an adapter.
+   *
+   * @param peer - the entry that orders the engine
+   * @param msg - what is asked
+   * @param now - for the time of the promise
+   * @returns rejects when no answer came in time
+   */
+  async ask (peer: PeerAddress, msg: AskMessage, now: () => Ms): Promise<AskOutcome> {
+    const sentAt = now()
+    const answer = await callJson(this._agent, { host: peer.host, port: peer.port, method: 'POST', path: askPath, body: msg, timeout: msg.patience + answerMargin })
+    if (answer.status !== 200) throw new Error(`The holder answered ${answer.status}.`)
+    const reply = answer.body as AskReply
+    // The promise runs from the reply; counting from the request is the safe side.
+    return reply.kind === 'ready' ? { kind: 'ready', until: Math.max(sentAt, now() - answerMargin) + reply.lasts, version: reply.version } : reply
+  }
+
+  /** Asks for configuration and upstreams. */
+  async state ({ host, port }: { readonly host: string, readonly port: number }): Promise<unknown> {
+    const answer = await callJson(this._agent, { host, port, method: 'GET', path: statePath, timeout: stateTimeout })
+    if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
+    return answer.body
+  }
+
+  close (): void { this._agent.destroy() }
+}
--- /dev/null
+++ b/packages/direct/src/lib/peer-table.ts
@@ -0,0 +1,80 @@
+/**
+ * The other entries, and which of them orders which engine, from their keys in the store.
+ */
+import type { StoreEvent, StoreItem } from '@hazelford/ports'
+
+/** Keys of the system's own. */
+export const ownPrefix = 'hazelford/'
+const entriesPrefix = `${ownPrefix}entries/`
+const holdersPrefix = `${ownPrefix}holders/`
+
+/** Where an entry listens for the others. */
+export interface PeerAddress {
+  readonly node: string
+  readonly host: string
+  readonly port: number
+}
+
+/** Who orders an engine. */
+export interface HolderRecord extends PeerAddress {
+  /** Revision of the key: no two holders have the same, later ones have higher ones. */
+  readonly fence: number
+}
+
+export function entryKey (node: string): string { return `${entriesPrefix}${node}` }
+export function holderKey (upstream: string): string { return `${holdersPrefix}${upstream}` }
+
+function decodeAddress (value: string): PeerAddress | undefined {
+  try {
+    const { node, host, port } = JSON.parse(value) as Partial<PeerAddress>
+    return typeof node === 'string' && typeof host === 'string' && typeof port === 'number' ? { node, host, port } : undefined
+  } catch {
+    // Not written by this version of the program: such a record names nobody we can ask.
+    return undefined
+  }
+}
+
+/** What the store says of entries and holders. */
+export class PeerTable {
+  private readonly _entries = new Map<string, PeerAddress>()
+  private readonly _holders = new Map<string, HolderRecord>()
+
+  /** @param _changed - hears of each change */
+  constructor (private readonly _changed: () => void) {}
+
+  get entries (): readonly PeerAddress[] { return [...this._entries.values()] }
+
+  /** Entries that live, this one included once it has registered. */
+  get entryCount (): number { return Math.max(1, this._entries.size) }
+
+  get nodes (): readonly string[] { return [...this._entries.keys()] }
+
+  holder (upstream: string): HolderRecord | undefined { return this._holders.get(upstream) }
+
+  heldUpstreams (): readonly string[] { return [...this._holders.keys()] }
+
+  reset (items: readonly StoreItem[]): void {
+    this._entries.clear()
+    this._holders.clear()
+    for (const item of items) this._put(item)
+    this._changed()
+  }
+
+  apply (event: StoreEvent): void {
+    if (event.kind === 'put') this._put(event.item)
+    else this._remove(event.key)
+    this._changed()
+  }
+
+  private _put ({ key, value, revision }: StoreItem): void {
+    const address = decodeAddress(value)
+    if (address === undefined) return
+    if (key.startsWith(entriesPrefix)) this._entries.set(key.slice(entriesPrefix.length), address)
+    else if (key.startsWith(holdersPrefix)) this._holders.set(key.slice(holdersPrefix.length), { ...address, fence: revision })
+  }
+
+  private _remove (key: string): void {
+    if (key.startsWith(entriesPrefix)) this._entries.delete(key.slice(entriesPrefix.length))
+    else if (key.startsWith(holdersPrefix)) this._holders.delete(key.slice(holdersPrefix.length))
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/placer.ts
@@ -0,0 +1,128 @@
+/**
+ * Finds the upstream for a request: ranks the candidates and gets the adapter there.
+ */
+import type { Clock, Ms } from '@hazelford/core'
+import { type AdapterWant, DecayedCounter, type PlacementCandidate, rankCandidates, rendezvousOrder, replicasFor } from '@hazelford/decisions'
+import type { AdapterDirectory } from './adapter-directory.js'
+import type { Membership } from './membership.js'
+import type { Upstream } from './upstream.js'
+
+/** What is to be placed. */
+export interface PlaceQuery {
+  readonly service: string
+  readonly want: AdapterWant | undefined
+  readonly urgency: number
+  readonly avoid: ReadonlySet<string>
+  /** The upstream that refused for lack of the adapter, to be asked again. */
+  readonly again?: string
+  /** Ms that may be spent on waiting for an adapter. */
+  readonly patience: Ms
+}
+
+/** Where a request can go. */
+export type Placed =
+  | { readonly kind: 'placed', readonly upstream: Upstream, readonly version: number | undefined }
+  | { readonly kind: 'unplaced', readonly cause: 'no-upstream' | 'adapter-unavailable' }
+
+/** Upstreams at which an adapter is asked for before a request is refused. */
+const maxAsked = 3
+/** Time in which a change of demand shows in the number of homes. */
+const popularityHalfLife: Ms = 5_000
+/** Requests seen before shares mean anything. */
+const minSeen = 20
+/** An upstream that is told to leave within this time gets nothing that lasts. */
+const leavingMargin: Ms = 100
+
+/** Places requests of one entry. */
+export class Placer {
+  private readonly _seen = new DecayedCounter(popularityHalfLife, 20_000)
+  private _orders = new Map<string, ReadonlyMap<string, number>>()
+  private _ordersOf = ''
+
+  constructor (
+    private readonly _clock: Clock,
+    private readonly _zone: string,
+    private readonly _members: Membership,
+    private readonly _directory: AdapterDirectory,
+    private readonly _entries: () => number
+  ) {}
+
+  /** Counts a request for the adapter's popularity. */
+  count (service: string, want: AdapterWant | undefined): void {
+    const now = this._clock.now()
+    this._seen.add(service, now)
+    if (want !== undefined) this._seen.add(`${service} ${want.model}/${want.adapter ?? ''}`, now)
+  }
+
+  async place (query: PlaceQuery): Promise<Placed> {
+    const ranked = this._ranked(query)
+    if (ranked.length === 0) return { kind: 'unplaced', cause: 'no-upstream' }
+    if (query.want === undefined) return { kind: 'placed', upstream: ranked[0]!, version: undefined }
+    const startedAt = this._clock.now()
+    for (const upstream of ranked.slice(0, maxAsked)) {
+      const left = query.patience - (this._clock.now() - startedAt)
+      if (left <= 0) break
+      const outcome = await this._directory.ensure(upstream, query.want, query.urgency, left, query.again === upstream.id)
+      if (outcome.kind === 'ready') return { kind: 'placed', upstream, version: outcome.version }
+    }
+    return { kind: 'unplaced', cause: 'adapter-unavailable' }
+  }
+
+  private _ranked (query: PlaceQuery): readonly Upstream[] {
+    const again = query.again === undefined ? undefined : this._members.get(query.again)
+    if (again !== undefined && again.record.state === 'ready') return [again]
+    const now = this._clock.now()
+    const serving = this._members.serving(query.service)
+      .filter(upstream => !query.avoid.has(upstream.id) && upstream.leavesAt > now + leavingMargin && upstream.pool.hasRoom)
+    const healthy = serving.filter(upstream => upstream.health.accepts(now))
+    const open = healthy.length > 0 ? healthy : serving
+    const holding = query.want === undefined ? open : this._withModel(open, query.want.model)
+    return this._rank(query, holding.length > 0 ? holding : open)
+  }
+
+  /** Engines that have the model; loading one takes longer than any caller waits. */
+  private _withModel (upstreams: readonly Upstream[], model: string): readonly Upstream[] {
+    return upstreams.filter(({ record }) => record.models.some(held => held.model === model))
+  }
+
+  private _rank (query: PlaceQuery, upstreams: readonly Upstream[]): readonly Upstream[] {
+    const { want } = query
+    const ranks = want?.adapter === undefined ? undefined : this._rankOf(`${want.model}/${want.adapter}`, upstreams)
+    const candidates = upstreams.map((upstream): PlacementCandidate & { readonly upstream: Upstream } => ({
+      upstream,
+      id: upstream.id,
+      sameZone: upstream.record.zone === this._zone,
+      outstanding: upstream.outstanding,
+      slots: upstream.record.slots,
+      latency: want === undefined ? upstream.health.latency : 0,
+      failureShare: upstream.health.failureShare,
+      adapter: want === undefined ? 'loaded' : this._directory.presence(upstream, want),
+      rank: ranks?.get(upstream.id) ?? 0
+    }))
+    const context = { entries: this._entries(), replicas: want === undefined ? 1 : this._replicas(query.service, want, upstreams.length) }
+    return rankCandidates(candidates, context).map(candidate => (candidate as typeof candidates[number]).upstream)
+  }
+
+  private _replicas (service: string, want: AdapterWant, upstreams: number): number {
+    const now = this._clock.now()
+    const total = this._seen.read(service, now)
+    if (want.adapter === undefined) return upstreams
+    if (total < minSeen) return 1
+    return replicasFor(this._seen.read(`${service} ${want.model}/${want.adapter}`, now) / total, upstreams)
+  }
+
+  /** Rendezvous order of an adapter; kept until the upstreams change. */
+  private _rankOf (adapter: string, upstreams: readonly Upstream[]): ReadonlyMap<string, number> {
+    const ids = upstreams.map(({ id }) => id)
+    const joined = ids.join()
+    if (joined !== this._ordersOf) {
+      this._orders = new Map()
+      this._ordersOf = joined
+    }
+    const known = this._orders.get(adapter)
+    if (known !== undefined) return known
+    const ranks = new Map(rendezvousOrder(adapter, ids).map((id, rank) => [id, rank]))
+    this._orders.set(adapter, ranks)
+    return ranks
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/relay-task.ts
@@ -0,0 +1,273 @@
+/**
+ * Drives one request: performs what its decisions ask for.
+ */
+import { assertNever, type CancelTimer, type Clock, type Log, type Ms, Task } from '@hazelford/core'
+import { type AdapterWant, type ExchangeOutcome, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage } from '@hazelford/decisions'
+import type { CallCodec, CallFacts, Route } from '@hazelford/ports'
+import type { CallerAnswer } from './caller-answer.js'
+import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
+import type { Placed, PlaceQuery } from './placer.js'
+import type { Upstream } from './upstream.js'
+
+/** A request that was read whole. */
+export interface ReadCall {
+  readonly facts: CallFacts
+  readonly method: string
+  readonly path: string
+  readonly headers: readonly string[]
+  readonly body: Buffer | undefined
+  readonly arrivedAt: Ms
+}
+
+/** How a request ended, for logs and metrics. */
+export type RelayEnd = 'delivered' | 'broken' | 'caller-gone' | RelayFailure
+
+/** What a request needs of its entry. */
+export interface RelayDepsOfEntry {
+  readonly clock: Clock
+  readonly log: Log
+  readonly codec: CallCodec
+  readonly place: (query: PlaceQuery) => Promise<Placed>
+  readonly member: (id: string) => Upstream | undefined
+  readonly takeRepeat: () => boolean
+  readonly retryAfter: (failure: RelayFailure) => Ms
+  readonly adapterBroken: (upstream: string, want: AdapterWant) => void
+  readonly exchanged: (upstream: Upstream, outcome: ExchangeOutcome, latency: Ms | undefined) => void
+  readonly over: (end: RelayEnd) => void
+}
+
+/**
+ * The route's timeout is answered by the upstream itself, which knows it; this much later
+ * the entry answers in its place.
+ */
+const timeoutMargin: Ms = 40
+/** Silence before the first event after which a resumable stream is sent elsewhere. */
+const streamSilence: Ms = 1_500
+/** Silence between events after which a resumable stream is taken up elsewhere. */
+const gapSilence: Ms = 900
+/** A plain answer that takes this many times the usual is asked elsewhere, if it may be. */
+const slowFactor = 8
+const slowFloor: Ms = 250
+/** Part of the time left that an adapter may take to load. */
+const loadShare = 0.5
+const loadPatience: Ms = 2_000
+
+/** One request from its arrival to its answer. */
+export class RelayTask {
+  private readonly _task: Task<RelayMessage, RelayEffect>
+  private readonly _deadline: Ms
+  private readonly _cancelTimeout: CancelTimer
+  private _exchange: Exchange | undefined
+  private _upstream: Upstream | undefined
+  private _version: number | undefined
+  private _whole: WholeAnswer | undefined
+  private _held: WholeAnswer | undefined
+  private _head: AnswerHead | undefined
+  private _pending: Buffer | undefined
+  private _lastEventId: number | undefined
+  private _over = false
+  private _sends = 0
+
+  constructor (
+    private readonly _call: ReadCall,
+    private readonly _route: Route,
+    private readonly _service: string,
+    private readonly _want: AdapterWant | undefined,
+    private readonly _answer: CallerAnswer,
+    private readonly _deps: RelayDepsOfEntry
+  ) {
+    const { clock } = _deps
+    this._deadline = _call.arrivedAt + Math.min(_call.facts.patience ?? Infinity, _route.timeout)
+    this._lastEventId = _call.facts.lastEventId
+    this._cancelTimeout = clock.after(this._deadline + timeoutMargin - clock.now(), () => this._post({ kind: 'timeout' }))
+    this._task = new Task(relayFlow(_route, { takeRepeat: _deps.takeRepeat }), effect => this._perform(effect))
+  }
+
+  /** The caller has closed its connection. */
+  callerGone (): void { this._post({ kind: 'caller-gone' }) }
+
+  private _post (msg: RelayMessage): void {
+    if (!this._over) this._task.post(msg)
+  }
+
+  private _perform (effect: RelayEffect): void {
+    switch (effect.kind) {
+      case 'place': return this._place(effect.avoid, effect.again)
+      case 'send': return this._send()
+      case 'abandon': return this._abandon()
+      case 'wait':
+        this._deps.clock.after(effect.delay, () => this._post({ kind: 'waited' }))
+        return
+      case 'hold':
+        this._held = this._whole
+        return
+      case 'deliver': return this._deliver()
+      case 'finish': return this._end('delivered')
+      case 'fail':
+        this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._deps.retryAfter(effect.failure) })
+        return this._end(effect.failure)
+      case 'break':
+        this._answer.break()
+        return this._end('broken')
+      case 'forget': return this._end('caller-gone')
+      default: return assertNever(effect)
+    }
+  }
+
+  private get _remaining (): Ms { return this._deadline - this._deps.clock.now() }
+
+  private _place (avoid: ReadonlySet<string>, again: string | undefined): void {
+    const query: PlaceQuery = {
+      service: this._service,
+      want: this._want,
+      urgency: this._route.priority,
+      avoid,
+      patience: Math.min(loadPatience, this._remaining * loadShare),
+      ...(again === undefined ? {} : { again })
+    }
+    this._deps.place(query).then(placed => {
+      if (placed.kind === 'unplaced') return this._post(placed)
+      this._upstream = placed.upstream
+      this._version = placed.version
+      this._post({ kind: 'placed', upstream: placed.upstream.id })
+    }, (error: Error) => {
+      this._deps.log.warn('request', 'not placed.', { request: this._call.facts.id, error: error.message })
+      this._post({ kind: 'unplaced', cause: 'no-upstream' })
+    })
+  }
+
+  private _send (): void {
+    const upstream = this._upstream!
+    const { clock, codec, log } = this._deps
+    const { facts, method, path, headers, body } = this._call
+    const sentAt = clock.now()
+    this._sends++
+    const resumed = this._answer.begun ? this._lastEventId : undefined
+    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), outstanding: upstream.outstanding, version: this._version, resumedAfter: resumed })
+    upstream.outstanding++
+    let open = true
+    const close = (outcome: ExchangeOutcome, latency?: Ms): void => {
+      if (!open) return
+      open = false
+      upstream.outstanding--
+      this._deps.exchanged(upstream, outcome, latency)
+    }
+    this._closeExchange = () => {
+      if (!open) return
+      open = false
+      upstream.outstanding--
+    }
+    let firstByte: Ms | undefined
+    const first = (): Ms => (firstByte ??= clock.now() - sentAt)
+    const forwarded = codec.forwardHeaders(headers, {
+      instance: upstream.id,
+      remaining: Math.max(1, Math.floor(this._remaining)),
+      priority: this._route.priority,
+      ...(this._version === undefined ? {} : { adapterVersion: this._version }),
+      ...(resumed === undefined ? {} : { lastEventId: resumed })
+    })
+    this._exchange = new Exchange(clock, codec, upstream.pool, {
+      id: facts.id,
+      instance: upstream.id,
+      host: upstream.record.host,
+      port: upstream.record.port,
+      method,
+      path,
+      headers: forwarded,
+      body,
+      repeatable: this._repeatable,
+      firstByteTimeout: this._firstByteTimeout(upstream),
+      gapTimeout: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
+      lastEventId: this._lastEventId
+    }, {
+      refused: refusal => {
+        close('refused')
+        log.info('request', 'refused by upstream.', { request: facts.id, upstream: upstream.id, refusal })
+        if (refusal === 'adapter-missing' && this._want !== undefined) this._deps.adapterBroken(upstream.id, this._want)
+        this._post({ kind: 'refused', refusal })
+      },
+      unreachable: cause => {
+        close('unreachable')
+        log.info('request', 'upstream unreachable.', { request: facts.id, upstream: upstream.id, cause })
+        this._post({ kind: 'unreachable' })
+      },
+      lost: cause => {
+        close('lost')
+        log.info('request', 'answer lost.', { request: facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(clock.now() - sentAt) })
+        this._post({ kind: 'lost' })
+      },
+      whole: answer => {
+        const failed = answer.status >= 500
+        close(failed ? 'error' : 'answered', first())
+        this._whole = answer
+        this._post({ kind: 'whole', failed })
+      },
+      begin: head => {
+        first()
+        if (!this._answer.begun) this._head = head
+      },
+      data: (bytes, lastEventId) => this._data(bytes, lastEventId),
+      end: () => {
+        close('answered', first())
+        if (!this._answer.begun && this._head !== undefined) this._post({ kind: 'streaming' })
+        this._post({ kind: 'stream-ended' })
+      }
+    })
+  }
+
+  private _closeExchange: () => void = () => {}
+
+  private get _repeatable (): boolean {
+    return this._route.kind === 'read-only' || (this._route.kind === 'stream' && this._route.resumable)
+  }
+
+  private _firstByteTimeout (upstream: Upstream): Ms | undefined {
+    if (!this._repeatable) return undefined
+    if (this._route.kind === 'stream') return Math.max(streamSilence, 2 * this._route.latencyTarget)
+    return Math.max(slowFloor, slowFactor * upstream.health.latency)
+  }
+
+  private _data (bytes: Buffer, lastEventId: number | undefined): void {
+    if (this._over) return
+    if (lastEventId !== undefined) this._lastEventId = lastEventId
+    if (!this._answer.begun) {
+      this._pending = bytes
+      this._post({ kind: 'streaming' })
+      return
+    }
+    this._write(bytes)
+  }
+
+  private _write (bytes: Buffer): void {
+    if (this._answer.data(bytes)) return
+    const exchange = this._exchange
+    exchange?.pause()
+    this._answer.onDrain(() => exchange?.resume())
+  }
+
+  private _deliver (): void {
+    if (this._head !== undefined) {
+      this._answer.begin(this._head)
+      if (this._pending !== undefined) this._write(this._pending)
+      this._pending = undefined
+      return
+    }
+    const whole = this._whole ?? this._held
+    if (whole !== undefined) this._answer.whole(whole)
+  }
+
+  private _abandon (): void {
+    this._exchange?.abandon()
+    this._closeExchange()
+  }
+
+  private _end (end: RelayEnd): void {
+    this._over = true
+    this._cancelTimeout()
+    // A non-idempotent request goes on at its upstream; its answer has nobody to go to.
+    this._exchange?.ignore()
+    this._closeExchange()
+    if (end === 'delivered' && !this._answer.ended) this._answer.end()
+    this._deps.over(end)
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -0,0 +1,120 @@
+/**
+ * Follows the keys under some prefixes of the store.
+ */
+import type { Clock, Log, Ms } from '@hazelford/core'
+import { fullJitter } from '@hazelford/decisions'
+import type { Store, StoreEvent, StoreItem, StoreListing } from '@hazelford/ports'
+
+/** Hears of the store. */
+export interface MirrorListener {
+  /** All items under the prefix, as of a revision. */
+  readonly reset: (items: readonly StoreItem[], revision: number) => void
+  readonly changed: (event: StoreEvent) => void
+  /** The store answers again after failures. */
+  readonly regained: () => void
+  readonly lost: () => void
+}
+
+/**
+ * Longest wait of a watch. A connection that has fallen silent shows only by its timeout, and
+ * a change of the configuration must be in force 2 s after it was accepted.
+ */
+const watchWait: Ms = 1_000
+/**
+ * Pause between two watches, so that changes that come together cost one call. It delays a
+ * change by a tenth of what the platform grants for it.
+ */
+const gather: Ms = 60
+const backoff = { base: 60, cap: 600 }
+/** Failed calls in a row after which the store counts as lost. */
+const lostAfter = 2
+
+/** Mirrors one prefix for as long as the process lives. */
+export class StoreMirror {
+  private _revision = 0
+  private _known = false
+  private _failures = 0
+  private _isLost = false
+  private _stopped = false
+  private _heardAt: Ms = -Infinity
+
+  constructor (
+    private readonly _store: Store,
+    private readonly _prefix: string,
+    private readonly _clock: Clock,
+    private readonly _log: Log,
+    private readonly _listener: MirrorListener
+  ) {}
+
+  get revision (): number { return this._revision }
+
+  /** Whether the last calls failed. */
+  get lost (): boolean { return this._isLost }
+
+  /** Ms since the store last answered. */
+  age (now: Ms): Ms { return now - this._heardAt }
+
+  start (): void { this._run().catch((error: Error) => this._log.warn('store', 'mirror stopped.', { prefix: this._prefix, error: error.message })) }
+
+  stop (): void { this._stopped = true }
+
+  private async _run (): Promise<void> {
+    while (!this._stopped) {
+      const heard = this._known ? await this._watch() : await this._list()
+      if (heard) this._heard()
+      else await this._pause(this._failed())
+      if (this._known && heard) await this._pause(gather)
+    }
+  }
+
+  private _pause (delay: Ms): Promise<void> {
+    return new Promise(resolve => { this._clock.after(delay, resolve) })
+  }
+
+  private async _list (): Promise<boolean> {
+    const listing = await this._store.list(this._prefix)
+    if (listing.isErr()) return false
+    this._takeListing(listing.value)
+    return true
+  }
+
+  private _takeListing (listing: StoreListing): void {
+    this._known = true
+    this._revision = listing.revision
+    this._listener.reset(listing.items, listing.revision)
+  }
+
+  private async _watch (): Promise<boolean> {
+    const changes = await this._store.watch(this._prefix, this._revision, watchWait)
+    if (changes.isOk()) {
+      for (const event of changes.value.events) this._listener.changed(event)
+      this._revision = Math.max(this._revision, changes.value.revision)
+      return true
+    }
+    // The store no longer has the changes since our revision. Only a read of everything
+    // shows what happened meanwhile; going on from a later revision would miss it for good.
+    if (changes.error.kind === 'history-lost') {
+      this._log.info('store', 'history lost, reading everything.', { prefix: this._prefix, revision: this._revision })
+      this._known = false
+      return true
+    }
+    return false
+  }
+
+  private _heard (): void {
+    this._failures = 0
+    this._heardAt = this._clock.now()
+    if (!this._isLost) return
+    this._isLost = false
+    this._listener.regained()
+  }
+
+  private _failed (): Ms {
+    this._failures++
+    if (this._failures === lostAfter) {
+      this._isLost = true
+      this._listener.lost()
+    }
+    return fullJitter(this._failures, backoff, Math.random)
+  }
+}
--- a/packages/entry/src/lib/config-watch.ts
+++ b/packages/entry/src/lib/config-watch.ts
@@ -4,7 +4,7 @@
 import { type Clock, type ConfigDocument, type Log, type Ms, sleep } from '@hazelford/core'
 import { configKey, type ConfigState, readDocument } from '@hazelford/config'
 import { fullJitter } from '@hazelford/decisions'
-import type { KvClient, KvRead } from '@hazelford/platform'
+import type { KvClient, KvRead } from '@hazelford/consul'
 
 const watchWait: Ms = 30_000
 const backoff = { base: 100, cap: 3_000 }
--- a/packages/entry/src/lib/entry-options.ts
+++ b/packages/entry/src/lib/entry-options.ts
@@ -2,7 +2,7 @@
  * What an entry is built from.
  */
 import type { Clock, EventRing, HybridClock, Log, Ms } from '@hazelford/core'
-import type { HostListClient, KvClient } from '@hazelford/platform'
+import type { HostListClient, KvClient } from '@hazelford/consul'
 
 /** Counts and timings; the daemon sends them on. */
 export interface EntryMeter {
--- a/packages/entry/src/lib/upstream-directory.ts
+++ b/packages/entry/src/lib/upstream-directory.ts
@@ -4,7 +4,7 @@
 import { type ConfigDocument, type Ms, sleep } from '@hazelford/core'
 import type { Config, ConfigState } from '@hazelford/config'
 import { fullJitter, type PlanReport, UpstreamView } from '@hazelford/decisions'
-import type { Host } from '@hazelford/platform'
+import type { Host } from '@hazelford/consul'
 import type { SidecarHeartbeat, Welcome } from '@hazelford/wire'
 import { ChannelClient } from './channel-client.js'
 import type { EntryOptions } from './entry-options.js'
--- /dev/null
+++ b/packages/ports/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * What an entry needs of the platform it runs on. Types only; an adapter implements them.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/call-codec.js'
+export * from './lib/engine-control.js'
+export * from './lib/route-config.js'
+export * from './lib/store.js'
+export * from './lib/upstream-record.js'
--- /dev/null
+++ b/packages/ports/src/lib/store.ts
@@ -0,0 +1,82 @@
+/**
+ * The platform's key-value store: transactions under conditions, leases and watches.
+ */
+import type { Ms } from '@hazelford/core'
+import type { ResultAsync } from 'neverthrow'
+
+/** A stored value. */
+export interface StoreItem {
+  readonly key: string
+  readonly value: string
+  /** Store revision of the last change of this key. */
+  readonly revision: number
+}
+
+/** A change that a watch reports. */
+export type StoreEvent =
+  | { readonly kind: 'put', readonly item: StoreItem }
+  | { readonly kind: 'removed', readonly key: string, readonly revision: number }
+
+/** Items under a prefix, and the revision from which a watch goes on. */
+export interface StoreListing {
+  readonly items: readonly StoreItem[]
+  readonly revision: number
+}
+
+/** Changes after a revision, and the revision from which the next watch goes on. */
+export interface StoreChanges {
+  readonly events: readonly StoreEvent[]
+  readonly revision: number
+}
+
+/** A write; a lease of 0 means that the key stays until it is removed. */
+export interface StorePut {
+  readonly key: string
+  readonly value: string
+  readonly lease: number
+}
+
+/** A change that takes effect as a whole, if every condition holds. */
+export interface StoreTransaction {
+  /** Keys with the revision they must have; 0 means that the key must not exist. */
+  readonly conditions: readonly { readonly key: string, readonly revision: number }[]
+  readonly puts: readonly StorePut[]
+  readonly removals: readonly string[]
+}
+
+/** Outcome of a transaction whose reply came. */
+export type TransactionOutcome =
+  | { readonly kind: 'stored', readonly revision: number }
+  | { readonly kind: 'conflict', readonly items: readonly StoreItem[] }
+  | { readonly kind: 'no-lease' }
+
+/**
+ * Why a call gave no answer.
+ *
+ * - `not-applied`: the store refused the call; nothing was done.
+ * - `unknown`: no reply came; the call may have taken effect or may yet.
+ * - `history-lost`: a watch asked for changes that the store no longer holds.
+ * - `no-lease`: the lease has ended.
+ */
+export interface StoreFailure {
+  readonly kind: 'not-applied' | 'unknown' | 'history-lost' | 'no-lease'
+  readonly message: string
+}
+
+/** A lease as granted. */
+export interface StoreLease {
+  readonly lease: number
+  readonly ttl: Ms
+}
+
+/** What the rest of the system needs of the store. */
+export interface Store {
+  /** Reads all items under a prefix, linearizably. */
+  readonly list: (prefix: string) => ResultAsync<StoreListing, StoreFailure>
+  /** Waits at most `wait` ms until something under the prefix changes after `revision`. */
+  readonly watch: (prefix: string, revision: number, wait: Ms) => ResultAsync<StoreChanges, StoreFailure>
+  readonly commit: (txn: StoreTransaction) => ResultAsync<TransactionOutcome, StoreFailure>
+  readonly grantLease: (ttl: Ms) => ResultAsync<StoreLease, StoreFailure>
+  readonly renewLease: (lease: number) => ResultAsync<void, StoreFailure>
+  readonly endLease: (lease: number) => ResultAsync<void, StoreFailure>
+}
--- a/packages/sidecar/src/lib/claims.ts
+++ b/packages/sidecar/src/lib/claims.ts
@@ -4,7 +4,7 @@
 import { createHash } from 'node:crypto'
 import { type Clock, type EventRing, type Log, newId, type Ms } from '@hazelford/core'
 import type { AnswerHeader } from '@hazelford/engine'
-import { type KvClient, type KvRead, settledWrite } from '@hazelford/platform'
+import { type KvClient, type KvRead, settledWrite } from '@hazelford/consul'
 
 /** An answer kept for repeats. */
 export interface KeptAnswer {
--- a/packages/sidecar/src/lib/fence.ts
+++ b/packages/sidecar/src/lib/fence.ts
@@ -2,7 +2,7 @@
  * The fencing number of this sidecar: proof that no other orders the same engine.
  */
 import { type Clock, type EventRing, type Log, newId, type Ms, sleep } from '@hazelford/core'
-import { type KvClient, settledWrite } from '@hazelford/platform'
+import { type KvClient, settledWrite } from '@hazelford/consul'
 
 /** What stands in the key-value service for an upstream. */
 interface FenceRecord {
--- a/packages/sidecar/src/lib/load-permits.ts
+++ b/packages/sidecar/src/lib/load-permits.ts
@@ -4,7 +4,7 @@
  */
 import { type CancelTimer, type Clock, type Log, type Ms, newId, sleep } from '@hazelford/core'
 import { LoadPacer } from '@hazelford/decisions'
-import { type KvClient, settledWrite } from '@hazelford/platform'
+import { type KvClient, settledWrite } from '@hazelford/consul'
 
 interface Permit {
   readonly token: string
--- a/packages/sidecar/src/lib/sidecar-options.ts
+++ b/packages/sidecar/src/lib/sidecar-options.ts
@@ -3,7 +3,7 @@
  */
 import type { Clock, EventRing, HybridClock, Log, Ms } from '@hazelford/core'
 import type { EngineClient, PlainClient } from '@hazelford/engine'
-import type { KvClient } from '@hazelford/platform'
+import type { KvClient } from '@hazelford/consul'
 
 /** The upstream behind a sidecar. */
 export type UpstreamClient =
--- a/packages/sidecar/src/test/claims.steps.ts
+++ b/packages/sidecar/src/test/claims.steps.ts
@@ -5,7 +5,7 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
 import { EventRing, FakeClock, HybridClock, silentLog } from '@hazelford/core'
-import type { KvClient } from '@hazelford/platform'
+import type { KvClient } from '@hazelford/consul'
 import { type ClaimOutcome, Claims, keepAnswer } from '../lib/claims.js'
 import { FakeKv, type KvFault, settlePromises } from './support/fake-kv.js'
 
--- a/packages/sidecar/src/test/support/fake-kv.ts
+++ b/packages/sidecar/src/test/support/fake-kv.ts
@@ -2,7 +2,7 @@
  * A key-value service in memory, whose calls a test can delay, lose or refuse.
  */
 import { errAsync, ResultAsync } from 'neverthrow'
-import type { CasOutcome, KvClient, KvEntry, KvFailure, KvRead } from '@hazelford/platform'
+import type { CasOutcome, KvClient, KvEntry, KvFailure, KvRead } from '@hazelford/consul'
 
 /** What happens to one call. */
 export type KvFault =
