Ask engines for the end of a load, stay with a load under way, drop wants that nobody waits for

Cause: the plan loaded adapters whose callers had left, and a slow load was begun at three engines at once, so that the weight store's rate was shared by loads nobody needed. Change: a due load is confirmed by sending its order once more; wants expire; a request stays with the engine that loads its adapter; holders that do not answer are pinged, not waited for.

--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -25,21 +25,38 @@
 export type Readiness =
   /** Requests for it may be sent until `until`; it isn't unloaded before. */
   | { readonly kind: 'ready', readonly until: Ms, readonly version: number | undefined }
-  /** It is on its way. */
+  /** It is on its way, or waits for a slot. */
   | { readonly kind: 'coming' }
+  /** Every slot is in use, or requests still run on an older version: another engine can have it sooner. */
+  | { readonly kind: 'occupied' }
 
 /** Requests that rely on a promise start well within this time after they leave the entry. */
-export const readyPromise: Ms = 1_500
+export const readyPromise: Ms = 1_000
 /** Adapters that may be in transit to one engine; it fails beyond. */
 const maxInTransit = 4
+/** Part of a late load's time so far after which the engine is asked again, and the least pause. */
+const lateShare = 0.12
+const lateFloor: Ms = 12
+/**
+ * Loads slow down while many run, and nobody sees them all. A late load lengthens the next
+ * expectations by a tenth, one in time shortens them by 2 %: one in six is asked for twice,
+ * and the others wait no longer than they must.
+ */
+const slowdownUp = 1.1
+const slowdownDown = 0.98
+const maxSlowdown = 6
 /** First guesses at load times, from the service's description; corrected by what is seen. */
 const freshLoad: Ms = 250
 const recentLoad: Ms = 25
-/** Added to an expected load time: the order's way and the engine's next step. */
-const loadMargin: Ms = 10
+/** Added to an expected load time: the engine's next step. */
+const loadMargin: Ms = 2
 const modelLoad: Ms = 2_000
 /** A report lags by some hundred ms; a later one shows the effect of an order. */
 const reportLag: Ms = 250
+/** How soon a plan that found no slot looks again. */
+const slotRetry: Ms = 50
+/** An adapter just loaded stays this long, for those who waited for it. */
+const settleTime: Ms = 150
 const popularityHalfLife: Ms = 6_000
 /** Adapters whose copies an engine keeps in its host's memory. */
 const recentCapacity = 120
@@ -49,16 +66,36 @@
   readonly adapter: string
   version: number | undefined
   /**
-   * - `in-transit`: accepted by the engine; counts as loaded from `readyAt`.
+   * - `in-transit`: accepted by the engine, which is asked from `readyAt` on whether it holds.
    * - `unloading`: the engine waits for its requests to end.
    * - `unknown`: an order had no answer.
    */
   state: 'loaded' | 'in-transit' | 'unloading' | 'unknown'
+  orderedAt: Ms
   readyAt: Ms
   promisedUntil: Ms
 }
 
-interface Waiting { readonly want: AdapterWant, readonly urgency: number, readonly since: Ms }
+/** Age at which an entry's word on what it uses no longer counts; streams last a few seconds. */
+const useLasts: Ms = 4_000
+
+interface Waiting { readonly want: AdapterWant, readonly urgency: number, readonly since: Ms, readonly until: Ms }
+
+/** How an adapter is asked for. */
+export interface AskTerms {
+  /** 0 is the most urgent. */
+  readonly urgency: number
+  /** When nobody will wait for it any more. */
+  readonly until: Ms
+  /** The engine has just refused a request for lack of it. */
+  readonly missing: boolean
+  /** Whether to stand in line when every slot is in use. */
+  readonly mayWait: boolean
+}
+
+function targetOf ({ model, adapter, version }: Slot): LoadTarget {
+  return { model, adapter, ...(version === undefined ? {} : { version }) }
+}
 
 function slotKey (model: string, adapter: string): string { return `${model}/${adapter}` }
 
@@ -69,6 +106,8 @@
   private readonly _waiting = new Map<string, Waiting>()
   private readonly _popularity = new DecayedCounter(popularityHalfLife, 5_000)
   private readonly _recent = new Set<string>()
+  /** What each entry has open requests on, and when it said so. */
+  private readonly _uses = new Map<string, { readonly keys: ReadonlySet<string>, readonly at: Ms }>()
   /** What load times are multiplied by, as engines slow down when many load. */
   private _slowdown = 1
   private _mustReport = true
@@ -101,7 +140,7 @@
     for (const { model, adapter, version } of report.coming) {
       const key = slotKey(model, adapter)
       const before = held.get(key)
-      this._slots.set(key, { model, adapter, version, state: 'in-transit', readyAt: Math.max(before?.readyAt ?? 0, askedAt + recentLoad), promisedUntil: 0 })
+      this._slots.set(key, { model, adapter, version, state: 'in-transit', orderedAt: before?.orderedAt ?? askedAt, readyAt: Math.max(before?.readyAt ?? 0, askedAt + recentLoad), promisedUntil: 0 })
     }
     // An order that was accepted after the report's values were read isn't in it yet.
     for (const [key, slot] of held) {
@@ -116,7 +155,7 @@
       const before = held.get(key)
       const leaving = before?.state === 'unloading'
       if (leaving) this._askAgain(askedAt + reportLag)
-      this._slots.set(key, { model, adapter, version, state: leaving ? 'unloading' : 'loaded', readyAt: 0, promisedUntil: before?.promisedUntil ?? 0 })
+      this._slots.set(key, { model, adapter, version, state: leaving ? 'unloading' : 'loaded', orderedAt: 0, readyAt: -Infinity, promisedUntil: before?.promisedUntil ?? 0 })
       this._remember(key)
     }
   }
@@ -135,25 +174,58 @@
     }
   }
 
+  /**
+   * Takes an entry's word on the adapters that its open requests use here.
+   *
+   * An adapter that is unloaded under its requests stays until they end, and refuses new
+   * ones all that time; its slot is gained no sooner.
+   *
+   * @param entry - who says so
+   * @param keys - `model/adapter`
+   * @param now - time
+   */
+  noteUse (entry: string, keys: Iterable<string>, now: Ms): void {
+    this._uses.set(entry, { keys: new Set(keys), at: now })
+  }
+
+  private _inUse (key: string, now: Ms): boolean {
+    for (const { keys, at } of this._uses.values()) if (now - at < useLasts && keys.has(key)) return true
+    return false
+  }
+
   /**
    * Asks for an adapter, or for a model alone.
    *
    * @param want - in the version declared, if one is
-   * @param urgency - 0 is the most urgent
+   * @param terms - how urgent, for how long
    * @param now - time
-   * @param missing - the engine has just refused a request for lack of it
    */
-  ask (want: AdapterWant, urgency: number, now: Ms, missing = false): Readiness {
+  ask (want: AdapterWant, terms: AskTerms, now: Ms): Readiness {
     const key = slotKey(want.model, want.adapter ?? '')
     this._popularity.add(key, now)
     const slot = this._slots.get(key)
-    if (missing && slot !== undefined) this._distrust(slot, now)
+    if (terms.missing && slot !== undefined) this._distrust(slot, now)
     const ready = this.promise(want, now)
     if (ready !== undefined) return ready
-    this._enqueue(key, want, urgency, now)
+    if (!terms.mayWait && this._occupied(key, slot, now)) return { kind: 'occupied' }
+    this._enqueue(key, want, terms, now)
     return { kind: 'coming' }
   }
 
+  /** Whether it takes the end of somebody's requests to make room. */
+  private _occupied (key: string, slot: Slot | undefined, now: Ms): boolean {
+    if (slot !== undefined) return slot.state === 'unloading' || (slot.state === 'loaded' && this._inUse(key, now))
+    const ahead = [...this._waiting.keys()].filter(other => !this._slots.has(other)).length
+    const free = this._spec.adapterSlots - this._slots.size - ahead
+    return free <= 0 && this._victims(now) <= ahead
+  }
+
+  private _victims (now: Ms): number {
+    let victims = 0
+    for (const [key, slot] of this._slots) if (this._mayGo(key, slot, now)) victims++
+    return victims
+  }
+
   /**
    * Promises an adapter or a model that can be used now.
    *
@@ -167,7 +239,7 @@
       return { kind: 'ready', until: now + readyPromise, version: undefined }
     }
     const slot = this._slots.get(key)
-    if (slot === undefined || !this._usable(slot, want, now)) return undefined
+    if (slot === undefined || !this._usable(slot, want)) return undefined
     slot.promisedUntil = Math.max(slot.promisedUntil, now + readyPromise)
     this._waiting.delete(key)
     return { kind: 'ready', until: slot.promisedUntil, version: slot.version }
@@ -175,34 +247,37 @@
 
   holdsAdapter (model: string, adapter: string): boolean { return this._slots.has(slotKey(model, adapter)) }
 
-  private _enqueue (key: string, want: AdapterWant, urgency: number, now: Ms): void {
+  private _enqueue (key: string, want: AdapterWant, { urgency, until }: AskTerms, now: Ms): void {
     const earlier = this._waiting.get(key)
-    if (earlier === undefined) this._waiting.set(key, { want, urgency, since: now })
-    else if (urgency < earlier.urgency || earlier.want.version !== want.version) this._waiting.set(key, { want, urgency: Math.min(urgency, earlier.urgency), since: earlier.since })
+    this._waiting.set(key, {
+      want,
+      urgency: Math.min(urgency, earlier?.urgency ?? Infinity),
+      since: earlier?.since ?? now,
+      until: Math.max(until, earlier?.until ?? 0)
+    })
   }
 
-  private _usable (slot: Slot, want: AdapterWant, now: Ms): boolean {
+  /** A load that nobody waits for any more takes a slot from one that somebody does. */
+  private _dropExpired (now: Ms): void {
+    for (const [key, { until }] of this._waiting) if (until <= now) this._waiting.delete(key)
+  }
+
+  private _usable (slot: Slot, want: AdapterWant): boolean {
     if (want.version !== undefined && (slot.version ?? 0) < want.version) return false
-    return slot.state === 'loaded' || (slot.state === 'in-transit' && now >= slot.readyAt)
+    return slot.state === 'loaded'
   }
 
   /** The engine lacks what the plan took for loaded: the load is late, or its view is wrong. */
   private _distrust (slot: Slot, now: Ms): void {
-    if (slot.state === 'in-transit' && now < slot.readyAt + 4 * recentLoad) {
-      this._slowdown = Math.min(8, this._slowdown * 1.2)
-      slot.readyAt = now + recentLoad * this._slowdown
-      return
-    }
     slot.state = 'unknown'
     this._askAgain(now)
   }
 
-  /** When a waiting adapter that is in transit will be usable; undefined when none is. */
+  /** When the next load should be over; undefined when none is under way. */
   nextReady (now: Ms): Ms | undefined {
     let next: Ms | undefined
-    for (const key of this._waiting.keys()) {
-      const slot = this._slots.get(key)
-      if (slot?.state === 'in-transit' && slot.readyAt > now) next = Math.min(next ?? Infinity, slot.readyAt)
+    for (const slot of this._slots.values()) {
+      if (slot.state === 'in-transit' && slot.readyAt > now) next = Math.min(next ?? Infinity, slot.readyAt)
     }
     return next
   }
@@ -213,29 +288,34 @@
    * @param now - time
    */
   next (now: Ms): PlanAction {
-    this._settle(now)
+    this._dropExpired(now)
     if (this._mustReport) return now >= this._reportAt ? { kind: 'report' } : { kind: 'idle', until: this._reportAt }
+    const due = this._dueConfirmation(now)
+    if (due !== undefined) return due
     const model = this._modelToLoad()
     if (model !== undefined) return { kind: 'load', target: { model } }
     for (const { want } of this._byUrgency()) {
       const action = want.adapter === undefined ? undefined : this._actionFor(want, now)
       if (action !== undefined) return action
     }
-    return { kind: 'idle', until: this.nextReady(now) ?? Infinity }
+    // A waiting adapter may need a slot whose promise runs out.
+    const retry = this._waiting.size > 0 ? now + slotRetry : Infinity
+    return { kind: 'idle', until: Math.min(retry, this.nextReady(now) ?? Infinity) }
   }
 
   private _byUrgency (): readonly Waiting[] {
     return [...this._waiting.values()].sort((a, b) => a.urgency - b.urgency || a.since - b.since)
   }
 
-  /** Promotes adapters whose load should be over. */
-  private _settle (now: Ms): void {
-    for (const [key, slot] of this._slots) {
-      if (slot.state !== 'in-transit' || now < slot.readyAt) continue
-      slot.state = 'loaded'
-      this._slowdown = Math.max(1, this._slowdown * 0.99)
-      this._remember(key)
+  /**
+   * A load whose time should be over. Its order is sent once more: the engine says at once
+   * whether it holds, while a report lags by some hundred ms.
+   */
+  private _dueConfirmation (now: Ms): PlanAction | undefined {
+    for (const slot of this._slots.values()) {
+      if (slot.state === 'in-transit' && now >= slot.readyAt) return { kind: 'load', target: targetOf(slot) }
     }
+    return undefined
   }
 
   /**
@@ -255,10 +335,11 @@
     const { model, adapter } = want
     if (adapter === undefined || !this.holdsModel(model)) return undefined
     const slot = this._slots.get(slotKey(model, adapter))
-    if (slot !== undefined && (slot.state !== 'loaded' || this._usable(slot, want, now))) return undefined
-    if (this._inTransit() >= maxInTransit) return undefined
-    // A newer version takes the slot of the older one.
-    if (slot !== undefined) return { kind: 'load', target: want }
+    if (slot !== undefined && (slot.state !== 'loaded' || this._usable(slot, want))) return undefined
+    if (this._inTransit() >= maxInTransit || !this._storeHasRoom(want)) return undefined
+    // A newer version takes the slot of the older one, once its requests have ended: until
+    // then the engine would refuse new ones.
+    if (slot !== undefined) return this._inUse(slotKey(model, adapter), now) ? undefined : { kind: 'load', target: want }
     if (this._slots.size < this._spec.adapterSlots && this._weightsFit(model)) return { kind: 'load', target: want }
     const victim = this._victim(now)
     return victim === undefined ? undefined : { kind: 'unload', target: { model: victim.model, adapter: victim.adapter } }
@@ -268,6 +349,18 @@
     return [...this._slots.values()].filter(slot => slot.state === 'in-transit' || slot.state === 'unknown').length
   }
 
+  /**
+   * Whether a load from the weight store would only slow down those under way.
+   *
+   * The store shares its rate between all loads of all engines. Beyond what it can feed,
+   * more loads at once bring no adapter sooner and each one later.
+   */
+  private _storeHasRoom ({ model, adapter }: AdapterWant): boolean {
+    if (this._recent.has(slotKey(model, adapter ?? ''))) return true
+    const fresh = [...this._slots].filter(([key, slot]) => slot.state === 'in-transit' && !this._recent.has(key)).length
+    return fresh < Math.max(1, Math.floor(maxInTransit / this._slowdown ** 2))
+  }
+
   private _weightsFit (model: string): boolean {
     const sizes = new Map(this._spec.models.map(spec => [spec.name, spec]))
     let used = sizes.get(model)?.adapterMb ?? 0
@@ -276,14 +369,22 @@
     return used <= this._spec.weightsMb
   }
 
-  /** The least used adapter that nobody was promised. */
+  /**
+   * Whether an adapter may be unloaded.
+   *
+   * One that a request was promised must not go: the request would be refused by the
+   * engine, or wait for a load that it was told is done.
+   */
+  private _mayGo (key: string, slot: Slot, now: Ms): boolean {
+    return slot.state === 'loaded' && slot.promisedUntil <= now && !this._waiting.has(key) && !this._inUse(key, now)
+  }
+
+  /** The least used adapter that may go. */
   private _victim (now: Ms): Slot | undefined {
     let worst: Slot | undefined
     let least = Infinity
     for (const [key, slot] of this._slots) {
-      // An adapter that a request was promised must not go: the request would be refused
-      // by the engine, or wait for a load that it was told is done.
-      if (slot.state !== 'loaded' || slot.promisedUntil > now) continue
+      if (!this._mayGo(key, slot, now)) continue
       const worth = this._popularity.read(key, now)
       if (worth >= least) continue
       worst = slot
@@ -324,7 +425,7 @@
 
   private _noteUnknown ({ model, adapter, version }: LoadTarget): void {
     if (adapter === undefined) this._models.set(model, 'unknown')
-    else this._slots.set(slotKey(model, adapter), { model, adapter, version, state: 'unknown', readyAt: Infinity, promisedUntil: 0 })
+    else this._slots.set(slotKey(model, adapter), { model, adapter, version, state: 'unknown', orderedAt: 0, readyAt: Infinity, promisedUntil: 0 })
   }
 
   private _loadAccepted ({ model, adapter, version }: LoadTarget, outcome: 'accepted' | 'holds', now: Ms): void {
@@ -334,16 +435,32 @@
       return
     }
     const key = slotKey(model, adapter)
-    const expected = (this._recent.has(key) ? recentLoad : freshLoad) * this._slowdown + loadMargin
     const before = this._slots.get(key)
-    this._slots.set(key, {
-      model,
-      adapter,
-      version,
-      state: outcome === 'holds' ? 'loaded' : 'in-transit',
-      readyAt: now + expected,
-      promisedUntil: before?.promisedUntil ?? 0
-    })
+    const confirms = before?.state === 'in-transit'
+    const slot: Slot = before ?? { model, adapter, version, state: 'in-transit', orderedAt: now, readyAt: now, promisedUntil: 0 }
+    slot.version = version ?? slot.version
+    this._slots.set(key, slot)
+    if (outcome === 'holds') this._loadEnded(key, slot, now)
+    else if (confirms) this._loadLate(slot, now)
+    else this._loadBegun(key, slot, now)
+  }
+
+  private _loadBegun (key: string, slot: Slot, now: Ms): void {
+    slot.state = 'in-transit'
+    slot.orderedAt = now
+    slot.readyAt = now + (this._recent.has(key) ? recentLoad : freshLoad) * this._slowdown + loadMargin
+  }
+
+  private _loadLate (slot: Slot, now: Ms): void {
+    this._slowdown = Math.min(maxSlowdown, this._slowdown * slowdownUp)
+    slot.readyAt = now + Math.max(lateFloor, (now - slot.orderedAt) * lateShare)
+  }
+
+  private _loadEnded (key: string, slot: Slot, now: Ms): void {
+    if (slot.state === 'in-transit') this._slowdown = Math.max(1, this._slowdown * slowdownDown)
+    slot.state = 'loaded'
+    slot.promisedUntil = Math.max(slot.promisedUntil, now + settleTime)
+    this._remember(key)
   }
 
   private _unloadAccepted ({ model, adapter }: LoadTarget, outcome: 'accepted' | 'holds', now: Ms): void {
--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -4,15 +4,24 @@
 import type { Clock, Log, Ms } from '@hazelford/core'
 import type { AdapterPresence, AdapterWant } from '@hazelford/decisions'
 import type { EngineDesk } from './engine-desk.js'
-import type { AskOutcome } from './engine-holder.js'
+import type { Ask, AskOutcome } from './engine-holder.js'
 import type { PeerClient } from './peer-calls.js'
-import type { PeerTable } from './peer-table.js'
+import type { PeerAddress, PeerTable } from './peer-table.js'
 import type { Upstream } from './upstream.js'
 
 /** A promise that ends sooner than this is renewed while it is used. */
 const renewBefore: Ms = 600
-/** A holder that did not answer isn't asked again for this long. */
-const suspectFor: Ms = 1_000
+/**
+ * How often a holder that did not answer is tried. Until it answers nobody waits for it:
+ * each request would spend most of its patience on a process that is gone.
+ */
+const tryAgainEvery: Ms = 400
+
+/** Longest wait of one call to a holder: a dead one shows no sooner. */
+const askLimit: Ms = 400
+
+/** An adapter that a request needs. */
+export type EnsureQuery = Omit<Ask, 'answerIn' | 'entry' | 'uses'>
 
 interface HeldPromise { readonly until: Ms, readonly version: number | undefined }
 
@@ -22,9 +31,10 @@
 export class AdapterDirectory {
   private readonly _promises = new Map<string, Map<string, HeldPromise>>()
   private readonly _asking = new Map<string, Promise<AskOutcome>>()
-  private readonly _suspects = new Map<string, Ms>()
+  private readonly _suspects = new Set<string>()
 
   constructor (
+    private readonly _node: string,
     private readonly _clock: Clock,
     private readonly _log: Log,
     private readonly _peers: PeerTable,
@@ -48,7 +58,7 @@
   private _askable (upstream: string): boolean {
     if (this._desk.holder(upstream) !== undefined) return true
     const holder = this._peers.holder(upstream)
-    return holder !== undefined && (this._suspects.get(holder.node) ?? 0) <= this._clock.now()
+    return holder !== undefined && !this._suspects.has(holder.node)
   }
 
   /** Whether the upstream's own record lists it. Records lag, but stay through an outage of the store. */
@@ -68,16 +78,14 @@
    * Makes sure that an adapter can be used at an upstream.
    *
    * @param upstream - where
-   * @param want - the adapter
-   * @param urgency - 0 is the most urgent
-   * @param patience - ms to wait for a load
-   * @param missing - the upstream has just refused a request for lack of it
+   * @param query - the adapter, and how long it is worth waiting
    * @returns the version to expect there
    */
-  async ensure (upstream: Upstream, want: AdapterWant, urgency: number, patience: Ms, missing: boolean): Promise<AskOutcome> {
+  async ensure (upstream: Upstream, query: EnsureQuery): Promise<AskOutcome> {
+    const { want, missing } = query
     const promise = missing ? undefined : this._promised(upstream.id, want)
     if (promise !== undefined) {
-      if (promise.until - this._clock.now() < renewBefore) this._ask(upstream, want, urgency, patience, false).catch(() => {})
+      if (promise.until - this._clock.now() < renewBefore) this._renew(upstream, query)
       return { kind: 'ready', ...promise }
     }
     if (!this._askable(upstream.id)) {
@@ -85,38 +93,65 @@
         ? { kind: 'ready', until: this._clock.now(), version: want.version }
         : { kind: 'unavailable', cause: 'nobody orders this engine' }
     }
-    return this._ask(upstream, want, urgency, patience, missing)
+    return this._ask(upstream, query)
+  }
+
+  private _renew (upstream: Upstream, query: EnsureQuery): void {
+    this._ask(upstream, { ...query, mayWait: false }).catch((error: Error) => {
+      this._log.info('loads', 'promise not renewed.', { upstream: upstream.id, cause: error.message })
+    })
   }
 
-  private _ask (upstream: Upstream, want: AdapterWant, urgency: number, patience: Ms, missing: boolean): Promise<AskOutcome> {
-    const key = `${upstream.id}|${wantKey(want)}|${want.version ?? ''}|${missing}`
+  private _ask (upstream: Upstream, query: EnsureQuery): Promise<AskOutcome> {
+    const { want, missing, mayWait } = query
+    const key = `${upstream.id}|${wantKey(want)}|${want.version ?? ''}|${missing}|${mayWait}`
     const running = this._asking.get(key)
     if (running !== undefined) return running
-    const asked = this._askHolder(upstream.id, want, urgency, patience, missing).finally(() => this._asking.delete(key))
+    const asked = this._askHolder(upstream, query).finally(() => this._asking.delete(key))
     this._asking.set(key, asked)
     return asked
   }
 
-  private async _askHolder (upstream: string, want: AdapterWant, urgency: number, patience: Ms, missing: boolean): Promise<AskOutcome> {
-    const local = this._desk.ask(upstream, want, urgency, patience, missing)
-    const outcome = await (local ?? this._askPeer(upstream, want, urgency, patience, missing))
+  private async _askHolder (upstream: Upstream, query: EnsureQuery): Promise<AskOutcome> {
+    const ask: Ask = { ...query, answerIn: Math.min(query.patience, askLimit), entry: this._node, uses: upstream.uses }
+    const outcome = await (this._desk.ask(upstream.id, ask) ?? this._askPeer(upstream.id, ask))
     if (outcome.kind === 'ready') {
-      const promises = this._promises.get(upstream) ?? new Map<string, HeldPromise>()
-      promises.set(wantKey(want), { until: outcome.until, version: outcome.version })
-      this._promises.set(upstream, promises)
+      const promises = this._promises.get(upstream.id) ?? new Map<string, HeldPromise>()
+      promises.set(wantKey(query.want), { until: outcome.until, version: outcome.version })
+      this._promises.set(upstream.id, promises)
     }
     return outcome
   }
 
-  private async _askPeer (upstream: string, want: AdapterWant, urgency: number, patience: Ms, missing: boolean): Promise<AskOutcome> {
+  private async _askPeer (upstream: string, ask: Ask): Promise<AskOutcome> {
     const holder = this._peers.holder(upstream)
     if (holder === undefined) return { kind: 'unavailable', cause: 'nobody orders this engine' }
     try {
-      return await this._client.ask(holder, { upstream, ...want, urgency, patience, missing }, () => this._clock.now())
+      return await this._client.ask(holder, { upstream, ...ask }, () => this._clock.now())
     } catch (error) {
-      this._suspects.set(holder.node, this._clock.now() + suspectFor)
       this._log.info('loads', 'holder does not answer.', { upstream, holder: holder.node, fence: holder.fence, cause: (error as Error).message })
+      this._suspect(holder)
       return { kind: 'unavailable', cause: 'its holder does not answer' }
     }
   }
+
+  private _suspect (peer: PeerAddress): void {
+    if (this._suspects.has(peer.node)) return
+    this._suspects.add(peer.node)
+    this._log.info('peers', 'suspected.', { peer: peer.node })
+    this._tryAgain(peer)
+  }
+
+  private _tryAgain (peer: PeerAddress): void {
+    this._clock.after(tryAgainEvery, () => {
+      const listed = this._peers.entries.some(({ node }) => node === peer.node)
+      if (!listed) return this._clear(peer)
+      this._client.ping(peer).then(() => this._clear(peer), () => this._tryAgain(peer))
+    })
+  }
+
+  private _clear (peer: PeerAddress): void {
+    this._suspects.delete(peer.node)
+    this._log.info('peers', 'no longer suspected.', { peer: peer.node })
+  }
 }
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -4,11 +4,12 @@
 import type { Server } from 'node:http'
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { type AdapterWant, type ExchangeOutcome, pickService, type RelayFailure, type RouteTable, SharedRetryBudget } from '@hazelford/decisions'
-import type { Route, StoreEvent } from '@hazelford/ports'
+import type { Route, StoreEvent, StoreItem, UpstreamRecord } from '@hazelford/ports'
 import { AdapterDirectory } from './adapter-directory.js'
 import { CallerServer, createReadyServer, type Incoming } from './caller-server.js'
 import { ConfigHolder } from './config-holder.js'
 import { EngineDesk } from './engine-desk.js'
+import type { AskOutcome } from './engine-holder.js'
 import { type DirectSettings, splitAddress } from './entry-settings.js'
 import { LeaseKeeper } from './lease-keeper.js'
 import { Membership } from './membership.js'
@@ -37,6 +38,8 @@
 const retryAfterBase: Ms = 150
 const retryAfterSpread: Ms = 250
 const noConfigRetryAfter: Ms = 500
+/** Another entry can have the request at once. */
+const shutdownRetryAfter: Ms = 20
 /** The balancer asks once a second and takes an entry out after two misses. */
 const balancerNotice: Ms = 2_600
 /** Left of the grace period for the process itself to end. */
@@ -52,7 +55,7 @@
   private readonly _directory: AdapterDirectory
   private readonly _placer: Placer
   private readonly _lease: LeaseKeeper
-  private readonly _mirrors: readonly StoreMirror[]
+  private readonly _mirror: StoreMirror
   private readonly _client = new PeerClient()
   private readonly _callers: CallerServer
   private readonly _budgets = new Map<string, SharedRetryBudget>()
@@ -60,6 +63,7 @@
   private readonly _self: PeerAddress
   private _closing = false
   private _lastAnswer = false
+  private _refusing = false
 
   constructor (private readonly _options: DirectEntryOptions) {
     const { settings, platform, clock, log } = _options
@@ -85,9 +89,9 @@
       granted: lease => { this._register(lease).catch((error: Error) => log.warn('peers', 'not registered.', { error: error.message })) },
       ended: () => this.desk.dropAll()
     })
-    this._directory = new AdapterDirectory(clock, log, this.peers, this._client, this.desk)
+    this._directory = new AdapterDirectory(settings.name, clock, log, this.peers, this._client, this.desk)
     this._placer = new Placer(clock, settings.zone, this.members, this._directory, () => this.peers.entryCount)
-    this._mirrors = this._createMirrors()
+    this._mirror = this._createMirror()
     this._callers = new CallerServer({
       clock,
       maxBodyBytes: () => this.config.table?.config.limits.maxBodyBytes ?? defaultMaxBody,
@@ -99,40 +103,28 @@
   /** Whether new connections are wanted. */
   get ready (): boolean { return !this._closing && this.config.table !== undefined && this.members.known }
 
-  private _createMirrors (): readonly StoreMirror[] {
+  private _createMirror (): StoreMirror {
     const { platform, clock, log } = this._options
-    const { layout, store } = platform
-    const watchLoss = (name: string, lost: () => void, regained: () => void) => ({
-      lost: () => {
-        log.warn('store', 'lost.', { prefix: name })
-        lost()
+    const { operators, upstreams } = platform.layout
+    return new StoreMirror(platform.store, clock, log, {
+      reset: items => {
+        const under = (prefix: string): readonly StoreItem[] => items.filter(({ key }) => key.startsWith(prefix))
+        this.config.reset(under(operators))
+        this.members.reset(under(upstreams).flatMap(item => this._decodeUpstream(item.key, item.value)))
+        this.peers.reset(under(ownPrefix))
       },
-      regained: () => {
-        log.info('store', 'regained.', { prefix: name })
-        regained()
-      }
+      changed: event => {
+        const key = event.kind === 'put' ? event.item.key : event.key
+        if (key.startsWith(operators)) this.config.apply(event)
+        else if (key.startsWith(upstreams)) this._upstreamChanged(event)
+        else if (key.startsWith(ownPrefix)) this.peers.apply(event)
+      },
+      lost: () => this.members.storeLost(),
+      regained: () => this.members.storeRegained()
     })
-    const nothing = (): void => {}
-    return [
-      new StoreMirror(store, layout.operators, clock, log, {
-        reset: items => this.config.reset(items),
-        changed: event => this.config.apply(event),
-        ...watchLoss(layout.operators, nothing, nothing)
-      }),
-      new StoreMirror(store, layout.upstreams, clock, log, {
-        reset: items => this.members.reset(items.flatMap(item => this._decodeUpstream(item.key, item.value))),
-        changed: event => this._upstreamChanged(event),
-        ...watchLoss(layout.upstreams, () => this.members.storeLost(), () => this.members.storeRegained())
-      }),
-      new StoreMirror(store, ownPrefix, clock, log, {
-        reset: items => this.peers.reset(items),
-        changed: event => this.peers.apply(event),
-        ...watchLoss(ownPrefix, nothing, nothing)
-      })
-    ]
   }
 
-  private _decodeUpstream (key: string, value: string) {
+  private _decodeUpstream (key: string, value: string): readonly UpstreamRecord[] {
     const decoded = this._options.platform.decodeUpstream(key, value)
     if (decoded.isOk()) return [decoded.value]
     this._options.log.warn('membership', 'record can not be read.', { key, problem: decoded.error.message })
@@ -175,7 +167,7 @@
   /** Starts; returns once it listens. */
   async start (): Promise<void> {
     const { settings, platform, clock, metrics } = this._options
-    for (const mirror of this._mirrors) mirror.start()
+    this._mirror.start()
     this._lease.start()
     const callers = splitAddress(settings.listen_callers)
     await this._callers.listen(callers.host, callers.port)
@@ -189,10 +181,8 @@
     this._servers.push(metrics.serve(settings.host, settings.metrics_port, '/metrics'))
   }
 
-  private async _answerPeer (msg: AskMessage) {
-    const { upstream, urgency, patience, missing, model, adapter, version } = msg
-    const want = { model, ...(adapter === undefined ? {} : { adapter }), ...(version === undefined ? {} : { version }) }
-    return await this.desk.ask(upstream, want, urgency, patience, missing) ?? { kind: 'unavailable' as const, cause: 'not held here' }
+  private async _answerPeer ({ upstream, ...ask }: AskMessage): Promise<AskOutcome> {
+    return await this.desk.ask(upstream, ask) ?? { kind: 'unavailable', cause: 'not held here' }
   }
 
   /** Leaves without cutting off a request. */
@@ -200,13 +190,16 @@
     const { clock, settings, log } = this._options
     this._closing = true
     const until = clock.now() + settings.grace_s * 1_000 - graceMargin
-    // The balancer still sends connections until it has noticed; they are served.
+    // The balancer still sends connections until it has noticed; what comes on them is
+    // served, and each answer ends its connection.
     this._lastAnswer = true
     await Promise.all([sleep(clock, balancerNotice), this._lease.stop()])
+    // What comes from here on could not be ended within the grace period.
+    this._refusing = true
     await Promise.race([this._callers.drained(), sleep(clock, until - clock.now())])
     log.info('entry', 'drained.', { open: this._callers.open })
     this._callers.close()
-    for (const mirror of this._mirrors) mirror.stop()
+    this._mirror.stop()
     for (const server of this._servers) server.close()
   }
 
@@ -214,6 +207,10 @@
     const { log, metrics } = this._options
     const { table } = this.config
     if (table === undefined || !this.members.known) return incoming.answer.fail({ kind: 'no-config', retryAfter: noConfigRetryAfter })
+    if (this._refusing) {
+      metrics.requests.inc({ kind: 'none', end: 'shutting-down' })
+      return incoming.answer.fail({ kind: 'relay', failure: 'shutting-down', notRun: true, retryAfter: shutdownRetryAfter })
+    }
     const route = table.match(incoming.host, incoming.target)
     if (route === undefined) {
       log.info('request', 'no route.', { host: incoming.host, target: incoming.target, version: table.version })
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -4,7 +4,7 @@
 import type { CancelTimer, Clock, Log, Ms } from '@hazelford/core'
 import { type AdapterWant, rendezvousOrder } from '@hazelford/decisions'
 import type { EngineControl, EngineSpec, Store } from '@hazelford/ports'
-import { type AskOutcome, EngineHolder } from './engine-holder.js'
+import { type Ask, type AskOutcome, EngineHolder } from './engine-holder.js'
 import type { LeaseKeeper } from './lease-keeper.js'
 import type { Upstream } from './upstream.js'
 import { holderKey, type PeerAddress, type PeerTable } from './peer-table.js'
@@ -50,9 +50,7 @@
   holder (upstream: string): EngineHolder | undefined { return this._holders.get(upstream) }
 
   /** Asks a holder of this entry; undefined when it doesn't hold the engine. */
-  ask (upstream: string, want: AdapterWant, urgency: number, patience: Ms, missing: boolean): Promise<AskOutcome> | undefined {
-    return this._holders.get(upstream)?.ask(want, urgency, patience, missing)
-  }
+  ask (upstream: string, ask: Ask): Promise<AskOutcome> | undefined { return this._holders.get(upstream)?.ask(ask) }
 
   /** Loads a new version wherever an older one is held here. */
   prefetch (want: AdapterWant): void {
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -5,8 +5,30 @@
 import { AdapterPlan, type AdapterWant, type PlanAction, type Readiness } from '@hazelford/decisions'
 import type { EngineControl, EngineSpec, LoadTarget, OrderOutcome } from '@hazelford/ports'
 
-/** Why an adapter can't be had here now. */
-export type AskOutcome = Readiness & { readonly kind: 'ready' } | { readonly kind: 'unavailable', readonly cause: string }
+/** What a holder says to an ask: it can be used, it will be, or it can't be had here now. */
+export type AskOutcome =
+  | Readiness & { readonly kind: 'ready' }
+  | { readonly kind: 'coming' }
+  | { readonly kind: 'unavailable', readonly cause: string }
+
+/** What an entry asks of a holder. */
+export interface Ask {
+  readonly want: AdapterWant
+  /** 0 is the most urgent. */
+  readonly urgency: number
+  /** Ms that the request can still wait, beyond this call too. */
+  readonly patience: Ms
+  /** Ms after which this call wants an answer. */
+  readonly answerIn: Ms
+  /** The engine has just refused a request for lack of it. */
+  readonly missing: boolean
+  /** Whether to stand in line when every slot is in use. */
+  readonly mayWait: boolean
+  /** Who asks. */
+  readonly entry: string
+  /** `model/adapter` of what its open requests use at this engine. */
+  readonly uses: readonly string[]
+}
 
 /** What a holder needs. */
 export interface HolderOptions {
@@ -24,12 +46,13 @@
 
 interface Waiter {
   readonly want: AdapterWant
-  readonly urgency: number
   readonly since: Ms
   readonly resolve: (outcome: AskOutcome) => void
   cancel: () => void
 }
 
+/** How long a new version may wait for a moment without requests on the old one. */
+const prefetchLasts: Ms = 4_000
 /** Pause before an order is tried again while the lease is in doubt. */
 const doubtPause: Ms = 200
 
@@ -50,22 +73,18 @@
   get fence (): number { return this._options.fence }
   get slotsUsed (): number { return this._plan.slotsUsed }
 
-  /**
-   * Asks for an adapter and waits until it can be used.
-   *
-   * @param want - the adapter
-   * @param urgency - 0 is the most urgent
-   * @param patience - ms to wait
-   * @param missing - the engine has just refused a request for lack of it
-   */
-  ask (want: AdapterWant, urgency: number, patience: Ms, missing: boolean): Promise<AskOutcome> {
+  /** Asks for an adapter and waits until it can be used, or for as long as the ask says. */
+  ask ({ want, urgency, patience, answerIn, missing, mayWait, entry, uses }: Ask): Promise<AskOutcome> {
     const { clock } = this._options
     if (this._released) return Promise.resolve({ kind: 'unavailable', cause: 'not held' })
-    const readiness = this._plan.ask(want, urgency, clock.now(), missing)
+    const now = clock.now()
+    this._plan.noteUse(entry, uses, now)
+    const readiness = this._plan.ask(want, { urgency, until: now + patience, missing, mayWait }, now)
     if (readiness.kind === 'ready') return Promise.resolve(readiness)
+    if (readiness.kind === 'occupied') return Promise.resolve({ kind: 'unavailable', cause: 'every slot is in use' })
     return new Promise(resolve => {
-      const waiter: Waiter = { want, urgency, since: clock.now(), resolve, cancel: () => {} }
-      waiter.cancel = clock.after(patience, () => this._settle(waiter, { kind: 'unavailable', cause: 'not loaded in time' }))
+      const waiter: Waiter = { want, since: now, resolve, cancel: () => {} }
+      waiter.cancel = clock.after(answerIn, () => this._settle(waiter, { kind: 'coming' }))
       this._waiters.push(waiter)
       this._pump()
     })
@@ -74,7 +93,8 @@
   /** Loads an adapter that nobody waits for yet, such as a new version of one that is held. */
   prefetch (want: AdapterWant): void {
     if (this._released) return
-    this._plan.ask(want, Number.MAX_SAFE_INTEGER, this._options.clock.now())
+    const now = this._options.clock.now()
+    this._plan.ask(want, { urgency: Number.MAX_SAFE_INTEGER, until: now + prefetchLasts, missing: false, mayWait: true }, now)
     this._pump()
   }
 
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -3,28 +3,24 @@
  */
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Ms } from '@hazelford/core'
-import type { AdapterWant } from '@hazelford/decisions'
-import type { AskOutcome } from './engine-holder.js'
+import type { Ask, AskOutcome } from './engine-holder.js'
 import { callJson, readJson } from './json-client.js'
 import type { PeerAddress } from './peer-table.js'
 
 /** An adapter asked of another entry. */
-export interface AskMessage extends AdapterWant {
-  readonly upstream: string
-  readonly urgency: number
-  readonly patience: Ms
-  /** The engine has just refused a request for lack of it. */
-  readonly missing: boolean
-}
+export interface AskMessage extends Ask { readonly upstream: string }
 
 /** The answer; a promise is told as the time left, since clocks differ. */
 type AskReply =
   | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number }
+  | { readonly kind: 'coming' }
   | { readonly kind: 'unavailable', readonly cause: string }
 
 const askPath = '/adapters/ask'
 const statePath = '/state'
-const maxBody = 4_096
+const pingPath = '/ping'
+/** An entry may have requests open on some hundred adapters of an engine. */
+const maxBody = 64 * 1024
 /** Peers are a few ms apart; one that takes longer is cut off, frozen or gone. */
 const answerMargin: Ms = 150
 const stateTimeout: Ms = 1_000
@@ -49,6 +45,7 @@
     sendJson(res, state === undefined ? 503 : 200, state ?? { error: 'Nothing is known here yet.' })
     return
   }
+  if (req.method === 'GET' && req.url === pingPath) return sendJson(res, 200, {})
   if (req.method !== 'POST' || req.url !== askPath) return sendJson(res, 404, { error: `Nothing is served at ${req.url ?? ''}.` })
   const outcome = await service.ask(await readJson(req, maxBody) as AskMessage)
   const reply: AskReply = outcome.kind === 'ready'
@@ -90,7 +87,7 @@
    */
   async ask (peer: PeerAddress, msg: AskMessage, now: () => Ms): Promise<AskOutcome> {
     const sentAt = now()
-    const answer = await callJson(this._agent, { host: peer.host, port: peer.port, method: 'POST', path: askPath, body: msg, timeout: msg.patience + answerMargin })
+    const answer = await callJson(this._agent, { host: peer.host, port: peer.port, method: 'POST', path: askPath, body: msg, timeout: msg.answerIn + answerMargin })
     if (answer.status !== 200) throw new Error(`The holder answered ${answer.status}.`)
     const reply = answer.body as AskReply
     // The promise runs from the reply; counting from the request is the safe side.
@@ -104,5 +101,10 @@
     return answer.body
   }
 
+  /** Tells whether a peer answers; rejects when it does not. */
+  async ping ({ host, port }: PeerAddress): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'GET', path: pingPath, timeout: answerMargin })
+  }
+
   close (): void { this._agent.destroy() }
 }
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -1,9 +1,9 @@
 /**
  * Finds the upstream for a request: ranks the candidates and gets the adapter there.
  */
-import type { Clock, Ms } from '@hazelford/core'
+import { type Clock, type Ms, sleep } from '@hazelford/core'
 import { type AdapterWant, DecayedCounter, type PlacementCandidate, rankCandidates, rendezvousOrder, replicasFor } from '@hazelford/decisions'
-import type { AdapterDirectory } from './adapter-directory.js'
+import type { AdapterDirectory, EnsureQuery } from './adapter-directory.js'
 import type { Membership } from './membership.js'
 import type { Upstream } from './upstream.js'
 
@@ -17,6 +17,8 @@
   readonly again?: string
   /** Ms that may be spent on waiting for an adapter. */
   readonly patience: Ms
+  /** Whether nobody waits for it any more. */
+  readonly cancelled: () => boolean
 }
 
 /** Where a request can go. */
@@ -26,6 +28,8 @@
 
 /** Upstreams at which an adapter is asked for before a request is refused. */
 const maxAsked = 3
+/** Pause after an answer that came at once, so that a line is no busy loop. */
+const linePause: Ms = 100
 /** Time in which a change of demand shows in the number of homes. */
 const popularityHalfLife: Ms = 5_000
 /** Requests seen before shares mean anything. */
@@ -58,16 +62,41 @@
     const ranked = this._ranked(query)
     if (ranked.length === 0) return { kind: 'unplaced', cause: 'no-upstream' }
     if (query.want === undefined) return { kind: 'placed', upstream: ranked[0]!, version: undefined }
-    const startedAt = this._clock.now()
-    for (const upstream of ranked.slice(0, maxAsked)) {
-      const left = query.patience - (this._clock.now() - startedAt)
-      if (left <= 0) break
-      const outcome = await this._directory.ensure(upstream, query.want, query.urgency, left, query.again === upstream.id)
-      if (outcome.kind === 'ready') return { kind: 'placed', upstream, version: outcome.version }
+    return this._placeAdapter(query, query.want, ranked.slice(0, maxAsked))
+  }
+
+  /** Takes the first candidate that can have the adapter, else stands in line at the best. */
+  private async _placeAdapter (query: PlaceQuery, want: AdapterWant, candidates: readonly Upstream[]): Promise<Placed> {
+    const until = this._clock.now() + query.patience
+    for (const upstream of candidates) {
+      const placed = await this._await(upstream, query, { want, urgency: query.urgency, missing: query.again === upstream.id, mayWait: false }, until)
+      if (placed !== undefined) return placed
+    }
+    for (let turn = 0; until > this._clock.now() && !query.cancelled(); turn++) {
+      const upstream = candidates[turn % candidates.length]!
+      const placed = await this._await(upstream, query, { want, urgency: query.urgency, missing: false, mayWait: true }, until)
+      if (placed !== undefined) return placed
+      await sleep(this._clock, linePause)
     }
     return { kind: 'unplaced', cause: 'adapter-unavailable' }
   }
 
+  /**
+   * Waits for an adapter at one upstream while it is on its way there. Asking elsewhere
+   * meanwhile would load it twice, and both loads would share the weight store's rate.
+   */
+  private async _await (upstream: Upstream, query: PlaceQuery, ask: Omit<EnsureQuery, 'patience'>, until: Ms): Promise<Placed | undefined> {
+    let { missing } = ask
+    for (;;) {
+      const patience = until - this._clock.now()
+      if (patience <= 0 || query.cancelled()) return undefined
+      const outcome = await this._directory.ensure(upstream, { ...ask, missing, patience })
+      if (outcome.kind === 'ready') return { kind: 'placed', upstream, version: outcome.version }
+      if (outcome.kind === 'unavailable') return undefined
+      missing = false
+    }
+  }
+
   private _ranked (query: PlaceQuery): readonly Upstream[] {
     const again = query.again === undefined ? undefined : this._members.get(query.again)
     if (again !== undefined && again.record.state === 'ready') return [again]
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -45,12 +45,19 @@
 const streamSilence: Ms = 1_500
 /** Silence between events after which a resumable stream is taken up elsewhere. */
 const gapSilence: Ms = 900
-/** A plain answer that takes this many times the usual is asked elsewhere, if it may be. */
-const slowFactor = 8
+/** A plain answer that takes this many times the route's target is asked elsewhere, if it may be. */
+const slowFactor = 3
 const slowFloor: Ms = 250
-/** Part of the time left that an adapter may take to load. */
+/** Part of the time left that a request may wait for its adapter; the rest is for its answer. */
 const loadShare = 0.5
-const loadPatience: Ms = 2_000
+/**
+ * Callers of streams leave when nothing comes for this many latency targets, and no sooner
+ * than this. Who is refused before that comes back; who is kept longer is gone.
+ */
+const leaveTargets = 4
+const leaveFloor: Ms = 2_000
+/** Left for the answer's first event before the caller leaves. */
+const firstEventMargin: Ms = 600
 
 /** One request from its arrival to its answer. */
 export class RelayTask {
@@ -116,13 +123,21 @@
 
   private get _remaining (): Ms { return this._deadline - this._deps.clock.now() }
 
+  /** Ms that the request may still wait for a place. */
+  private get _patience (): Ms {
+    const waited = this._deps.clock.now() - this._call.arrivedAt
+    const stays = Math.max(leaveFloor, leaveTargets * this._route.latencyTarget) - firstEventMargin
+    return Math.max(0, Math.min(this._remaining * loadShare, stays - waited))
+  }
+
   private _place (avoid: ReadonlySet<string>, again: string | undefined): void {
     const query: PlaceQuery = {
       service: this._service,
       want: this._want,
       urgency: this._route.priority,
       avoid,
-      patience: Math.min(loadPatience, this._remaining * loadShare),
+      patience: this._patience,
+      cancelled: () => this._over,
       ...(again === undefined ? {} : { again })
     }
     this._deps.place(query).then(placed => {
@@ -144,19 +159,12 @@
     this._sends++
     const resumed = this._answer.begun ? this._lastEventId : undefined
     log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), outstanding: upstream.outstanding, version: this._version, resumedAfter: resumed })
-    upstream.outstanding++
-    let open = true
+    const release = upstream.open(this._want?.adapter === undefined ? undefined : `${this._want.model}/${this._want.adapter}`)
     const close = (outcome: ExchangeOutcome, latency?: Ms): void => {
-      if (!open) return
-      open = false
-      upstream.outstanding--
+      release()
       this._deps.exchanged(upstream, outcome, latency)
     }
-    this._closeExchange = () => {
-      if (!open) return
-      open = false
-      upstream.outstanding--
-    }
+    this._closeExchange = release
     let firstByte: Ms | undefined
     const first = (): Ms => (firstByte ??= clock.now() - sentAt)
     const forwarded = codec.forwardHeaders(headers, {
@@ -176,7 +184,7 @@
       headers: forwarded,
       body,
       repeatable: this._repeatable,
-      firstByteTimeout: this._firstByteTimeout(upstream),
+      firstByteTimeout: this._firstByteTimeout(),
       gapTimeout: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
       lastEventId: this._lastEventId
     }, {
@@ -221,10 +229,11 @@
     return this._route.kind === 'read-only' || (this._route.kind === 'stream' && this._route.resumable)
   }
 
-  private _firstByteTimeout (upstream: Upstream): Ms | undefined {
-    if (!this._repeatable) return undefined
+  /** Giving up an answer early helps only where another upstream may be asked. */
+  private _firstByteTimeout (): Ms | undefined {
+    if (!this._repeatable || this._sends >= this._route.maxAttempts) return undefined
     if (this._route.kind === 'stream') return Math.max(streamSilence, 2 * this._route.latencyTarget)
-    return Math.max(slowFloor, slowFactor * upstream.health.latency)
+    return Math.max(slowFloor, slowFactor * this._route.latencyTarget)
   }
 
   private _data (bytes: Buffer, lastEventId: number | undefined): void {
--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -1,5 +1,5 @@
 /**
- * Follows the keys under some prefixes of the store.
+ * Follows what stands in the store.
  */
 import type { Clock, Log, Ms } from '@hazelford/core'
 import { fullJitter } from '@hazelford/decisions'
@@ -7,29 +7,34 @@
 
 /** Hears of the store. */
 export interface MirrorListener {
-  /** All items under the prefix, as of a revision. */
-  readonly reset: (items: readonly StoreItem[], revision: number) => void
+  /** All items. */
+  readonly reset: (items: readonly StoreItem[]) => void
   readonly changed: (event: StoreEvent) => void
   /** The store answers again after failures. */
   readonly regained: () => void
   readonly lost: () => void
 }
 
+/**
+ * Everything: the store belongs to one deployment, and one watch of all of it costs a third
+ * of three watches of its parts.
+ */
+const everything = ''
 /**
  * Longest wait of a watch. A connection that has fallen silent shows only by its timeout, and
  * a change of the configuration must be in force 2 s after it was accepted.
  */
-const watchWait: Ms = 1_000
+const watchWait: Ms = 1_200
 /**
  * Pause between two watches, so that changes that come together cost one call. It delays a
- * change by a tenth of what the platform grants for it.
+ * change by an eighth of what the platform grants for it.
  */
-const gather: Ms = 60
+const gather: Ms = 250
 const backoff = { base: 60, cap: 600 }
 /** Failed calls in a row after which the store counts as lost. */
 const lostAfter = 2
 
-/** Mirrors one prefix for as long as the process lives. */
+/** Mirrors the store for as long as the process lives. */
 export class StoreMirror {
   private _revision = 0
   private _known = false
@@ -40,7 +45,6 @@
 
   constructor (
     private readonly _store: Store,
-    private readonly _prefix: string,
     private readonly _clock: Clock,
     private readonly _log: Log,
     private readonly _listener: MirrorListener
@@ -54,7 +58,7 @@
   /** Ms since the store last answered. */
   age (now: Ms): Ms { return now - this._heardAt }
 
-  start (): void { this._run().catch((error: Error) => this._log.warn('store', 'mirror stopped.', { prefix: this._prefix, error: error.message })) }
+  start (): void { this._run().catch((error: Error) => this._log.warn('store', 'mirror stopped.', { error: error.message })) }
 
   stop (): void { this._stopped = true }
 
@@ -72,7 +76,7 @@
   }
 
   private async _list (): Promise<boolean> {
-    const listing = await this._store.list(this._prefix)
+    const listing = await this._store.list(everything)
     if (listing.isErr()) return false
     this._takeListing(listing.value)
     return true
@@ -81,11 +85,11 @@
   private _takeListing (listing: StoreListing): void {
     this._known = true
     this._revision = listing.revision
-    this._listener.reset(listing.items, listing.revision)
+    this._listener.reset(listing.items)
   }
 
   private async _watch (): Promise<boolean> {
-    const changes = await this._store.watch(this._prefix, this._revision, watchWait)
+    const changes = await this._store.watch(everything, this._revision, watchWait)
     if (changes.isOk()) {
       for (const event of changes.value.events) this._listener.changed(event)
       this._revision = Math.max(this._revision, changes.value.revision)
@@ -94,7 +98,7 @@
     // The store no longer has the changes since our revision. Only a read of everything
     // shows what happened meanwhile; going on from a later revision would miss it for good.
     if (changes.error.kind === 'history-lost') {
-      this._log.info('store', 'history lost, reading everything.', { prefix: this._prefix, revision: this._revision })
+      this._log.info('store', 'history lost, reading everything.', { revision: this._revision })
       this._known = false
       return true
     }
@@ -106,6 +110,7 @@
     this._heardAt = this._clock.now()
     if (!this._isLost) return
     this._isLost = false
+    this._log.info('store', 'regained.', { revision: this._revision })
     this._listener.regained()
   }
 
@@ -113,6 +118,7 @@
     this._failures++
     if (this._failures === lostAfter) {
       this._isLost = true
+      this._log.warn('store', 'lost.', { revision: this._revision, age: Math.round(this.age(this._clock.now())) })
       this._listener.lost()
     }
     return fullJitter(this._failures, backoff, Math.random)
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -13,12 +13,37 @@
   /** Requests of this entry there. */
   outstanding = 0
   private _leavesAt: Ms = Infinity
+  private readonly _uses = new Map<string, number>()
 
   constructor (private _record: UpstreamRecord, private readonly _clock: Clock, maxConnections: number) {
     this.pool = new ConnectionPool(_clock, { host: _record.host, port: _record.port, maxConnections })
     this._noteLeaving()
   }
 
+  /** Adapters that open requests of this entry use, as `model/adapter`. */
+  get uses (): readonly string[] { return [...this._uses.keys()] }
+
+  /**
+   * Notes a request there.
+   *
+   * @param adapter - `model/adapter`, if it uses one
+   * @returns notes its end
+   */
+  open (adapter: string | undefined): () => void {
+    this.outstanding++
+    if (adapter !== undefined) this._uses.set(adapter, (this._uses.get(adapter) ?? 0) + 1)
+    let isOpen = true
+    return () => {
+      if (!isOpen) return
+      isOpen = false
+      this.outstanding--
+      if (adapter === undefined) return
+      const left = (this._uses.get(adapter) ?? 1) - 1
+      if (left > 0) this._uses.set(adapter, left)
+      else this._uses.delete(adapter)
+    }
+  }
+
   get record (): UpstreamRecord { return this._record }
   get id (): string { return this._record.id }
 
