--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -38,13 +38,12 @@
 const lateShare = 0.12
 const lateFloor: Ms = 12
 /**
- * Loads slow down while many run, and nobody sees them all. A late load lengthens the next
- * expectations by a tenth, one in time shortens them by 2 %: one in six is asked for twice,
- * and the others wait no longer than they must.
+ * Loads slow down while many run, and nobody sees them all: the last few loads tell. One
+ * that was over when first asked after may have been over for a while, and counts as a
+ * tenth faster than it was expected.
  */
-const slowdownUp = 1.1
-const slowdownDown = 0.98
-const maxSlowdown = 6
+const slowdownWeight = 0.3
+const inTimeFactor = 0.9
 /** First guesses at load times, from the service's description; corrected by what is seen. */
 const freshLoad: Ms = 250
 const recentLoad: Ms = 25
@@ -53,6 +52,11 @@
 const modelLoad: Ms = 2_000
 /** A report lags by some hundred ms; a later one shows the effect of an order. */
 const reportLag: Ms = 250
+const conflictPause: Ms = 100
+/** Times an order without an answer is sent again before the engine is asked for a report. */
+const maxRepeats = 4
+/** One step of priority outweighs this many times the requests. */
+const urgencyFactor = 3
 /** How soon a plan that found no slot looks again. */
 const slotRetry: Ms = 50
 /** An adapter just loaded stays this long, for those who waited for it. */
@@ -73,6 +77,8 @@
   state: 'loaded' | 'in-transit' | 'unloading' | 'unknown'
   orderedAt: Ms
   readyAt: Ms
+  /** Whether its load was not over when it should have been. */
+  late: boolean
   promisedUntil: Ms
 }
 
@@ -110,6 +116,9 @@
   private readonly _uses = new Map<string, { readonly keys: ReadonlySet<string>, readonly at: Ms }>()
   /** What load times are multiplied by, as engines slow down when many load. */
   private _slowdown = 1
+  /** An order without an answer; it is sent again before any other. */
+  private _unanswered: PlanAction & { readonly kind: 'load' | 'unload' } | undefined
+  private _repeats = 0
   private _mustReport = true
   private _reportAt: Ms = 0
 
@@ -132,6 +141,7 @@
    * @param askedAt - time
    */
   takeReport (report: EngineReport, askedAt: Ms): void {
+    this._unanswered = undefined
     const held = this._slots
     this._slots = new Map()
     this._models = new Map(report.models.map(({ model }) => [model, 'loaded']))
@@ -140,7 +150,7 @@
     for (const { model, adapter, version } of report.coming) {
       const key = slotKey(model, adapter)
       const before = held.get(key)
-      this._slots.set(key, { model, adapter, version, state: 'in-transit', orderedAt: before?.orderedAt ?? askedAt, readyAt: Math.max(before?.readyAt ?? 0, askedAt + recentLoad), promisedUntil: 0 })
+      this._slots.set(key, { model, adapter, version, state: 'in-transit', orderedAt: before?.orderedAt ?? askedAt, readyAt: Math.max(before?.readyAt ?? 0, askedAt + recentLoad), late: false, promisedUntil: 0 })
     }
     // An order that was accepted after the report's values were read isn't in it yet.
     for (const [key, slot] of held) {
@@ -155,7 +165,7 @@
       const before = held.get(key)
       const leaving = before?.state === 'unloading'
       if (leaving) this._askAgain(askedAt + reportLag)
-      this._slots.set(key, { model, adapter, version, state: leaving ? 'unloading' : 'loaded', orderedAt: 0, readyAt: -Infinity, promisedUntil: before?.promisedUntil ?? 0 })
+      this._slots.set(key, { model, adapter, version, state: leaving ? 'unloading' : 'loaded', orderedAt: 0, readyAt: -Infinity, late: false, promisedUntil: before?.promisedUntil ?? 0 })
       this._remember(key)
     }
   }
@@ -290,11 +300,12 @@
   next (now: Ms): PlanAction {
     this._dropExpired(now)
     if (this._mustReport) return now >= this._reportAt ? { kind: 'report' } : { kind: 'idle', until: this._reportAt }
+    if (this._unanswered !== undefined) return this._unanswered
     const due = this._dueConfirmation(now)
     if (due !== undefined) return due
     const model = this._modelToLoad()
     if (model !== undefined) return { kind: 'load', target: { model } }
-    for (const { want } of this._byUrgency()) {
+    for (const { want } of this._byDemand(now)) {
       const action = want.adapter === undefined ? undefined : this._actionFor(want, now)
       if (action !== undefined) return action
     }
@@ -303,8 +314,18 @@
     return { kind: 'idle', until: Math.min(retry, this.nextReady(now) ?? Infinity) }
   }
 
-  private _byUrgency (): readonly Waiting[] {
-    return [...this._waiting.values()].sort((a, b) => a.urgency - b.urgency || a.since - b.since)
+  /**
+   * Who is loaded first when the weight store can't feed all: what most requests wait for,
+   * counted more the more urgent they are. Each entry asks again while it waits, so that
+   * what waits long gains weight too.
+   */
+  private _byDemand (now: Ms): readonly Waiting[] {
+    const weigh = (waiting: Waiting): number =>
+      this._popularity.read(slotKey(waiting.want.model, waiting.want.adapter ?? ''), now) * urgencyFactor ** -waiting.urgency
+    return [...this._waiting.values()]
+      .map(waiting => ({ waiting, weight: weigh(waiting) }))
+      .sort((a, b) => b.weight - a.weight || a.waiting.since - b.waiting.since)
+      .map(({ waiting }) => waiting)
   }
 
   /**
@@ -401,19 +422,21 @@
    * @param now - time
    */
   ordered (action: PlanAction & { readonly kind: 'load' | 'unload' }, outcome: OrderOutcome | undefined, now: Ms): void {
+    this._unanswered = undefined
     switch (outcome) {
       case 'accepted':
       case 'holds':
+        this._repeats = 0
         if (action.kind === 'load') this._loadAccepted(action.target, outcome, now)
         else this._unloadAccepted(action.target, outcome, now)
         return
       case undefined:
-        // The order may have been taken, or may be carried out later; until a report shows
-        // which, its slot counts as used, or one load too many could follow.
-        if (action.kind === 'load') this._noteUnknown(action.target)
-        this._askAgain(now + reportLag)
+        this._noAnswer(action, now)
         return
       case 'conflict':
+        // Reports lag; the order that was counted may be too young to be in one yet.
+        this._askAgain(now + conflictPause)
+        return
       case 'refused':
       case 'fenced':
       case 'other-instance':
@@ -423,9 +446,27 @@
     }
   }
 
+  /**
+   * An order that got no answer may have been taken, or may be carried out seconds later.
+   *
+   * Sent again on the same view of the engine, it settles both: taken, the engine has
+   * counted it and refuses the second; not taken, the second is counted and the engine
+   * refuses the first whenever it comes. Until then a load counts as holding its slot,
+   * or one too many could follow.
+   */
+  private _noAnswer (action: PlanAction & { readonly kind: 'load' | 'unload' }, now: Ms): void {
+    if (action.kind === 'load') this._noteUnknown(action.target)
+    if (++this._repeats > maxRepeats) {
+      this._repeats = 0
+      this._askAgain(now + reportLag)
+    } else {
+      this._unanswered = action
+    }
+  }
+
   private _noteUnknown ({ model, adapter, version }: LoadTarget): void {
     if (adapter === undefined) this._models.set(model, 'unknown')
-    else this._slots.set(slotKey(model, adapter), { model, adapter, version, state: 'unknown', orderedAt: 0, readyAt: Infinity, promisedUntil: 0 })
+    else if (!this._slots.has(slotKey(model, adapter))) this._slots.set(slotKey(model, adapter), { model, adapter, version, state: 'unknown', orderedAt: 0, readyAt: Infinity, late: false, promisedUntil: 0 })
   }
 
   private _loadAccepted ({ model, adapter, version }: LoadTarget, outcome: 'accepted' | 'holds', now: Ms): void {
@@ -437,7 +478,7 @@
     const key = slotKey(model, adapter)
     const before = this._slots.get(key)
     const confirms = before?.state === 'in-transit'
-    const slot: Slot = before ?? { model, adapter, version, state: 'in-transit', orderedAt: now, readyAt: now, promisedUntil: 0 }
+    const slot: Slot = before ?? { model, adapter, version, state: 'in-transit', orderedAt: now, readyAt: now, late: false, promisedUntil: 0 }
     slot.version = version ?? slot.version
     this._slots.set(key, slot)
     if (outcome === 'holds') this._loadEnded(key, slot, now)
@@ -448,21 +489,28 @@
   private _loadBegun (key: string, slot: Slot, now: Ms): void {
     slot.state = 'in-transit'
     slot.orderedAt = now
-    slot.readyAt = now + (this._recent.has(key) ? recentLoad : freshLoad) * this._slowdown + loadMargin
+    slot.late = false
+    slot.readyAt = now + (this._recent.has(key) ? recentLoad : freshLoad * this._slowdown) + loadMargin
   }
 
   private _loadLate (slot: Slot, now: Ms): void {
-    this._slowdown = Math.min(maxSlowdown, this._slowdown * slowdownUp)
+    slot.late = true
     slot.readyAt = now + Math.max(lateFloor, (now - slot.orderedAt) * lateShare)
   }
 
   private _loadEnded (key: string, slot: Slot, now: Ms): void {
-    if (slot.state === 'in-transit') this._slowdown = Math.max(1, this._slowdown * slowdownDown)
+    if (slot.state === 'in-transit') this._learn(key, slot, now)
     slot.state = 'loaded'
     slot.promisedUntil = Math.max(slot.promisedUntil, now + settleTime)
     this._remember(key)
   }
 
+  private _learn (key: string, slot: Slot, now: Ms): void {
+    if (this._recent.has(key)) return
+    const seen = slot.late ? (now - slot.orderedAt) / freshLoad : this._slowdown * inTimeFactor
+    this._slowdown = Math.max(1, this._slowdown + slowdownWeight * (seen - this._slowdown))
+  }
+
   private _unloadAccepted ({ model, adapter }: LoadTarget, outcome: 'accepted' | 'holds', now: Ms): void {
     if (adapter === undefined) return
     const key = slotKey(model, adapter)
