--- /dev/null
+++ b/packages/decisions/src/test/adapter-plan.steps.ts
@@ -0,0 +1,197 @@
+/**
+ * Plays asks against the plan of one engine, with an engine that loses and delays orders.
+ */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import type { EngineReport, EngineSpec, OrderOutcome } from '@hazelford/ports'
+import { AdapterPlan, type PlanAction, type Readiness } from '../lib/adapter-plan.js'
+import { propertyOptions } from './support/property-options.js'
+
+type Order = PlanAction & { readonly kind: 'load' | 'unload' }
+
+const model = 'm'
+
+function specOf (adapterSlots: number): EngineSpec {
+  return { slots: 32, weightsMb: 10_000, adapterSlots, loadsPerSecond: 4, models: [{ name: model, weightsMb: 1_000, adapterMb: 10, adapters: 100 }] }
+}
+
+/** An engine that counts orders, and refuses one whose sender knew fewer. */
+class PlayedEngine {
+  readonly held = new Map<string, number>()
+  readonly coming = new Map<string, number>()
+  orders = 0
+  most = 0
+  mostComing = 0
+
+  take ({ kind, target }: Order, after: number, now: number): OrderOutcome {
+    this._arrive(now)
+    if (after !== this.orders) return 'conflict'
+    const adapter = target.adapter!
+    if (kind === 'load' && this.held.has(adapter)) return 'holds'
+    this.orders++
+    if (kind === 'unload') {
+      this.held.delete(adapter)
+      return 'holds'
+    }
+    if (!this.coming.has(adapter)) this.coming.set(adapter, now + 250)
+    this.most = Math.max(this.most, this.held.size + this.coming.size)
+    this.mostComing = Math.max(this.mostComing, this.coming.size)
+    return 'accepted'
+  }
+
+  report (now: number): EngineReport {
+    this._arrive(now)
+    return {
+      models: [{ model, version: 1, adapters: [...this.held.keys()].map(adapter => ({ adapter, version: 1 })) }],
+      coming: [...this.coming.keys()].map(adapter => ({ model, adapter, version: 1 })),
+      busy: false,
+      orders: this.orders,
+      running: 0,
+      waiting: 0
+    }
+  }
+
+  private _arrive (now: number): void {
+    for (const [adapter, at] of this.coming) {
+      if (at > now) continue
+      this.coming.delete(adapter)
+      this.held.set(adapter, 1)
+    }
+  }
+}
+
+type Fate = 'answered' | 'lost-before' | 'lost-after' | 'late'
+
+interface Play { readonly asks: readonly { readonly adapter: number, readonly gap: number }[], readonly fates: readonly Fate[] }
+
+const plays: fc.Arbitrary<Play> = fc.record({
+  asks: fc.array(fc.record({ adapter: fc.integer({ min: 1, max: 12 }), gap: fc.integer({ min: 0, max: 120 }) }), { minLength: 20, maxLength: 80 }),
+  fates: fc.array(fc.constantFrom<Fate>('answered', 'answered', 'answered', 'lost-before', 'lost-after', 'late'), { minLength: 5, maxLength: 40 })
+})
+
+/** Plays all asks; an order's fate decides whether it arrives, and whether its answer does. */
+function play ({ asks, fates }: Play): PlayedEngine {
+  const engine = new PlayedEngine()
+  const plan = new AdapterPlan(specOf(4))
+  const late: { at: number, order: Order, after: number }[] = []
+  let [now, known, sent] = [0, 0, 0]
+  const step = (): void => {
+    for (const { order, after } of late.filter(({ at }) => at <= now)) engine.take(order, after, now)
+    late.splice(0, late.length, ...late.filter(({ at }) => at > now))
+    const action = plan.next(now)
+    if (action.kind === 'idle') return
+    if (action.kind === 'report') {
+      const report = engine.report(now)
+      known = report.orders
+      plan.takeReport(report, now)
+      return
+    }
+    const fate = fates[sent++ % fates.length]!
+    if (fate === 'late') late.push({ at: now + 3_000, order: action, after: known })
+    const outcome = fate === 'answered' || fate === 'lost-after' ? engine.take(action, known, now) : undefined
+    const heard = fate === 'answered' ? outcome : undefined
+    if (heard === 'accepted' || (heard === 'holds' && action.kind === 'unload')) known++
+    plan.ordered(action, heard, now)
+  }
+  for (const { adapter, gap } of asks) {
+    for (const end = now + gap; now < end; now += 10) step()
+    plan.ask({ model, adapter: `a${adapter}` }, { urgency: 1, until: now + 2_000, missing: false, mayWait: true }, now)
+  }
+  for (const end = now + 6_000; now < end; now += 10) step()
+  return engine
+}
+
+Then('for any asks and any lost or late orders the engine never holds more than its slots', () => {
+  fc.assert(fc.property(plays, input => assert.ok(play(input).most <= 4)), propertyOptions)
+})
+
+Then('for any asks and any lost or late orders at most four adapters are in transit', () => {
+  fc.assert(fc.property(plays, input => assert.ok(play(input).mostComing <= 4)), propertyOptions)
+})
+
+interface PlanWorld { plan: AdapterPlan, now: number, readiness: Readiness }
+
+function report (adapters: readonly string[]): EngineReport {
+  return { models: [{ model, version: 1, adapters: adapters.map(adapter => ({ adapter, version: 1 })) }], coming: [], busy: false, orders: 0, running: 0, waiting: 0 }
+}
+
+function ask (world: PlanWorld, adapter: string, mayWait = true, version?: number): void {
+  const want = { model, adapter, ...(version === undefined ? {} : { version }) }
+  world.readiness = world.plan.ask(want, { urgency: 1, until: world.now + 2_000, missing: false, mayWait }, world.now)
+}
+
+function prepare (world: PlanWorld, slots: number, adapters: readonly string[]): void {
+  world.now = 0
+  world.plan = new AdapterPlan(specOf(slots))
+  world.plan.takeReport(report(adapters), 0)
+}
+
+Given('an engine with 2 adapter slots, both promised', function (this: PlanWorld) {
+  prepare(this, 2, ['a1', 'a2'])
+  ask(this, 'a1')
+  ask(this, 'a2')
+  assert.equal(this.readiness.kind, 'ready')
+})
+
+When('a third adapter is asked for', function (this: PlanWorld) { ask(this, 'a3') })
+
+Then('nothing is unloaded before the promises end', function (this: PlanWorld) {
+  assert.equal(this.plan.next(500).kind, 'idle')
+  assert.equal(this.plan.next(1_100).kind, 'unload')
+})
+
+Given('an engine with 2 adapter slots, both in use', function (this: PlanWorld) {
+  prepare(this, 2, ['a1', 'a2'])
+  this.plan.noteUse('entry-1', [`${model}/a1`, `${model}/a2`], 0)
+})
+
+Then('a third adapter is answered with "occupied" when its request may not wait', function (this: PlanWorld) {
+  ask(this, 'a3', false)
+  assert.equal(this.readiness.kind, 'occupied')
+  ask(this, 'a3', true)
+  assert.equal(this.readiness.kind, 'coming')
+})
+
+Given('20 adapters whose callers have left', function (this: PlanWorld) {
+  prepare(this, 4, [])
+  for (let n = 0; n < 20; n++) ask(this, `old${n}`)
+  this.now = 5_000
+})
+
+When('another adapter is asked for', function (this: PlanWorld) { ask(this, 'new') })
+
+Then('it is the next one loaded', function (this: PlanWorld) {
+  const action = this.plan.next(this.now)
+  assert.ok(action.kind === 'load' && action.target.adapter === 'new')
+})
+
+Then('the adapter that most wait for is loaded among the first four', function (this: PlanWorld) {
+  prepare(this, 36, [])
+  for (let n = 0; n < 60; n++) {
+    this.now = n * 1_000 / 60
+    ask(this, n % 5 === 4 ? 'hot' : `rare${n}`)
+  }
+  const first: (string | undefined)[] = []
+  for (let n = 0; n < 4; n++) {
+    const action = this.plan.next(this.now)
+    if (action.kind !== 'load') break
+    first.push(action.target.adapter)
+    this.plan.ordered(action, 'accepted', this.now)
+  }
+  assert.ok(first.includes('hot'), first.join())
+})
+
+Given('an engine whose adapter is in use in version 1', function (this: PlanWorld) {
+  prepare(this, 2, ['a1'])
+  this.plan.noteUse('entry-1', [`${model}/a1`], 0)
+})
+
+When('version 2 of it is asked for', function (this: PlanWorld) { ask(this, 'a1', true, 2) })
+
+Then('no load is ordered before its requests have ended', function (this: PlanWorld) {
+  assert.equal(this.plan.next(100).kind, 'idle')
+  this.plan.noteUse('entry-1', [], 200)
+  const action = this.plan.next(300)
+  assert.ok(action.kind === 'load' && action.target.version === 2)
+})
--- /dev/null
+++ b/packages/decisions/src/test/relay-flow.steps.ts
@@ -0,0 +1,181 @@
+/**
+ * Drives the relay flow with any sequence of messages and compares each decision with a
+ * naive reading of what may have happened.
+ */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import { type RelayEffect, relayFlow, type RelayMessage, type RelayRequest } from '../lib/relay-flow.js'
+import { propertyOptions } from './support/property-options.js'
+
+interface Input { readonly request: RelayRequest, readonly messages: readonly RelayMessage[] }
+
+const requests: fc.Arbitrary<RelayRequest> = fc.record({
+  kind: fc.constantFrom('read-only' as const, 'non-idempotent' as const, 'stream' as const),
+  resumable: fc.boolean(),
+  maxAttempts: fc.integer({ min: 1, max: 4 })
+})
+
+const messages: fc.Arbitrary<RelayMessage> = fc.oneof(
+  fc.integer({ min: 1, max: 5 }).map((n): RelayMessage => ({ kind: 'placed', upstream: `u${n}` })),
+  fc.constantFrom<RelayMessage>(
+    { kind: 'unplaced', cause: 'no-upstream' },
+    { kind: 'refused', refusal: 'full' },
+    { kind: 'refused', refusal: 'adapter-missing' },
+    { kind: 'unreachable' }, { kind: 'lost' },
+    { kind: 'whole', failed: true }, { kind: 'whole', failed: false },
+    { kind: 'streaming' }, { kind: 'stream-ended' },
+    { kind: 'waited' }, { kind: 'timeout' }, { kind: 'caller-gone' }
+  )
+)
+
+const inputs: fc.Arbitrary<Input> = fc.record({ request: requests, messages: fc.array(messages, { maxLength: 40 }) })
+
+const finals = new Set<RelayEffect['kind']>(['finish', 'fail', 'break', 'forget'])
+const ofExchange = new Set<RelayMessage['kind']>(['refused', 'unreachable', 'lost', 'whole', 'streaming', 'stream-ended'])
+
+/** What a naive observer makes of one run. */
+class Observer {
+  readonly violations: string[] = []
+  readonly upstreams = new Set<string>()
+  open = false
+  mayHaveRun = false
+  waitsFor: 'placed' | 'waited' | 'exchange' | undefined
+  final: RelayEffect | undefined
+  private _current = ''
+  private _streams = false
+
+  constructor (private readonly _request: RelayRequest) {}
+
+  /** Whether a message can come now. */
+  possible (msg: RelayMessage): boolean {
+    if (msg.kind === 'timeout' || msg.kind === 'caller-gone') return true
+    // An exchange whose answer has begun can't be refused, nor turn out unreachable.
+    if (this._streams && (msg.kind === 'refused' || msg.kind === 'unreachable' || msg.kind === 'whole')) return false
+    if (ofExchange.has(msg.kind)) return this.open
+    return msg.kind === 'waited' ? this.waitsFor === 'waited' : this.waitsFor === 'placed'
+  }
+
+  heard (msg: RelayMessage): void {
+    if (msg.kind === 'streaming') this._streams = true
+    if (msg.kind === 'unreachable') this.upstreams.delete(this._current)
+    if (msg.kind === 'lost' || msg.kind === 'whole' || msg.kind === 'streaming') this.mayHaveRun = true
+    if (msg.kind === 'timeout' && this.open) this.mayHaveRun = true
+    if (ofExchange.has(msg.kind) && msg.kind !== 'streaming') this.open = false
+  }
+
+  saw (effect: RelayEffect): void {
+    if (this.final !== undefined) this.violations.push(`${effect.kind} after ${this.final.kind}`)
+    if (finals.has(effect.kind)) this.final = effect
+    if (effect.kind === 'place') this.waitsFor = 'placed'
+    if (effect.kind === 'wait') this.waitsFor = 'waited'
+    if (effect.kind === 'send') this._sent(effect.upstream)
+    if (effect.kind === 'fail' && effect.notRun && this.mayHaveRun) this.violations.push('told "not run" of what may have run')
+  }
+
+  private _sent (upstream: string): void {
+    this.waitsFor = 'exchange'
+    this._streams = false
+    if (this.open) this.violations.push('two upstreams at once')
+    const once = this._request.kind === 'non-idempotent' || (this._request.kind === 'stream' && !this._request.resumable)
+    if (once && this.mayHaveRun) this.violations.push('sent again after it may have run')
+    this.open = true
+    this._current = upstream
+    this.upstreams.add(upstream)
+    if (this.upstreams.size > this._request.maxAttempts) this.violations.push('sent to too many upstreams')
+  }
+}
+
+function observe ({ request, messages: list }: Input): Observer {
+  const observer = new Observer(request)
+  const flow = relayFlow(request, { takeRepeat: () => true })
+  let step = flow.next()
+  for (const effect of step.value ?? []) observer.saw(effect)
+  for (const msg of list) {
+    if (observer.final !== undefined) break
+    if (!observer.possible(msg)) continue
+    observer.heard(msg)
+    step = flow.next(msg)
+    for (const effect of step.value ?? []) observer.saw(effect)
+  }
+  return observer
+}
+
+function holds (words: string): void {
+  fc.assert(fc.property(inputs, input => {
+    const broken = observe(input).violations.filter(violation => violation.includes(words))
+    assert.deepEqual(broken, [])
+  }), { ...propertyOptions, numRuns: 2_000 })
+}
+
+Then('for any direct request at most one upstream has it at any time and nothing follows its final answer', () => {
+  holds('two upstreams')
+  holds(' after ')
+})
+
+Then('for any direct request that may run once, nothing is sent after it may have run', () => holds('sent again'))
+
+Then('for any direct request "not run" is told only when it surely did not run', () => holds('told "not run"'))
+
+Then('for any direct request no more upstreams are tried than its route allows', () => holds('too many'))
+
+interface FlowWorld { flow: ReturnType<typeof relayFlow>, effects: readonly RelayEffect[], repeats: number }
+
+function start (world: FlowWorld, request: RelayRequest): void {
+  world.repeats = 0
+  world.flow = relayFlow(request, {
+    takeRepeat: () => {
+      world.repeats++
+      return true
+    }
+  })
+  world.flow.next()
+  tell(world, { kind: 'placed', upstream: 'u1' })
+}
+
+function tell (world: FlowWorld, msg: RelayMessage): void { world.effects = world.flow.next(msg).value ?? [] }
+
+Given('a direct booking that may be sent to {int} upstream(s)', function (this: FlowWorld, maxAttempts: number) {
+  start(this, { kind: 'non-idempotent', resumable: false, maxAttempts })
+})
+
+Given('a direct stock check that may be sent to {int} upstreams', function (this: FlowWorld, maxAttempts: number) {
+  start(this, { kind: 'read-only', resumable: false, maxAttempts })
+})
+
+When('its upstream takes no connection', function (this: FlowWorld) { tell(this, { kind: 'unreachable' }) })
+
+Then('it is placed again and the budget is untouched', function (this: FlowWorld) {
+  assert.equal(this.effects[0]?.kind, 'place')
+  tell(this, { kind: 'placed', upstream: 'u2' })
+  assert.deepEqual(this.effects, [{ kind: 'send', upstream: 'u2' }])
+  assert.equal(this.repeats, 0)
+})
+
+When('its upstream refuses for lack of the adapter', function (this: FlowWorld) { tell(this, { kind: 'refused', refusal: 'adapter-missing' }) })
+
+Then('it waits a moment and is placed at the same upstream', function (this: FlowWorld) {
+  const waits = this.effects.map(({ kind }) => kind)
+  assert.deepEqual(waits, ['wait'])
+  tell(this, { kind: 'waited' })
+  const [effect] = this.effects
+  assert.ok(effect?.kind === 'place' && effect.again === 'u1')
+})
+
+When('its upstream answers with an error and no other can be had', function (this: FlowWorld) {
+  tell(this, { kind: 'whole', failed: true })
+  tell(this, { kind: 'unplaced', cause: 'no-upstream' })
+})
+
+Then('the error is delivered', function (this: FlowWorld) {
+  assert.deepEqual(this.effects.map(({ kind }) => kind), ['deliver', 'finish'])
+})
+
+When('its answer has begun and the rest is lost', function (this: FlowWorld) {
+  tell(this, { kind: 'streaming' })
+  tell(this, { kind: 'lost' })
+})
+
+Then('the direct answer is broken', function (this: FlowWorld) {
+  assert.deepEqual(this.effects.map(({ kind }) => kind), ['break'])
+})
