Let prompts into an engine at the rate at which it reads them

Change: the holder of an engine paces prompts (PromptPacer), learns the rate from paused streams, and tells entries the engine's load; popular adapters have two homes.

--- a/packages/decisions/src/lib/place-request.ts
+++ b/packages/decisions/src/lib/place-request.ts
@@ -16,8 +16,10 @@
 export interface PlacementCandidate {
   readonly id: string
   readonly sameZone: boolean
-  /** Requests this entry has there. */
-  readonly outstanding: number
+  /** Requests that all entries have there, as far as this one knows. */
+  readonly running: number
+  /** Prompt tokens sent there that it can't have read yet. */
+  readonly promptBacklog: number
   /** Requests it runs at once. */
   readonly slots: number
   /** Smoothed time to the first byte, 0 when unknown. */
@@ -30,8 +32,6 @@
 
 /** What holds for all candidates of one request. */
 export interface PlacementContext {
-  /** Entries that send to the same upstreams. */
-  readonly entries: number
   /** Upstreams that the adapter's requests are spread over. */
   readonly replicas: number
 }
@@ -50,19 +50,23 @@
 const fullBatchCost: Ms = 120
 /** Cost of each request beyond the batch: it waits for a place. */
 const queueCost: Ms = 40
+/**
+ * Prompt tokens that an engine reads in a ms; large models on current accelerators read 30
+ * to 40. While it reads, the streams that run there stand still, and all of them are late
+ * when several long prompts come together.
+ */
+export const promptTokensPerMs = 35
 /** A failed request costs its caller about a latency target. */
 const failureCost: Ms = 800
 
 function cost (candidate: PlacementCandidate, context: PlacementContext): Ms {
-  // The other entries send as this one does; their part isn't seen otherwise in time.
-  const running = candidate.outstanding * context.entries
-  const waiting = Math.max(0, running + 1 - candidate.slots)
+  const waiting = Math.max(0, candidate.running + 1 - candidate.slots)
   const atHome = candidate.rank < context.replicas
   const load = { loaded: 0, loadable: atHome ? homeLoadCost : awayLoadCost, unavailable: unavailableCost }[candidate.adapter]
   // A copy away from home is used while it is there, but draws no lasting traffic.
   const stray = atHome ? 0 : homeLoadCost / 2
-  return load + stray + (candidate.sameZone ? 0 : otherZoneCost) + running / candidate.slots * fullBatchCost +
-    waiting * queueCost + candidate.failureShare * failureCost + candidate.latency
+  return load + stray + (candidate.sameZone ? 0 : otherZoneCost) + candidate.running / candidate.slots * fullBatchCost +
+    waiting * queueCost + candidate.promptBacklog / promptTokensPerMs + candidate.failureShare * failureCost + candidate.latency
 }
 
 /**
@@ -84,13 +88,21 @@
     .map(ranked => ranked.candidate)
 }
 
+/** Share of the requests from which an adapter has a second home, so that load can be evened out. */
+const popularShare = 0.01
+const spread = 2
+
 /**
  * Homes of an adapter.
  *
+ * Skewed popularity puts a fifth of all requests on one adapter and half of them on a dozen.
+ * With one home each the fullest engine gets half as much again as the mean; with two for
+ * each of the dozen the choice between them evens that out, for a dozen slots.
+ *
  * @param share - part of the service's requests that are for it, 0 to 1
  * @param upstreams - upstreams of the service
- * @returns how many; 1.5 times its fair part, so that its homes stay under the mean load
  */
 export function replicasFor (share: number, upstreams: number): number {
-  return Math.max(1, Math.min(upstreams, Math.ceil(share * upstreams * 1.5)))
+  const wanted = Math.max(share >= popularShare ? 2 : 1, Math.ceil(share * upstreams * spread))
+  return Math.min(upstreams, wanted)
 }
--- a/packages/decisions/src/test/direct-decisions.feature
+++ b/packages/decisions/src/test/direct-decisions.feature
@@ -22,3 +22,9 @@
     Then a request for an adapter goes to its home although other engines have less to do
     And a request for an adapter leaves its home when the wait there is longer than a load elsewhere
     And the hottest adapter has more homes than others
+
+  Scenario: long prompts come together
+    Symptom: every stream of one engine pauses for half a second while the others idle.
+    Events: several long prompts arrive within 100 ms and are sent to the engine with the fewest requests.
+    Cause: requests were counted, not the prompts that the engine has yet to read.
+    Then a long prompt goes where no other prompt is being read
--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -9,8 +9,6 @@
 import type { PeerAddress, PeerTable } from './peer-table.js'
 import type { Upstream } from './upstream.js'
 
-/** A promise that ends sooner than this is renewed while it is used. */
-const renewBefore: Ms = 600
 /**
  * How often a holder that did not answer is tried. Until it answers nobody waits for it:
  * each request would spend most of its patience on a process that is gone.
@@ -21,7 +19,7 @@
 const askLimit: Ms = 400
 
 /** An adapter that a request needs. */
-export type EnsureQuery = Omit<Ask, 'answerIn' | 'entry' | 'uses'>
+export type EnsureQuery = Omit<Ask, 'answerIn' | 'entry' | 'uses' | 'outstanding' | 'streams' | 'paused'>
 
 interface HeldPromise { readonly until: Ms, readonly version: number | undefined }
 
@@ -30,7 +28,6 @@
 /** Promises that holders made to this entry. */
 export class AdapterDirectory {
   private readonly _promises = new Map<string, Map<string, HeldPromise>>()
-  private readonly _asking = new Map<string, Promise<AskOutcome>>()
   private readonly _suspects = new Set<string>()
 
   constructor (
@@ -82,40 +79,21 @@
    * @returns the version to expect there
    */
   async ensure (upstream: Upstream, query: EnsureQuery): Promise<AskOutcome> {
+    if (this._askable(upstream.id)) return this._askHolder(upstream, query)
+    // Nobody can be asked: what was promised or listed last is the best there is.
     const { want, missing } = query
-    const promise = missing ? undefined : this._promised(upstream.id, want)
-    if (promise !== undefined) {
-      if (promise.until - this._clock.now() < renewBefore) this._renew(upstream, query)
-      return { kind: 'ready', ...promise }
-    }
-    if (!this._askable(upstream.id)) {
-      return !missing && this._listed(upstream, want)
-        ? { kind: 'ready', until: this._clock.now(), version: want.version }
-        : { kind: 'unavailable', cause: 'nobody orders this engine' }
-    }
-    return this._ask(upstream, query)
-  }
-
-  private _renew (upstream: Upstream, query: EnsureQuery): void {
-    this._ask(upstream, { ...query, mayWait: false }).catch((error: Error) => {
-      this._log.info('loads', 'promise not renewed.', { upstream: upstream.id, cause: error.message })
-    })
-  }
-
-  private _ask (upstream: Upstream, query: EnsureQuery): Promise<AskOutcome> {
-    const { want, missing, mayWait } = query
-    const key = `${upstream.id}|${wantKey(want)}|${want.version ?? ''}|${missing}|${mayWait}`
-    const running = this._asking.get(key)
-    if (running !== undefined) return running
-    const asked = this._askHolder(upstream, query).finally(() => this._asking.delete(key))
-    this._asking.set(key, asked)
-    return asked
+    const promise = this._promised(upstream.id, want)
+    if (!missing && promise !== undefined) return { kind: 'ready', ...promise }
+    return !missing && this._listed(upstream, want)
+      ? { kind: 'ready', until: this._clock.now(), version: want.version }
+      : { kind: 'unavailable', cause: 'nobody orders this engine' }
   }
 
   private async _askHolder (upstream: Upstream, query: EnsureQuery): Promise<AskOutcome> {
-    const ask: Ask = { ...query, answerIn: Math.min(query.patience, askLimit), entry: this._node, uses: upstream.uses }
+    const ask: Ask = { ...query, answerIn: Math.min(query.patience, askLimit), entry: this._node, uses: upstream.uses, outstanding: upstream.outstanding, ...upstream.takeStreams() }
     const outcome = await (this._desk.ask(upstream.id, ask) ?? this._askPeer(upstream.id, ask))
     if (outcome.kind === 'ready') {
+      if (outcome.load !== undefined) upstream.noteLoad(outcome.load)
       const promises = this._promises.get(upstream.id) ?? new Map<string, HeldPromise>()
       promises.set(wantKey(query.want), { until: outcome.until, version: outcome.version })
       this._promises.set(upstream.id, promises)
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -248,17 +248,16 @@
       log,
       codec: platform.codec,
       place: query => this._placer.place(query),
-      member: upstream => this.members.get(upstream),
       takeRepeat: () => this._takeRepeat(budget, id),
       retryAfter: failure => this._retryAfter(failure),
       adapterBroken: (upstream, broken) => this._directory.broken(upstream, broken),
       exchanged: (upstream, outcome, latency) => this._exchanged(upstream, outcome, latency, route),
-      over: end => {
+      over: ({ end, sends, firstData, longestGap }) => {
         const took = clock.now() - call.arrivedAt
         metrics.open.dec()
         metrics.requests.inc({ kind: route.kind, end })
         metrics.latency.observe({ kind: route.kind }, took)
-        log.info('request', 'over.', { request: id, end, took: Math.round(took) })
+        log.info('request', 'over.', { request: id, end, took: Math.round(took), sends, firstData: firstData === undefined ? undefined : Math.round(firstData), longestGap: Math.round(longestGap) })
       }
     })
     incoming.onGone(() => task.callerGone())
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -1,13 +1,21 @@
 /**
  * Orders one engine, while this entry holds it.
  */
-import { type Clock, type Log, type Ms } from '@hazelford/core'
-import { AdapterPlan, type AdapterWant, type PlanAction, type Readiness } from '@hazelford/decisions'
+import type { CancelTimer, Clock, Log, Ms } from '@hazelford/core'
+import { AdapterPlan, type AdapterWant, type PlanAction, PromptPacer, type Readiness } from '@hazelford/decisions'
 import type { EngineControl, EngineSpec, LoadTarget, OrderOutcome } from '@hazelford/ports'
 
+/** What a holder knows of an engine's load. */
+export interface EngineLoad {
+  /** Requests that the other entries have there. */
+  readonly others: number
+  /** Prompt tokens that are not read yet. */
+  readonly promptBacklog: number
+}
+
 /** What a holder says to an ask: it can be used, it will be, or it can't be had here now. */
 export type AskOutcome =
-  | Readiness & { readonly kind: 'ready' }
+  | Readiness & { readonly kind: 'ready', readonly load?: EngineLoad }
   | { readonly kind: 'coming' }
   | { readonly kind: 'unavailable', readonly cause: string }
 
@@ -28,6 +36,13 @@
   readonly entry: string
   /** `model/adapter` of what its open requests use at this engine. */
   readonly uses: readonly string[]
+  /** Its open requests there. */
+  readonly outstanding: number
+  /** The request's prompt, to be let in when the engine can read it; undefined asks for the adapter alone. */
+  readonly prompt?: { readonly request: string, readonly tokens: number, readonly dueIn: Ms }
+  /** Streams that ended there since its last word, and how many of them paused longer than is on time. */
+  readonly streams: number
+  readonly paused: number
 }
 
 /** What a holder needs. */
@@ -51,6 +66,8 @@
   cancel: () => void
 }
 
+/** Age at which an entry's word on its requests counts no more. */
+const wordLasts: Ms = 3_000
 /** How long a new version may wait for a moment without requests on the old one. */
 const prefetchLasts: Ms = 4_000
 /** Pause before an order is tried again while the lease is in doubt. */
@@ -59,7 +76,13 @@
 /** Runs an {@link AdapterPlan} against its engine. */
 export class EngineHolder {
   private readonly _plan: AdapterPlan
+  private readonly _pacer = new PromptPacer()
+  /** Requests that wait to be let in, by their ticket. */
+  private readonly _doors = new Map<string, () => void>()
+  private _doorTimer: CancelTimer | undefined
   private _waiters: Waiter[] = []
+  /** Open requests of each entry, and when it said so. */
+  private readonly _outstanding = new Map<string, { readonly requests: number, readonly at: Ms }>()
   private _orders = 0
   private _busy = false
   private _released = false
@@ -74,9 +97,62 @@
   get slotsUsed (): number { return this._plan.slotsUsed }
 
   /** Asks for an adapter and waits until it can be used, or for as long as the ask says. */
-  ask ({ want, urgency, patience, answerIn, missing, mayWait, entry, uses }: Ask): Promise<AskOutcome> {
+  async ask (ask: Ask): Promise<AskOutcome> {
+    if (this._released) return { kind: 'unavailable', cause: 'not held' }
+    this._outstanding.set(ask.entry, { requests: ask.outstanding, at: this._options.clock.now() })
+    this._pacer.learn(ask.streams, ask.paused)
+    const startedAt = this._options.clock.now()
+    const outcome = await this._await(ask)
+    if (outcome.kind !== 'ready') return outcome
+    const left = ask.answerIn - (this._options.clock.now() - startedAt)
+    if (ask.prompt !== undefined && !await this._letIn(ask, left)) return { kind: 'coming' }
+    const now = this._options.clock.now()
+    return { ...outcome, load: { others: this._othersThan(ask.entry), promptBacklog: this._pacer.backlog(now) } }
+  }
+
+  /** Waits until the engine can read the prompt. */
+  private _letIn ({ entry, prompt, urgency }: Ask, answerIn: Ms): Promise<boolean> {
+    const { clock } = this._options
+    const { request, tokens, dueIn } = prompt!
+    const id = `${entry} ${request}`
+    const now = clock.now()
+    this._pacer.offer({ id, tokens, urgency, dueAt: now + dueIn }, now)
+    return new Promise(resolve => {
+      const cancel = clock.after(answerIn, () => {
+        this._doors.delete(id)
+        resolve(false)
+      })
+      this._doors.set(id, () => {
+        cancel()
+        this._doors.delete(id)
+        resolve(true)
+      })
+      this._openDoors()
+    })
+  }
+
+  private _openDoors (): void {
+    const { clock } = this._options
+    const now = clock.now()
+    for (const id of this._pacer.admit(now)) this._doors.get(id)?.()
+    const next = this._pacer.nextAt(now)
+    if (next === undefined || this._doorTimer !== undefined) return
+    this._doorTimer = clock.after(Math.max(1, next - now), () => {
+      this._doorTimer = undefined
+      this._openDoors()
+    })
+  }
+
+  /** Requests that the other entries have here, by their last word. */
+  private _othersThan (entry: string): number {
+    const now = this._options.clock.now()
+    let sum = 0
+    for (const [other, { requests, at }] of this._outstanding) if (other !== entry && now - at < wordLasts) sum += requests
+    return sum
+  }
+
+  private _await ({ want, urgency, patience, answerIn, missing, mayWait, entry, uses }: Ask): Promise<AskOutcome> {
     const { clock } = this._options
-    if (this._released) return Promise.resolve({ kind: 'unavailable', cause: 'not held' })
     const now = clock.now()
     this._plan.noteUse(entry, uses, now)
     const readiness = this._plan.ask(want, { urgency, until: now + patience, missing, mayWait }, now)
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -3,7 +3,7 @@
  */
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Ms } from '@hazelford/core'
-import type { Ask, AskOutcome } from './engine-holder.js'
+import type { Ask, AskOutcome, EngineLoad } from './engine-holder.js'
 import { callJson, readJson } from './json-client.js'
 import type { PeerAddress } from './peer-table.js'
 
@@ -12,7 +12,7 @@
 
 /** The answer; a promise is told as the time left, since clocks differ. */
 type AskReply =
-  | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number }
+  | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number, readonly load?: EngineLoad }
   | { readonly kind: 'coming' }
   | { readonly kind: 'unavailable', readonly cause: string }
 
@@ -49,7 +49,7 @@
   if (req.method !== 'POST' || req.url !== askPath) return sendJson(res, 404, { error: `Nothing is served at ${req.url ?? ''}.` })
   const outcome = await service.ask(await readJson(req, maxBody) as AskMessage)
   const reply: AskReply = outcome.kind === 'ready'
-    ? { kind: 'ready', lasts: outcome.until - service.now(), ...(outcome.version === undefined ? {} : { version: outcome.version }) }
+    ? { kind: 'ready', lasts: outcome.until - service.now(), ...(outcome.version === undefined ? {} : { version: outcome.version }), ...(outcome.load === undefined ? {} : { load: outcome.load }) }
     : outcome
   sendJson(res, 200, reply)
 }
@@ -91,7 +91,7 @@
     if (answer.status !== 200) throw new Error(`The holder answered ${answer.status}.`)
     const reply = answer.body as AskReply
     // The promise runs from the reply; counting from the request is the safe side.
-    return reply.kind === 'ready' ? { kind: 'ready', until: Math.max(sentAt, now() - answerMargin) + reply.lasts, version: reply.version } : reply
+    return reply.kind === 'ready' ? { kind: 'ready', until: Math.max(sentAt, now() - answerMargin) + reply.lasts, version: reply.version, ...(reply.load === undefined ? {} : { load: reply.load }) } : reply
   }
 
   /** Asks for configuration and upstreams. */
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -17,6 +17,8 @@
   readonly again?: string
   /** Ms that may be spent on waiting for an adapter. */
   readonly patience: Ms
+  /** The request's prompt, and when its first event is due. */
+  readonly prompt: { readonly request: string, readonly tokens: number, readonly dueAt: Ms }
   /** Whether nobody waits for it any more. */
   readonly cancelled: () => boolean
 }
@@ -28,6 +30,8 @@
 
 /** Upstreams at which an adapter is asked for before a request is refused. */
 const maxAsked = 3
+/** An engine's first events are late for many reasons that pass; a lasting difference still counts. */
+const engineLatencyShare = 0.5
 /** Pause after an answer that came at once, so that a line is no busy loop. */
 const linePause: Ms = 100
 /** Time in which a change of demand shows in the number of homes. */
@@ -85,12 +89,14 @@
    * Waits for an adapter at one upstream while it is on its way there. Asking elsewhere
    * meanwhile would load it twice, and both loads would share the weight store's rate.
    */
-  private async _await (upstream: Upstream, query: PlaceQuery, ask: Omit<EnsureQuery, 'patience'>, until: Ms): Promise<Placed | undefined> {
+  private async _await (upstream: Upstream, query: PlaceQuery, ask: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<Placed | undefined> {
     let { missing } = ask
     for (;;) {
       const patience = until - this._clock.now()
       if (patience <= 0 || query.cancelled()) return undefined
-      const outcome = await this._directory.ensure(upstream, { ...ask, missing, patience })
+      const { request, tokens, dueAt } = query.prompt
+      const prompt = { request, tokens, dueIn: dueAt - this._clock.now() }
+      const outcome = await this._directory.ensure(upstream, { ...ask, missing, patience, prompt })
       if (outcome.kind === 'ready') return { kind: 'placed', upstream, version: outcome.version }
       if (outcome.kind === 'unavailable') return undefined
       missing = false
@@ -116,19 +122,21 @@
 
   private _rank (query: PlaceQuery, upstreams: readonly Upstream[]): readonly Upstream[] {
     const { want } = query
+    const entries = this._entries()
     const ranks = want?.adapter === undefined ? undefined : this._rankOf(`${want.model}/${want.adapter}`, upstreams)
     const candidates = upstreams.map((upstream): PlacementCandidate & { readonly upstream: Upstream } => ({
       upstream,
       id: upstream.id,
       sameZone: upstream.record.zone === this._zone,
-      outstanding: upstream.outstanding,
+      running: upstream.running(entries),
+      promptBacklog: upstream.promptBacklog,
       slots: upstream.record.slots,
-      latency: want === undefined ? upstream.health.latency : 0,
+      latency: upstream.health.latency * (want === undefined ? 1 : engineLatencyShare),
       failureShare: upstream.health.failureShare,
       adapter: want === undefined ? 'loaded' : this._directory.presence(upstream, want),
       rank: ranks?.get(upstream.id) ?? 0
     }))
-    const context = { entries: this._entries(), replicas: want === undefined ? 1 : this._replicas(query.service, want, upstreams.length) }
+    const context = { replicas: want === undefined ? 1 : this._replicas(query.service, want, upstreams.length) }
     return rankCandidates(candidates, context).map(candidate => (candidate as typeof candidates[number]).upstream)
   }
 
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -22,18 +22,27 @@
 /** How a request ended, for logs and metrics. */
 export type RelayEnd = 'delivered' | 'broken' | 'caller-gone' | RelayFailure
 
+/** What is told of a request at its end. */
+export interface RelaySummary {
+  readonly end: RelayEnd
+  readonly sends: number
+  /** Ms from the request's arrival to the first event of its stream. */
+  readonly firstData: Ms | undefined
+  /** Longest ms between two events. */
+  readonly longestGap: Ms
+}
+
 /** What a request needs of its entry. */
 export interface RelayDepsOfEntry {
   readonly clock: Clock
   readonly log: Log
   readonly codec: CallCodec
   readonly place: (query: PlaceQuery) => Promise<Placed>
-  readonly member: (id: string) => Upstream | undefined
   readonly takeRepeat: () => boolean
   readonly retryAfter: (failure: RelayFailure) => Ms
   readonly adapterBroken: (upstream: string, want: AdapterWant) => void
   readonly exchanged: (upstream: Upstream, outcome: ExchangeOutcome, latency: Ms | undefined) => void
-  readonly over: (end: RelayEnd) => void
+  readonly over: (summary: RelaySummary) => void
 }
 
 /**
@@ -73,6 +82,9 @@
   private _pending: Buffer | undefined
   private _lastEventId: number | undefined
   private _over = false
+  private _firstData: Ms | undefined
+  private _dataAt: Ms | undefined
+  private _longestGap: Ms = 0
   private _sends = 0
 
   constructor (
@@ -137,6 +149,7 @@
       urgency: this._route.priority,
       avoid,
       patience: this._patience,
+      prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget },
       cancelled: () => this._over,
       ...(again === undefined ? {} : { again })
     }
@@ -160,6 +173,7 @@
     const resumed = this._answer.begun ? this._lastEventId : undefined
     log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), outstanding: upstream.outstanding, version: this._version, resumedAfter: resumed })
     const release = upstream.open(this._want?.adapter === undefined ? undefined : `${this._want.model}/${this._want.adapter}`)
+    if (this._want !== undefined) upstream.sentPrompt(facts.promptTokens)
     const close = (outcome: ExchangeOutcome, latency?: Ms): void => {
       release()
       this._deps.exchanged(upstream, outcome, latency)
@@ -217,6 +231,7 @@
       data: (bytes, lastEventId) => this._data(bytes, lastEventId),
       end: () => {
         close('answered', first())
+        if (this._sends === 1) upstream.streamEnded(this._longestGap > this._route.gapTarget && this._route.gapTarget > 0)
         if (!this._answer.begun && this._head !== undefined) this._post({ kind: 'streaming' })
         this._post({ kind: 'stream-ended' })
       }
@@ -239,6 +254,7 @@
   private _data (bytes: Buffer, lastEventId: number | undefined): void {
     if (this._over) return
     if (lastEventId !== undefined) this._lastEventId = lastEventId
+    this._noteData()
     if (!this._answer.begun) {
       this._pending = bytes
       this._post({ kind: 'streaming' })
@@ -247,6 +263,13 @@
     this._write(bytes)
   }
 
+  private _noteData (): void {
+    const now = this._deps.clock.now()
+    if (this._dataAt === undefined) this._firstData = now - this._call.arrivedAt
+    else this._longestGap = Math.max(this._longestGap, now - this._dataAt)
+    this._dataAt = now
+  }
+
   private _write (bytes: Buffer): void {
     if (this._answer.data(bytes)) return
     const exchange = this._exchange
@@ -277,6 +300,6 @@
     this._exchange?.ignore()
     this._closeExchange()
     if (end === 'delivered' && !this._answer.ended) this._answer.end()
-    this._deps.over(end)
+    this._deps.over({ end, sends: this._sends, firstData: this._firstData, longestGap: this._longestGap })
   }
 }
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -2,9 +2,13 @@
  * One lifetime of an upstream, as this entry uses it.
  */
 import type { Clock, Ms } from '@hazelford/core'
-import { UpstreamHealth } from '@hazelford/decisions'
+import { promptTokensPerMs, UpstreamHealth } from '@hazelford/decisions'
 import type { UpstreamRecord } from '@hazelford/ports'
 import { ConnectionPool } from './connection-pool.js'
+import type { EngineLoad } from './engine-holder.js'
+
+/** Age at which a word on its load is no better than a guess. */
+const loadLasts: Ms = 1_500
 
 /** What is known of an upstream, and what this entry has there. */
 export class Upstream {
@@ -13,6 +17,10 @@
   /** Requests of this entry there. */
   outstanding = 0
   private _leavesAt: Ms = Infinity
+  private _load: EngineLoad & { readonly at: Ms } | undefined
+  private _sentTokens = 0
+  private _streams = 0
+  private _paused = 0
   private readonly _uses = new Map<string, number>()
 
   constructor (private _record: UpstreamRecord, private readonly _clock: Clock, maxConnections: number) {
@@ -20,6 +28,47 @@
     this._noteLeaving()
   }
 
+  /** Takes its holder's word on its load. */
+  noteLoad (load: EngineLoad): void {
+    this._load = { ...load, at: this._clock.now() }
+    this._sentTokens = 0
+  }
+
+  private get _knownLoad (): (EngineLoad & { readonly at: Ms }) | undefined {
+    return this._load !== undefined && this._clock.now() - this._load.at < loadLasts ? this._load : undefined
+  }
+
+  /**
+   * Requests that all entries have there.
+   *
+   * @param entries - entries that send there, each about as much as this one, if no newer word is known
+   */
+  running (entries: number): number { return this.outstanding + (this._knownLoad?.others ?? this.outstanding * (entries - 1)) }
+
+  /** Prompt tokens that it has yet to read, as far as is known. */
+  get promptBacklog (): number {
+    const load = this._knownLoad
+    if (load === undefined) return 0
+    return Math.max(0, load.promptBacklog + this._sentTokens - (this._clock.now() - load.at) * promptTokensPerMs)
+  }
+
+  /** Notes a prompt on its way there. */
+  sentPrompt (tokens: number): void { this._sentTokens += tokens }
+
+  /** Notes how a stream there went. */
+  streamEnded (paused: boolean): void {
+    this._streams++
+    if (paused) this._paused++
+  }
+
+  /** Streams ended since the last call. */
+  takeStreams (): { readonly streams: number, readonly paused: number } {
+    const taken = { streams: this._streams, paused: this._paused }
+    this._streams = 0
+    this._paused = 0
+    return taken
+  }
+
   /** Adapters that open requests of this entry use, as `model/adapter`. */
   get uses (): readonly string[] { return [...this._uses.keys()] }
 
