--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -30,8 +30,12 @@
   /** Every slot is in use, or requests still run on an older version: another engine can have it sooner. */
   | { readonly kind: 'occupied' }
 
-/** Requests that rely on a promise start well within this time after they leave the entry. */
-export const readyPromise: Ms = 1_000
+/**
+ * A request starts well within this time after its entry was told that it may. From then on
+ * the entry's word on what it uses keeps the adapter; each second more would keep a third of
+ * the slots from adapters that somebody waits for.
+ */
+export const readyPromise: Ms = 300
 /** Adapters that may be in transit to one engine; it fails beyond. */
 const maxInTransit = 4
 /** Part of a late load's time so far after which the engine is asked again, and the least pause. */
@@ -198,6 +202,15 @@
     this._uses.set(entry, { keys: new Set(keys), at: now })
   }
 
+  /** Notes a request that is about to use an adapter, until its entry's next word. */
+  addUse (entry: string, model: string, adapter: string, now: Ms): void {
+    const keys = new Set(this._uses.get(entry)?.keys ?? [])
+    keys.add(slotKey(model, adapter))
+    this._uses.set(entry, { keys, at: now })
+    const slot = this._slots.get(slotKey(model, adapter))
+    if (slot !== undefined) slot.promisedUntil = Math.max(slot.promisedUntil, now + readyPromise)
+  }
+
   private _inUse (key: string, now: Ms): boolean {
     for (const { keys, at } of this._uses.values()) if (now - at < useLasts && keys.has(key)) return true
     return false
--- /dev/null
+++ b/packages/decisions/src/test/prompt-pacer.steps.ts
@@ -0,0 +1,142 @@
+/**
+ * Plays the load of one engine with and without pacing, and counts what callers get.
+ */
+import assert from 'node:assert/strict'
+import { Then } from '@cucumber/cucumber'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { PromptPacer } from '../lib/prompt-pacer.js'
+
+interface Arrival { readonly id: string, readonly at: number, readonly tokens: number, readonly output: number, readonly urgency: number }
+
+interface Outcome { readonly urgency: number, readonly onTime: boolean, readonly paused: boolean }
+
+const tokensPerMs = 38
+const stepMs = 5
+const tokensPerEvent = 5
+const firstDue = 800
+const longestPause = 300
+/** Prompt tokens that an engine reads in one step, between two tokens of its streams. */
+const chunkTokens = 4_096
+
+function arrivals (perSecond: number, seconds: number): readonly Arrival[] {
+  const rng = xoroshiro128plus(7)
+  const random = (): number => uniformFloat64(rng)
+  const list: Arrival[] = []
+  for (let at = 0; at < seconds * 1_000;) {
+    at += -Math.log(1 - random()) * 3_000 / perSecond
+    for (let n = 0; n < 3; n++) {
+      const long = random() < 0.11
+      const size = Math.exp((random() + random() + random() - 1.5) * 1.6)
+      list.push({ id: `r${list.length}`, at: at + random() * 60, tokens: Math.min(7_000, Math.round((long ? 1_900 : 600) * size)), output: Math.round(230 * size), urgency: random() < 0.15 ? 0 : 1 })
+    }
+  }
+  return list.sort((a, b) => a.at - b.at)
+}
+
+/** An engine that reads prompts between the tokens of its streams. */
+class PlayedBatch {
+  private _unread: { arrival: Arrival, left: number }[] = []
+  private readonly _running = new Map<Arrival, { tokens: number, eventAt: number, longest: number, firstAt: number }>()
+  readonly outcomes: Outcome[] = []
+
+  take (arrival: Arrival): void { this._unread.push({ arrival, left: arrival.tokens }) }
+
+  /** Plays one step. */
+  step (now: number): number {
+    let chunk = chunkTokens
+    while (chunk > 0 && this._unread.length > 0) {
+      const first = this._unread[0]!
+      const read = Math.min(chunk, first.left)
+      first.left -= read
+      chunk -= read
+      if (first.left > 0) break
+      this._unread.shift()
+      this._running.set(first.arrival, { tokens: 0, eventAt: now, longest: 0, firstAt: Infinity })
+    }
+    const took = stepMs + 0.014 * this._running.size + (chunkTokens - chunk) / tokensPerMs
+    for (const [arrival, run] of this._running) this._token(arrival, run, now + took)
+    return took
+  }
+
+  private _token (arrival: Arrival, run: { tokens: number, eventAt: number, longest: number, firstAt: number }, now: number): void {
+    run.tokens++
+    if (run.tokens === 1) run.firstAt = now
+    if (run.tokens % tokensPerEvent === 0) {
+      if (run.tokens > tokensPerEvent) run.longest = Math.max(run.longest, now - run.eventAt)
+      run.eventAt = now
+    }
+    if (run.tokens < arrival.output) return
+    this._running.delete(arrival)
+    const paused = run.longest > longestPause
+    this.outcomes.push({ urgency: arrival.urgency, onTime: run.firstAt - arrival.at <= firstDue && !paused, paused })
+  }
+}
+
+function play (load: readonly Arrival[], paced: boolean): readonly Outcome[] {
+  const pacer = new PromptPacer()
+  const engine = new PlayedBatch()
+  const byId = new Map(load.map(arrival => [arrival.id, arrival]))
+  const waiting = new Set<Arrival>()
+  const end = load.at(-1)!.at + 20_000
+  let next = 0
+  for (let now = 0; now < end;) {
+    for (; next < load.length && load[next]!.at <= now; next++) waiting.add(load[next]!)
+    for (const arrival of waiting) {
+      if (!paced) engine.take(arrival)
+      else pacer.offer({ id: arrival.id, tokens: arrival.tokens, urgency: arrival.urgency, dueAt: arrival.at + firstDue }, now)
+    }
+    if (!paced) waiting.clear()
+    for (const id of paced ? pacer.admit(now) : []) {
+      engine.take(byId.get(id)!)
+      waiting.delete(byId.get(id)!)
+    }
+    const told = engine.outcomes.length
+    now += engine.step(now)
+    const ended = engine.outcomes.slice(told)
+    pacer.learn(ended.length, ended.filter(({ paused: late }) => late).length)
+  }
+  return engine.outcomes
+}
+
+function share (outcomes: readonly Outcome[], total: number, urgency?: number): number {
+  return outcomes.filter(outcome => outcome.onTime && (urgency === undefined || outcome.urgency === urgency)).length / total
+}
+
+Then('with pacing at least {int} in 100 streams of the heavy load are on time, and {int} in 100 more than without', (least: number, more: number) => {
+  const load = arrivals(20, 60)
+  const [paced, plain] = [share(play(load, true), load.length), share(play(load, false), load.length)]
+  assert.ok(paced * 100 >= least, `with ${paced.toFixed(2)}, without ${plain.toFixed(2)}`)
+  assert.ok((paced - plain) * 100 >= more, `with ${paced.toFixed(2)}, without ${plain.toFixed(2)}`)
+})
+
+Then('in overload more streams are on time with pacing than without, and no urgent class behind a less urgent one', () => {
+  const load = arrivals(36, 20)
+  const paced = play(load, true)
+  const of = (urgency: number): number => load.filter(arrival => arrival.urgency === urgency).length
+  assert.ok(share(paced, load.length) > share(play(load, false), load.length))
+  const [urgent, other] = [share(paced, of(0), 0), share(paced, of(1), 1)]
+  assert.ok(urgent >= other, `urgent ${urgent.toFixed(2)}, others ${other.toFixed(2)}, without ${share(play(load, false), load.length).toFixed(2)}`)
+})
+
+Then('streams that pause too long slow it down, and streams that don\'t speed it up, within bounds', () => {
+  const pacer = new PromptPacer()
+  const first = pacer.rate
+  pacer.learn(10, 5)
+  assert.ok(pacer.rate < first)
+  pacer.learn(100_000, 100_000)
+  const least = pacer.rate
+  assert.ok(least > 0 && least >= first * 0.39)
+  pacer.learn(1_000_000, 0)
+  assert.ok(pacer.rate <= first * 2.01)
+})
+
+Then('it leaves the line without being let in', () => {
+  const pacer = new PromptPacer()
+  pacer.offer({ id: 'big', tokens: 100_000, urgency: 1, dueAt: 800 }, 0)
+  assert.deepEqual(pacer.admit(0), ['big'])
+  pacer.offer({ id: 'left', tokens: 10, urgency: 1, dueAt: 800 }, 0)
+  assert.deepEqual(pacer.admit(10), [])
+  assert.deepEqual(pacer.admit(60_000), [])
+  assert.equal(pacer.waiting, 0)
+})
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -107,6 +107,8 @@
     const left = ask.answerIn - (this._options.clock.now() - startedAt)
     if (ask.prompt !== undefined && !await this._letIn(ask, left)) return { kind: 'coming' }
     const now = this._options.clock.now()
+    const { want, entry, prompt } = ask
+    if (want.adapter !== undefined && prompt !== undefined) this._plan.addUse(entry, want.model, want.adapter, now)
     return { ...outcome, load: { others: this._othersThan(ask.entry), promptBacklog: this._pacer.backlog(now) } }
   }
 
