Pass on answers without a length as they came, tell holders of freed adapters, test against stand-ins

Found by the new tests: a lapsed server could stay a member for good, since a timer fires early; an entry that fell quiet kept its adapters in their slots for four seconds.

--- a/guards.cucumber.js
+++ b/guards.cucumber.js
@@ -1,5 +1,5 @@
 export default {
-  import: ['packages/*/dist/test/*.steps.js'],
+  import: ['packages/*/dist/test/*.steps.js', 'platform/dist/test/*.steps.js'],
   format: ['summary'],
   publishQuiet: true
 }
--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -44,10 +44,11 @@
 /**
  * Loads slow down while many run, and nobody sees them all: the last few loads tell. One
  * that was over when first asked after may have been over for a while, and counts as a
- * tenth faster than it was expected.
+ * seventh faster than it was expected.
  */
 const slowdownWeight = 0.3
-const inTimeFactor = 0.9
+const inTimeFactor = 0.85
+const leastSlowdown = 0.1
 /** First guesses at load times, from the service's description; corrected by what is seen. */
 const freshLoad: Ms = 250
 const recentLoad: Ms = 25
@@ -392,7 +393,7 @@
   private _storeHasRoom ({ model, adapter }: AdapterWant): boolean {
     if (this._recent.has(slotKey(model, adapter ?? ''))) return true
     const fresh = [...this._slots].filter(([key, slot]) => slot.state === 'in-transit' && !this._recent.has(key)).length
-    return fresh < Math.max(1, Math.floor(maxInTransit / this._slowdown ** 2))
+    return fresh < Math.max(1, Math.floor(maxInTransit / Math.max(1, this._slowdown) ** 2))
   }
 
   private _weightsFit (model: string): boolean {
@@ -521,7 +522,7 @@
   private _learn (key: string, slot: Slot, now: Ms): void {
     if (this._recent.has(key)) return
     const seen = slot.late ? (now - slot.orderedAt) / freshLoad : this._slowdown * inTimeFactor
-    this._slowdown = Math.max(1, this._slowdown + slowdownWeight * (seen - this._slowdown))
+    this._slowdown = Math.max(leastSlowdown, this._slowdown + slowdownWeight * (seen - this._slowdown))
   }
 
   private _unloadAccepted ({ model, adapter }: LoadTarget, outcome: 'accepted' | 'holds', now: Ms): void {
--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -89,7 +89,23 @@
       : { kind: 'unavailable', cause: 'nobody orders this engine' }
   }
 
+  /**
+   * Tells a holder what this entry still uses, when no ask has told it for a while.
+   *
+   * An entry that falls quiet would otherwise keep its last adapters in their slots for
+   * seconds after its requests have ended, and others would wait for them.
+   */
+  async tellUse (upstream: Upstream): Promise<void> {
+    const { uses } = upstream
+    upstream.tell()
+    const local = this._desk.holder(upstream.id)
+    const holder = this._peers.holder(upstream.id)
+    if (local !== undefined) local.noteUse(this._node, uses)
+    else if (holder !== undefined && !this._suspects.has(holder.node)) await this._client.tellUse(holder, { upstream: upstream.id, entry: this._node, uses })
+  }
+
   private async _askHolder (upstream: Upstream, query: EnsureQuery): Promise<AskOutcome> {
+    upstream.tell()
     const ask: Ask = { ...query, answerIn: Math.min(query.patience, askLimit), entry: this._node, uses: upstream.uses, outstanding: upstream.outstanding, ...upstream.takeStreams() }
     const outcome = await (this._desk.ask(upstream.id, ask) ?? this._askPeer(upstream.id, ask))
     if (outcome.kind === 'ready') {
--- a/packages/direct/src/lib/caller-answer.ts
+++ b/packages/direct/src/lib/caller-answer.ts
@@ -53,6 +53,7 @@
 export class CallerAnswer {
   private _begun = false
   private _ended = false
+  private _endsWithConnection = false
 
   /**
    * @param _res - the raw response
@@ -66,14 +67,26 @@
   whole (answer: WholeAnswer): void {
     this._begun = true
     this._ended = true
-    this._res.writeHead(answer.status, answer.message, [...answer.headers, 'Content-Length', String(answer.body.length), ...this._connection()])
+    const length = answer.framed ? ['Content-Length', String(answer.body.length)] : this._unframed()
+    this._res.writeHead(answer.status, answer.message, [...answer.headers, ...length, ...this._connection()])
     this._res.end(answer.body)
   }
 
+  /**
+   * Passes on an answer that ends with its connection in the same way. Given a length here, an
+   * answer that was cut short would look whole to its caller.
+   */
+  private _unframed (): string[] {
+    this._res.useChunkedEncodingByDefault = false
+    this._endsWithConnection = true
+    return this._closing() ? [] : ['Connection', 'close']
+  }
+
   /** Begins an answer that is passed on as it comes. */
   begin (head: AnswerHead): void {
     this._begun = true
-    this._res.writeHead(head.status, head.message, [...head.headers, ...this._connection()])
+    const framing = head.framed ? [] : this._unframed()
+    this._res.writeHead(head.status, head.message, [...head.headers, ...framing, ...this._connection()])
   }
 
   /** @returns false when the caller reads too slowly, until {@link onDrain} */
@@ -99,7 +112,9 @@
   /** Cuts an answer that has begun, without its end, so that it can't be taken for whole. */
   break (): void {
     this._ended = true
-    this._res.destroy()
+    // Where the end of the connection is the end of the answer, only a reset tells them apart.
+    if (this._endsWithConnection) this._res.socket?.resetAndDestroy()
+    else this._res.destroy()
   }
 
   private _connection (): string[] {
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -2,6 +2,7 @@
  * An entry that sends requests to upstreams directly.
  */
 import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { type AdapterWant, type ExchangeOutcome, pickService, type RelayFailure, type RouteTable, SharedRetryBudget } from '@hazelford/decisions'
 import type { Route, StoreEvent, StoreItem, UpstreamRecord } from '@hazelford/ports'
@@ -15,7 +16,7 @@
 import { Membership } from './membership.js'
 import type { EntryMetrics } from './metrics.js'
 import { type AskMessage, PeerClient, servePeers } from './peer-calls.js'
-import { entryKey, ownPrefix, type PeerAddress, PeerTable } from './peer-table.js'
+import { entryKey, ownPrefix, PeerTable } from './peer-table.js'
 import { Placer } from './placer.js'
 import type { PlatformPort } from './platform-port.js'
 import { RelayTask } from './relay-task.js'
@@ -29,6 +30,8 @@
   readonly clock: Clock
   readonly log: Log
   readonly metrics: EntryMetrics
+  /** Ms after the start before it claims engines. */
+  readonly settleTime?: Ms
 }
 
 /** Part of an upstream's connections that one entry uses; the rest is for entries not seen yet. */
@@ -40,12 +43,23 @@
 const noConfigRetryAfter: Ms = 500
 /** Another entry can have the request at once. */
 const shutdownRetryAfter: Ms = 20
+/** How often holders hear of freed adapters that no ask has told them of. */
+const tellUsesEvery: Ms = 200
 /** The balancer asks once a second and takes an entry out after two misses. */
 const balancerNotice: Ms = 2_600
 /** Left of the grace period for the process itself to end. */
 const graceMargin: Ms = 700
 const defaultMaxBody = 4 << 20
 
+function portOf (server: Server): number { return (server.address() as AddressInfo).port }
+
+function listen (server: Server, host: string, port: number): Promise<Server> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => resolve(server))
+  })
+}
+
 /** One entry. */
 export class DirectEntry {
   readonly config: ConfigHolder
@@ -60,10 +74,11 @@
   private readonly _callers: CallerServer
   private readonly _budgets = new Map<string, SharedRetryBudget>()
   private readonly _servers: Server[] = []
-  private readonly _self: PeerAddress
+  private readonly _self: { readonly node: string, readonly host: string, port: number }
   private _closing = false
   private _lastAnswer = false
   private _refusing = false
+  private _stopped = false
 
   constructor (private readonly _options: DirectEntryOptions) {
     const { settings, platform, clock, log } = _options
@@ -83,7 +98,8 @@
       upstreams: () => this.members.all(),
       engineSpec: service => this.config.table?.service(service)?.engine,
       control: upstream => platform.control(upstream.record),
-      loaded: took => _options.metrics.loadStall.observe(took)
+      loaded: took => _options.metrics.loadStall.observe(took),
+      ...(_options.settleTime === undefined ? {} : { settleTime: _options.settleTime })
     }, () => this._lease)
     this._lease = new LeaseKeeper(platform.store, clock, log, {
       granted: lease => { this._register(lease).catch((error: Error) => log.warn('peers', 'not registered.', { error: error.message })) },
@@ -167,18 +183,42 @@
   /** Starts; returns once it listens. */
   async start (): Promise<void> {
     const { settings, platform, clock, metrics } = this._options
-    this._mirror.start()
-    this._lease.start()
     const callers = splitAddress(settings.listen_callers)
     await this._callers.listen(callers.host, callers.port)
     const ready = splitAddress(settings.listen_ready)
-    this._servers.push(createReadyServer(() => this.ready, platform.readinessPath).listen(ready.port, ready.host))
-    this._servers.push(await servePeers({
+    this._servers.push(await listen(createReadyServer(() => this.ready, platform.readinessPath), ready.host, ready.port))
+    const peers = await servePeers({
       ask: msg => this._answerPeer(msg),
+      noteUse: ({ upstream, entry, uses }) => this.desk.holder(upstream)?.noteUse(entry, uses),
       now: () => clock.now(),
       state: () => undefined
-    }, settings.host, settings.peer_port))
-    this._servers.push(metrics.serve(settings.host, settings.metrics_port, '/metrics'))
+    }, settings.host, settings.peer_port)
+    this._self.port = portOf(peers)
+    this._servers.push(peers)
+    this._servers.push(await listen(metrics.createServer('/metrics'), settings.host, settings.metrics_port))
+    this._mirror.start()
+    this._lease.start()
+    this._tellUses()
+  }
+
+  /** Whether the store has stopped answering. */
+  get storeLost (): boolean { return this._mirror.lost }
+
+  /** Ports it listens on, as chosen by the kernel where the settings say 0. */
+  get ports (): { readonly callers: number, readonly ready: number } {
+    return { callers: portOf(this._callers.server), ready: portOf(this._servers[0]!) }
+  }
+
+  /** Tells holders of adapters that were freed since they last heard of this entry. */
+  private _tellUses (): void {
+    if (this._stopped) return
+    this._options.clock.after(tellUsesEvery, () => this._tellUses())
+    for (const upstream of this.members.all()) {
+      if (!upstream.owesWord) continue
+      this._directory.tellUse(upstream).catch((error: Error) => {
+        this._options.log.info('loads', 'use not told.', { upstream: upstream.id, cause: error.message })
+      })
+    }
   }
 
   private async _answerPeer ({ upstream, ...ask }: AskMessage): Promise<AskOutcome> {
@@ -199,8 +239,28 @@
     await Promise.race([this._callers.drained(), sleep(clock, until - clock.now())])
     log.info('entry', 'drained.', { open: this._callers.open })
     this._callers.close()
+    this._stopped = true
     this._mirror.stop()
-    for (const server of this._servers) server.close()
+    for (const server of this._servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+    this._client.close()
+  }
+
+  /** Ends at once, as a crash does: nothing is given back and callers are cut. */
+  kill (): void {
+    this._stopped = true
+    this._mirror.stop()
+    this._lease.abandon()
+    this.desk.dropAll()
+    this._callers.server.closeAllConnections()
+    this._callers.close()
+    for (const server of this._servers) {
+      server.closeAllConnections()
+      server.close()
+    }
+    this._client.close()
   }
 
   private _handle (incoming: Incoming): void {
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -20,6 +20,8 @@
   readonly engineSpec: (service: string) => EngineSpec | undefined
   readonly control: (upstream: Upstream) => EngineControl
   readonly loaded: (took: Ms) => void
+  /** Ms after the start before the first claim. */
+  readonly settleTime?: Ms
 }
 
 /**
@@ -27,8 +29,11 @@
  * few ms and is seen by the others within a watch's pause.
  */
 const claimStep: Ms = 500
-/** Time after the start in which the other entries register; all start within 0.3 s. */
-const settleTime: Ms = 900
+/**
+ * Time after the start in which the other entries register; all start within 0.3 s, and one
+ * that claimed at once would hold every engine.
+ */
+const defaultSettleTime: Ms = 900
 /** Keys that one transaction may name. */
 const claimsAtOnce = 16
 
@@ -100,6 +105,7 @@
     const { peers, self, clock } = this._options
     const claimable: Upstream[] = []
     const seen = new Set<string>()
+    const settleTime = this._options.settleTime ?? defaultSettleTime
     if (clock.now() - this._startedAt < settleTime || !this._lease().valid) {
       this._options.clock.after(settleTime / 3, () => this.review())
       return []
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -168,6 +168,12 @@
     })
   }
 
+  /** Takes an entry's word on what it uses. */
+  noteUse (entry: string, uses: readonly string[]): void {
+    this._plan.noteUse(entry, uses, this._options.clock.now())
+    this._pump()
+  }
+
   /** Loads an adapter that nobody waits for yet, such as a new version of one that is held. */
   prefetch (want: AdapterWant): void {
     if (this._released) return
--- a/packages/direct/src/lib/exchange.ts
+++ b/packages/direct/src/lib/exchange.ts
@@ -15,6 +15,11 @@
   readonly message: string
   /** Names and values in turn, without those of one connection. */
   readonly headers: string[]
+  /**
+   * Whether the answer says where it ends. One that ends with its connection may have been
+   * cut short by a server that crashed, and nobody can tell.
+   */
+  readonly framed: boolean
 }
 
 /** A whole answer. */
@@ -57,6 +62,10 @@
 const otherInstanceStatus = 421
 const eventStream = 'text/event-stream'
 
+function isFramed ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 /** An exchange under way. */
 export class Exchange {
   private readonly _req: ClientRequest
@@ -169,7 +178,7 @@
   }
 
   private _head (res: IncomingMessage): AnswerHead {
-    return { status: res.statusCode ?? badGatewayStatus, message: res.statusMessage ?? '', headers: endToEndHeaders(res.rawHeaders) }
+    return { status: res.statusCode ?? badGatewayStatus, message: res.statusMessage ?? '', headers: endToEndHeaders(res.rawHeaders), framed: isFramed(res) }
   }
 
   private _readBody (res: IncomingMessage): void {
--- a/packages/direct/src/lib/lease-keeper.ts
+++ b/packages/direct/src/lib/lease-keeper.ts
@@ -53,6 +53,9 @@
 
   start (): void { this._run().catch((error: Error) => this._log.warn('lease', 'keeper stopped.', { error: error.message })) }
 
+  /** Renews no more and leaves the lease to lapse. */
+  abandon (): void { this._stopped = true }
+
   /** Gives the lease back, so that its keys go at once. */
   async stop (): Promise<void> {
     this._stopped = true
--- a/packages/direct/src/lib/membership.ts
+++ b/packages/direct/src/lib/membership.ts
@@ -89,11 +89,14 @@
 
   private _expire (): void {
     const now = this._clock.now()
+    let next: Ms = Infinity
     for (const [id, goneAt] of this._lapsed) {
-      if (goneAt > now) continue
       const upstream = this._upstreams.get(id)
-      if (upstream !== undefined) this._drop(upstream)
+      if (goneAt > now) next = Math.min(next, goneAt)
+      else if (upstream !== undefined) this._drop(upstream)
     }
+    // Timers may fire a little early; what is left then would otherwise stay for good.
+    if (next !== Infinity) this._clock.after(Math.max(1, next - now), () => this._expire())
   }
 
   private _drop (upstream: Upstream): void {
--- a/packages/direct/src/lib/metrics.ts
+++ b/packages/direct/src/lib/metrics.ts
@@ -31,9 +31,9 @@
 
   text (): Promise<string> { return this._registry.metrics() }
 
-  /** Serves the metrics at `path`. */
-  serve (host: string, port: number, path: string): Server {
-    const server = createServer((req, res) => {
+  /** A server that answers with the metrics at `path`. */
+  createServer (path: string): Server {
+    return createServer((req, res) => {
       if (req.url !== path) {
         res.writeHead(404)
         res.end()
@@ -47,7 +47,5 @@
         res.end()
       })
     })
-    server.listen(port, host)
-    return server
   }
 }
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -10,6 +10,13 @@
 /** An adapter asked of another entry. */
 export interface AskMessage extends Ask { readonly upstream: string }
 
+/** What an entry still uses at an engine. */
+export interface UseMessage {
+  readonly upstream: string
+  readonly entry: string
+  readonly uses: readonly string[]
+}
+
 /** The answer; a promise is told as the time left, since clocks differ. */
 type AskReply =
   | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number, readonly load?: EngineLoad }
@@ -17,6 +24,7 @@
   | { readonly kind: 'unavailable', readonly cause: string }
 
 const askPath = '/adapters/ask'
+const usePath = '/adapters/use'
 const statePath = '/state'
 const pingPath = '/ping'
 /** An entry may have requests open on some hundred adapters of an engine. */
@@ -28,6 +36,7 @@
 /** What an entry does for its peers. */
 export interface PeerService {
   readonly ask: (msg: AskMessage) => Promise<AskOutcome>
+  readonly noteUse: (msg: UseMessage) => void
   readonly now: () => Ms
   /** Configuration and upstreams, for a peer that starts while the store is away. */
   readonly state: () => object | undefined
@@ -46,6 +55,10 @@
     return
   }
   if (req.method === 'GET' && req.url === pingPath) return sendJson(res, 200, {})
+  if (req.method === 'POST' && req.url === usePath) {
+    service.noteUse(await readJson(req, maxBody) as UseMessage)
+    return sendJson(res, 200, {})
+  }
   if (req.method !== 'POST' || req.url !== askPath) return sendJson(res, 404, { error: `Nothing is served at ${req.url ?? ''}.` })
   const outcome = await service.ask(await readJson(req, maxBody) as AskMessage)
   const reply: AskReply = outcome.kind === 'ready'
@@ -106,5 +119,10 @@
     await callJson(this._agent, { host, port, method: 'GET', path: pingPath, timeout: answerMargin })
   }
 
+  /** Tells a holder what this entry still uses. */
+  async tellUse ({ host, port }: PeerAddress, msg: UseMessage): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'POST', path: usePath, body: msg, timeout: answerMargin })
+  }
+
   close (): void { this._agent.destroy() }
 }
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -19,6 +19,8 @@
   private _leavesAt: Ms = Infinity
   private _load: EngineLoad & { readonly at: Ms } | undefined
   private _sentTokens = 0
+  private _changedAt: Ms = -Infinity
+  private _toldAt: Ms = -Infinity
   private _streams = 0
   private _paused = 0
   private readonly _uses = new Map<string, number>()
@@ -89,10 +91,21 @@
       if (adapter === undefined) return
       const left = (this._uses.get(adapter) ?? 1) - 1
       if (left > 0) this._uses.set(adapter, left)
-      else this._uses.delete(adapter)
+      else this._freed(adapter)
     }
   }
 
+  private _freed (adapter: string): void {
+    this._uses.delete(adapter)
+    this._changedAt = this._clock.now()
+  }
+
+  /** Whether an adapter was freed since its holder was last told what is in use. */
+  get owesWord (): boolean { return this._changedAt > this._toldAt }
+
+  /** Notes that its holder is being told what is in use. */
+  tell (): void { this._toldAt = this._clock.now() }
+
   get record (): UpstreamRecord { return this._record }
   get id (): string { return this._record.id }
 
