--- a/packages/decisions/src/lib/shared-retry-budget.ts
+++ b/packages/decisions/src/lib/shared-retry-budget.ts
@@ -47,7 +47,10 @@
   private readonly _requests = new EventWindow()
   private readonly _repeats = new EventWindow()
 
-  constructor (private readonly _limits: SharedBudgetLimits) {}
+  constructor (private _limits: SharedBudgetLimits) {}
+
+  /** Changes the bound; what was spent stays spent. */
+  limit (limits: SharedBudgetLimits): void { this._limits = limits }
 
   request (now: Ms): void { this._requests.add(now) }
 
--- a/packages/direct/src/lib/config-holder.ts
+++ b/packages/direct/src/lib/config-holder.ts
@@ -17,15 +17,18 @@
 /** Takes what operators write; never goes back. */
 export class ConfigHolder {
   private _table: RouteTable | undefined
-  private readonly _versions = new Map<string, number>()
+  private readonly _declared = new Map<string, AdapterVersion>()
 
   constructor (private readonly _platform: PlatformPort, private readonly _log: Log, private readonly _listener: ConfigListener) {}
 
   /** The configuration in force, if any is known. */
   get table (): RouteTable | undefined { return this._table }
 
+  /** Declared versions, for a peer that starts while the store is away. */
+  get versions (): readonly AdapterVersion[] { return [...this._declared.values()] }
+
   /** Declared version of an adapter. */
-  versionOf (model: string, adapter: string): number | undefined { return this._versions.get(versionKey(model, adapter)) }
+  versionOf (model: string, adapter: string): number | undefined { return this._declared.get(versionKey(model, adapter))?.version }
 
   reset (items: readonly StoreItem[]): void { for (const item of items) this._take(item) }
 
@@ -68,11 +71,16 @@
       this._log.warn('config', 'adapter version can not be read.', { key, problem: decoded.error.message })
       return
     }
-    const { model, adapter, version } = decoded.value
+    this.declare(decoded.value)
+  }
+
+  /** Takes a declared version unless a newer one is known. */
+  declare (declared: AdapterVersion): void {
+    const { model, adapter, version } = declared
     const known = versionKey(model, adapter)
-    if (version <= (this._versions.get(known) ?? 0)) return
-    this._versions.set(known, version)
+    if (version <= (this._declared.get(known)?.version ?? 0)) return
+    this._declared.set(known, declared)
     this._log.info('config', 'adapter version declared.', { model, adapter, version })
-    this._listener.declared(decoded.value)
+    this._listener.declared(declared)
   }
 }
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -4,18 +4,19 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { type AdapterWant, type ExchangeOutcome, pickService, type RelayFailure, type RouteTable, SharedRetryBudget } from '@hazelford/decisions'
+import { type AdapterWant, type ExchangeOutcome, pickService, type RelayFailure, type RouteTable, type SharedBudgetLimits, SharedRetryBudget } from '@hazelford/decisions'
 import type { Route, StoreEvent, StoreItem, UpstreamRecord } from '@hazelford/ports'
 import { AdapterDirectory } from './adapter-directory.js'
 import { CallerServer, createReadyServer, type Incoming } from './caller-server.js'
 import { ConfigHolder } from './config-holder.js'
 import { EngineDesk } from './engine-desk.js'
 import type { AskOutcome } from './engine-holder.js'
-import { type DirectSettings, splitAddress } from './entry-settings.js'
+import { addressSettings, type DirectSettings, pickAddresses, splitAddress } from './entry-settings.js'
 import { LeaseKeeper } from './lease-keeper.js'
 import { Membership } from './membership.js'
 import type { EntryMetrics } from './metrics.js'
-import { type AskMessage, PeerClient, servePeers } from './peer-calls.js'
+import { type AskMessage, PeerClient, type PeerService, servePeers } from './peer-calls.js'
+import { learnFromPeers, type PeerState } from './peer-state.js'
 import { entryKey, ownPrefix, PeerTable } from './peer-table.js'
 import { Placer } from './placer.js'
 import type { PlatformPort } from './platform-port.js'
@@ -51,6 +52,10 @@
 const graceMargin: Ms = 700
 const defaultMaxBody = 4 << 20
 
+function budgetLimits (settings: DirectSettings): SharedBudgetLimits {
+  return { ratio: settings.retry_budget_ratio, slack: settings.retry_budget_slack, window: settings.budget_window_s * 1_000 }
+}
+
 function portOf (server: Server): number { return (server.address() as AddressInfo).port }
 
 function listen (server: Server, host: string, port: number): Promise<Server> {
@@ -75,6 +80,7 @@
   private readonly _budgets = new Map<string, SharedRetryBudget>()
   private readonly _servers: Server[] = []
   private readonly _self: { readonly node: string, readonly host: string, port: number }
+  private _settings: DirectSettings
   private _closing = false
   private _lastAnswer = false
   private _refusing = false
@@ -82,6 +88,7 @@
 
   constructor (private readonly _options: DirectEntryOptions) {
     const { settings, platform, clock, log } = _options
+    this._settings = settings
     this._self = { node: settings.name, host: settings.host, port: settings.peer_port }
     this.config = new ConfigHolder(platform, log, {
       configured: table => this._configured(table),
@@ -180,6 +187,18 @@
     }
   }
 
+  /**
+   * Takes changed settings: bounds at once, addresses at the next start.
+   *
+   * @returns names of changed settings that wait for a start
+   */
+  reconfigure (settings: DirectSettings): readonly string[] {
+    const before = this._settings
+    this._settings = { ...settings, ...pickAddresses(before) }
+    for (const budget of this._budgets.values()) budget.limit(budgetLimits(settings))
+    return addressSettings.filter(name => settings[name] !== before[name])
+  }
+
   /** Starts; returns once it listens. */
   async start (): Promise<void> {
     const { settings, platform, clock, metrics } = this._options
@@ -187,26 +206,54 @@
     await this._callers.listen(callers.host, callers.port)
     const ready = splitAddress(settings.listen_ready)
     this._servers.push(await listen(createReadyServer(() => this.ready, platform.readinessPath), ready.host, ready.port))
-    const peers = await servePeers({
-      ask: msg => this._answerPeer(msg),
-      noteUse: ({ upstream, entry, uses }) => this.desk.holder(upstream)?.noteUse(entry, uses),
-      now: () => clock.now(),
-      state: () => undefined
-    }, settings.host, settings.peer_port)
+    const peers = await servePeers(this._peerService(), settings.host, settings.peer_port)
     this._self.port = portOf(peers)
     this._servers.push(peers)
+    await this._serveSeeds()
     this._servers.push(await listen(metrics.createServer('/metrics'), settings.host, settings.metrics_port))
     this._mirror.start()
     this._lease.start()
     this._tellUses()
+    const seeds = settings.seeds.filter(seed => seed !== settings.listen_control).map(splitAddress)
+    learnFromPeers(seeds, this._client, clock, this._options.log, () => this._mirror.known, state => this._takeState(state))
+      .catch((error: Error) => this._options.log.warn('peers', 'not asked.', { error: error.message }))
   }
 
   /** Whether the store has stopped answering. */
   get storeLost (): boolean { return this._mirror.lost }
 
   /** Ports it listens on, as chosen by the kernel where the settings say 0. */
-  get ports (): { readonly callers: number, readonly ready: number } {
-    return { callers: portOf(this._callers.server), ready: portOf(this._servers[0]!) }
+  get ports (): { readonly callers: number, readonly ready: number, readonly peers: number } {
+    return { callers: portOf(this._callers.server), ready: portOf(this._servers[0]!), peers: this._self.port }
+  }
+
+  /** Peers that start while the store is away find this entry at an address of its own. */
+  private async _serveSeeds (): Promise<void> {
+    const { listen_control: address } = this._options.settings
+    if (address === '') return
+    const { host, port } = splitAddress(address)
+    this._servers.push(await servePeers(this._peerService(), host, port))
+  }
+
+  private _peerService (): PeerService {
+    return {
+      ask: msg => this._answerPeer(msg),
+      noteUse: ({ upstream, entry, uses }) => this.desk.holder(upstream)?.noteUse(entry, uses),
+      now: () => this._options.clock.now(),
+      state: () => this._state()
+    }
+  }
+
+  private _state (): PeerState | undefined {
+    const { table } = this.config
+    if (table === undefined || !this.members.known) return undefined
+    return { config: table.config, versions: this.config.versions, upstreams: [...this.members.all()].map(({ record }) => record) }
+  }
+
+  private _takeState ({ config, versions, upstreams }: PeerState): void {
+    this.config.offer(config)
+    for (const version of versions) this.config.declare(version)
+    this.members.reset(upstreams)
   }
 
   /** Tells holders of adapters that were freed since they last heard of this entry. */
@@ -227,9 +274,9 @@
 
   /** Leaves without cutting off a request. */
   async shutdown (): Promise<void> {
-    const { clock, settings, log } = this._options
+    const { clock, log } = this._options
     this._closing = true
-    const until = clock.now() + settings.grace_s * 1_000 - graceMargin
+    const until = clock.now() + this._settings.grace_s * 1_000 - graceMargin
     // The balancer still sends connections until it has noticed; what comes on them is
     // served, and each answer ends its connection.
     this._lastAnswer = true
@@ -326,8 +373,7 @@
   private _budgetOf (service: string): SharedRetryBudget {
     const known = this._budgets.get(service)
     if (known !== undefined) return known
-    const { retry_budget_ratio: ratio, retry_budget_slack: slack, budget_window_s: seconds } = this._options.settings
-    const budget = new SharedRetryBudget({ ratio, slack, window: seconds * 1_000 })
+    const budget = new SharedRetryBudget(budgetLimits(this._settings))
     this._budgets.set(service, budget)
     return budget
   }
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -46,3 +46,11 @@
   const colon = text.lastIndexOf(':')
   return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) }
 }
+
+/** Settings that take effect at a start only: sockets are open, and peers know them. */
+export const addressSettings = ['name', 'zone', 'host', 'store', 'listen_callers', 'listen_ready', 'listen_control', 'peer_port', 'metrics_port'] as const
+
+/** Those settings of a process that runs. */
+export function pickAddresses (settings: DirectSettings): Pick<DirectSettings, typeof addressSettings[number]> {
+  return Object.fromEntries(addressSettings.map(name => [name, settings[name]])) as Pick<DirectSettings, typeof addressSettings[number]>
+}
--- a/packages/direct/src/lib/json-client.ts
+++ b/packages/direct/src/lib/json-client.ts
@@ -54,7 +54,7 @@
       try {
         resolve(text === '' ? undefined : JSON.parse(text))
       } catch (error) {
-        reject(error as Error)
+        reject(new Error(`The message is no JSON: ${(error as Error).message}`))
       }
     })
     source.on('error', reject)
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -5,6 +5,7 @@
 import type { Ms } from '@hazelford/core'
 import type { Ask, AskOutcome, EngineLoad } from './engine-holder.js'
 import { callJson, readJson } from './json-client.js'
+import type { PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
 
 /** An adapter asked of another entry. */
@@ -39,7 +40,7 @@
   readonly noteUse: (msg: UseMessage) => void
   readonly now: () => Ms
   /** Configuration and upstreams, for a peer that starts while the store is away. */
-  readonly state: () => object | undefined
+  readonly state: () => PeerState | undefined
 }
 
 function sendJson (res: ServerResponse, status: number, value: object): void {
@@ -108,10 +109,10 @@
   }
 
   /** Asks for configuration and upstreams. */
-  async state ({ host, port }: { readonly host: string, readonly port: number }): Promise<unknown> {
+  async state ({ host, port }: { readonly host: string, readonly port: number }): Promise<PeerState> {
     const answer = await callJson(this._agent, { host, port, method: 'GET', path: statePath, timeout: stateTimeout })
     if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
-    return answer.body
+    return answer.body as PeerState
   }
 
   /** Tells whether a peer answers; rejects when it does not. */
--- /dev/null
+++ b/packages/direct/src/lib/peer-state.ts
@@ -0,0 +1,54 @@
+/**
+ * What an entry that starts while the store is away takes from another.
+ */
+import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
+import type { AdapterVersion, RouteConfig, UpstreamRecord } from '@hazelford/ports'
+import type { PeerClient } from './peer-calls.js'
+
+/** Everything an entry needs to serve. */
+export interface PeerState {
+  readonly config: RouteConfig
+  readonly versions: readonly AdapterVersion[]
+  readonly upstreams: readonly UpstreamRecord[]
+}
+
+/** Time in which the store answers an entry that starts, if it answers at all. */
+const storeFirst: Ms = 700
+const askAgain: Ms = 500
+
+/**
+ * Asks peers until something is known.
+ *
+ * A restart during an outage of the store would otherwise refuse every caller until the
+ * outage ends, though the entries beside it know all that is needed.
+ *
+ * @param seeds - where peers may be; some may be gone
+ * @param client - calls them
+ * @param clock - for the pauses
+ * @param log - hears of peers that don't answer
+ * @param known - whether the store has answered meanwhile
+ * @param take - takes a peer's state
+ */
+export async function learnFromPeers (
+  seeds: readonly { readonly host: string, readonly port: number }[],
+  client: PeerClient,
+  clock: Clock,
+  log: Log,
+  known: () => boolean,
+  take: (state: PeerState) => void
+): Promise<void> {
+  await sleep(clock, storeFirst)
+  while (!known() && seeds.length > 0) {
+    for (const seed of seeds) {
+      const state = await client.state(seed).catch((error: Error) => {
+        log.info('peers', 'no state.', { peer: `${seed.host}:${seed.port}`, cause: error.message })
+        return undefined
+      })
+      if (state === undefined || known()) continue
+      take(state)
+      log.info('peers', 'state taken.', { peer: `${seed.host}:${seed.port}`, version: state.config.version, upstreams: state.upstreams.length })
+      return
+    }
+    await sleep(clock, askAgain)
+  }
+}
--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -52,6 +52,9 @@
 
   get revision (): number { return this._revision }
 
+  /** Whether the store has been read. */
+  get known (): boolean { return this._known }
+
   /** Whether the last calls failed. */
   get lost (): boolean { return this._isLost }
 
