--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -87,17 +87,17 @@
     if (this._free.size > 0) this._options.clock.after(claimStep / 2, () => this.review())
   }
 
-  /** Drops engines that are gone, or that somebody else holds by now. */
+  /** Drops engines that leave or are gone, or that somebody else holds by now. */
   private _dropLost (): void {
     const { peers, self, log } = this._options
-    const living = new Set([...this._options.upstreams()].map(({ id }) => id))
+    const living = new Set([...this._options.upstreams()].filter(({ record }) => record.state === 'ready').map(({ id }) => id))
     for (const [id, holder] of this._holders) {
       const record = peers.holder(id)
       const taken = record !== undefined && record.fence > holder.fence
       if (living.has(id) && !taken) continue
       holder.release()
       this._holders.delete(id)
-      log.info('loads', 'engine released.', { upstream: id, cause: taken ? 'held by another' : 'gone', by: record?.node, node: self.node })
+      log.info('loads', 'engine released.', { upstream: id, cause: taken ? 'held by another' : 'leaving or gone', by: record?.node, node: self.node })
     }
   }
 
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -77,8 +77,9 @@
       if (placed !== undefined) return placed
     }
     for (let turn = 0; until > this._clock.now() && !query.cancelled(); turn++) {
-      const upstream = candidates[turn % candidates.length]!
-      const placed = await this._await(upstream, query, { want, urgency: query.urgency, missing: false, mayWait: true }, until)
+      const open = candidates.filter(upstream => this._isOpen(upstream))
+      if (open.length === 0) break
+      const placed = await this._await(open[turn % open.length]!, query, { want, urgency: query.urgency, missing: false, mayWait: true }, until)
       if (placed !== undefined) return placed
       await sleep(this._clock, linePause)
     }
@@ -93,22 +94,29 @@
     let { missing } = ask
     for (;;) {
       const patience = until - this._clock.now()
-      if (patience <= 0 || query.cancelled()) return undefined
+      if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return undefined
       const { request, tokens, dueAt } = query.prompt
       const prompt = { request, tokens, dueIn: dueAt - this._clock.now() }
       const outcome = await this._directory.ensure(upstream, { ...ask, missing, patience, prompt })
-      if (outcome.kind === 'ready') return { kind: 'placed', upstream, version: outcome.version }
+      // It may have said that it leaves while the request waited.
+      if (outcome.kind === 'ready') return this._isOpen(upstream) ? { kind: 'placed', upstream, version: outcome.version } : undefined
       if (outcome.kind === 'unavailable') return undefined
       missing = false
     }
   }
 
+  /** Whether an upstream still takes new requests. */
+  private _isOpen (upstream: Upstream): boolean {
+    return this._members.get(upstream.id) === upstream && upstream.record.state === 'ready' &&
+      upstream.leavesAt > this._clock.now() + leavingMargin
+  }
+
   private _ranked (query: PlaceQuery): readonly Upstream[] {
     const again = query.again === undefined ? undefined : this._members.get(query.again)
-    if (again !== undefined && again.record.state === 'ready') return [again]
+    if (again !== undefined && this._isOpen(again)) return [again]
     const now = this._clock.now()
     const serving = this._members.serving(query.service)
-      .filter(upstream => !query.avoid.has(upstream.id) && upstream.leavesAt > now + leavingMargin && upstream.pool.hasRoom)
+      .filter(upstream => !query.avoid.has(upstream.id) && this._isOpen(upstream) && upstream.pool.hasRoom)
     const healthy = serving.filter(upstream => upstream.health.accepts(now))
     const open = healthy.length > 0 ? healthy : serving
     const holding = query.want === undefined ? open : this._withModel(open, query.want.model)
