--- a/packages/config/src/lib/checked-text.ts
+++ b/packages/config/src/lib/checked-text.ts
@@ -14,6 +14,13 @@
   readonly lines: ReadonlyMap<string, number>
 }
 
+/** What a text must look like; both flavours of zod schemas fit. */
+export interface TextSchema<T> {
+  readonly safeParse: (raw: unknown) =>
+    | { readonly success: true, readonly data: T }
+    | { readonly success: false, readonly error: { readonly issues: readonly z.core.$ZodIssue[] } }
+}
+
 function describeIssue (issue: z.core.$ZodIssue, known: readonly string[]): string {
   if (issue.code !== 'unrecognized_keys') return issue.message
   const hints = issue.keys.map(key => {
@@ -36,7 +43,7 @@
  * @param known - names of keys, for suggestions
  * @returns the value, or every problem found
  */
-export function checkText<T> (text: string, schema: z.ZodType<T>, known: readonly string[]): Result<CheckedText<T>, readonly Problem[]> {
+export function checkText<T> (text: string, schema: TextSchema<T>, known: readonly string[]): Result<CheckedText<T>, readonly Problem[]> {
   const lines = indexLines(text)
   let raw: unknown
   try {
@@ -47,7 +54,7 @@
     return err([{ line: error.line, path: '(text)', message: `${summary}. Correct the TOML here.` }])
   }
   const parsed = schema.safeParse(raw)
-  if (parsed.success) return ok({ value: parsed.data, lines })
+  if (parsed.success === true) return ok({ value: parsed.data, lines })
   const problems = parsed.error.issues.map(issue => problemOf(issue, lines, known))
   return err(problems.sort((a, b) => a.line - b.line))
 }
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -106,10 +106,9 @@
     const claimable: Upstream[] = []
     const seen = new Set<string>()
     const settleTime = this._options.settleTime ?? defaultSettleTime
-    if (clock.now() - this._startedAt < settleTime || !this._lease().valid) {
-      this._options.clock.after(settleTime / 3, () => this.review())
-      return []
-    }
+    const settling = clock.now() - this._startedAt < settleTime
+    if (settling || !this._lease().valid) this._options.clock.after(settleTime / 3, () => this.review())
+    if (!this._lease().valid) return []
     for (const upstream of this._options.upstreams()) {
       const { record } = upstream
       if (record.state !== 'ready' || this._options.engineSpec(record.service) === undefined || this._holders.has(upstream.id)) continue
@@ -121,7 +120,7 @@
       const since = this._free.get(upstream.id) ?? now
       this._free.set(upstream.id, since)
       const rank = rendezvousOrder(upstream.id, peers.nodes).indexOf(self.node)
-      if (ours || (rank >= 0 && now - since >= rank * claimStep)) claimable.push(upstream)
+      if (ours || (!settling && rank >= 0 && now - since >= rank * claimStep)) claimable.push(upstream)
     }
     for (const id of this._free.keys()) if (!seen.has(id)) this._free.delete(id)
     return claimable.slice(0, claimsAtOnce)
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -3,28 +3,41 @@
  */
 import { checkText, type Problem } from '@hazelford/config'
 import { err, ok, type Result } from 'neverthrow'
-import { z } from 'zod'
+import en from 'zod/v4/locales/en.js'
+import * as z from 'zod/mini'
 
-const address = z.string().regex(/^[\d.]+:\d+$/, 'An address is an IPv4 number, a colon and a port.')
+// The small flavour of the library has no messages of its own.
+z.config(en())
+
+const address = z.string().check(z.regex(/^[\d.]+:\d+$/, 'An address is an IPv4 number, a colon and a port.'))
+const name = z.string().check(z.minLength(1))
+const port = z.int().check(z.minimum(0), z.maximum(65_535))
+
+function atLeast (least: number): z.ZodMiniNumber { return z.number().check(z.minimum(least)) }
 
 const schema = z.strictObject({
-  name: z.string().min(1),
-  zone: z.string().min(1),
-  host: z.string().min(1),
+  name,
+  zone: name,
+  host: name,
   store: address,
   listen_callers: address,
   listen_ready: address,
   /** Port on which the entries speak to each other. */
-  peer_port: z.int().min(0).max(65_535),
-  metrics_port: z.int().min(0).max(65_535),
+  peer_port: port,
+  metrics_port: port,
   /** Where peers may be found while the store is away. */
-  seeds: z.array(address).default([]),
-  listen_control: z.string().default(''),
-  grace_s: z.number().min(0).max(600).default(8),
-  retry_budget_ratio: z.number().min(0).max(10).default(0.2),
-  retry_budget_slack: z.number().min(0).default(10),
-  budget_window_s: z.number().min(0.1).max(600).default(10),
-  version_ms: z.number().min(0).default(5_000)
+  seeds: z._default(z.array(address), []),
+  /** Where peers that start find this entry; empty when it is no seed. */
+  listen_control: z._default(z.string(), ''),
+  /** Seconds from the signal to stop to the end of the process. */
+  grace_s: z._default(atLeast(0), 8),
+  /** Repeats to a service for each request, over all entries. */
+  retry_budget_ratio: z._default(atLeast(0), 0.2),
+  /** Repeats to a service on top, in each window, over all entries. */
+  retry_budget_slack: z._default(atLeast(0), 10),
+  budget_window_s: z._default(atLeast(0.1), 10),
+  /** Ms after its declaration from which only the new version of an adapter runs. */
+  version_ms: z._default(atLeast(0), 5_000)
 })
 
 /** Checked settings. */
