--- /dev/null
+++ b/packages/cli/src/lib/queries/explain.ts
@@ -0,0 +1,92 @@
+/**
+ * `hazelford explain`: what was decided on one request and why, from logs alone.
+ */
+import { exitCodes, type Report, report } from '../exit-code.js'
+
+/** One log line of an entry. */
+interface LogLine {
+  readonly time: number
+  readonly node: string
+  readonly msg: string
+  readonly [field: string]: unknown
+}
+
+/** Changes around a request that bear on it, in ms before and after. */
+const around = 1_500
+/** Fields that name the line rather than tell of it. */
+const framing: ReadonlySet<string> = new Set(['level', 'time', 'node', 'msg', 'request'])
+const shownChanges = 12
+
+function parseLine (text: string): LogLine | undefined {
+  // Lines may have a prefix, such as a time and a host, from whatever collected them.
+  const start = text.indexOf('{')
+  if (start < 0) return undefined
+  try {
+    const line = JSON.parse(text.slice(start)) as Partial<LogLine>
+    return typeof line.time === 'number' && typeof line.msg === 'string' ? { ...line, time: line.time, msg: line.msg, node: String(line.node) } : undefined
+  } catch {
+    // Half a line at the end of a file, or output of another program: nothing of ours.
+    return undefined
+  }
+}
+
+function describeFields (line: LogLine): string {
+  const parts = Object.entries(line).filter(([name]) => !framing.has(name)).map(([name, value]) => `${name} ${typeof value === 'object' ? JSON.stringify(value) : String(value)}`)
+  return parts.length === 0 ? '' : ` (${parts.join(', ')})`
+}
+
+function describe (line: LogLine, start: number): string {
+  const offset = `${line.time >= start ? '+' : ''}${line.time - start} ms`
+  return `${offset.padStart(10)}  ${line.node}  ${line.msg}${describeFields(line)}`
+}
+
+/** What the end of a request means, in a sentence. */
+const meanings: Readonly<Record<string, string>> = {
+  delivered: 'The whole answer was passed on.',
+  broken: 'Part of the answer had been passed on when its upstream failed; the connection was cut so that it can not look whole.',
+  'caller-gone': 'The caller closed its connection first.',
+  'no-upstream': 'No upstream of the service took a connection. It did not run.',
+  'adapter-unavailable': 'Its adapter could not be had in time: see the loads below. It did not run.',
+  refused: 'Upstreams said that they were full or lacked the adapter, and no other may be tried. It did not run.',
+  'attempts-spent': 'As many upstreams as the route allows have had it.',
+  'budget-spent': 'The retry budget of its service was spent, so it was not sent again.',
+  lost: 'The connection to its upstream broke after it was sent. It may have run, so it was not sent again.',
+  'timeout-unsent': 'Its time ran out before it was sent. It did not run.',
+  'timeout-sent': 'Its time ran out while an upstream had it. It may have run.',
+  'shutting-down': 'The entry was stopping. It did not run.'
+}
+
+function isAbout (line: LogLine, upstreams: ReadonlySet<unknown>, nodes: ReadonlySet<string>): boolean {
+  if (line.request !== undefined) return false
+  return upstreams.has(line.upstream) || (nodes.has(line.node) && /^(store|lease|daemon|entry|config|peers):/.test(line.msg))
+}
+
+/**
+ * Explains a request.
+ *
+ * @param id - the caller's id of the request
+ * @param texts - logs of any number of processes
+ */
+export function explain (id: string, texts: readonly string[]): Report {
+  const lines = texts.flatMap(text => text.split('\n')).map(parseLine).filter(line => line !== undefined).sort((a, b) => a.time - b.time)
+  const own = lines.filter(({ request }) => request === id)
+  const first = own[0]
+  if (first === undefined) {
+    return report(exitCodes.badInput, `No line names request ${id}. It reached no entry whose log was read, or its lines were left out under load: look for "log lines left out".`)
+  }
+  const end = own.findLast(({ msg }) => msg === 'request: over.')
+  const last = end ?? own.at(-1)!
+  const upstreams = new Set(own.map(({ upstream }) => upstream).filter(name => name !== undefined))
+  const nodes = new Set(own.map(({ node }) => node))
+  const changes = lines.filter(line => line.time >= first.time - around && line.time <= last.time + around && isAbout(line, upstreams, nodes))
+  const outcome = end === undefined
+    ? 'It has no end in these logs: its entry was killed or cut off, or its log ends too soon.'
+    : meanings[String(end.end)] ?? `It ended as ${String(end.end)}.`
+  const text = [
+    `Request ${id}: ${outcome}`,
+    ...own.map(line => describe(line, first.time)),
+    ...(changes.length === 0 ? [] : ['', 'What changed around it:', ...changes.slice(0, shownChanges).map(line => describe(line, first.time))]),
+    ...(changes.length > shownChanges ? [`(and ${changes.length - shownChanges} more)`] : [])
+  ].join('\n')
+  return report(exitCodes.done, text, { id, outcome, lines: own, changes })
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -13,6 +13,7 @@
 import { ConfigStore } from './lib/config-store.js'
 import { exitCodes, type Report, report } from './lib/exit-code.js'
 import { completion } from './lib/queries/completion.js'
+import { explain } from './lib/queries/explain.js'
 import { check, diff, history, show } from './lib/queries/config-queries.js'
 import { adapters, status } from './lib/queries/process-queries.js'
 import { requests, timeline } from './lib/queries/timeline.js'
@@ -151,6 +152,10 @@
   .option('--upstream <name>', 'About one upstream').option('--kind <kind>', 'Of one kind, such as load-ended').option('--html', 'One self-contained page')
   .example('hazelford timeline --since 5m --html > timeline.html')
   .action((options: CommandOptions) => run(options, () => timeline(context(options), { ...options, since: parseSpan(options.since) })))
+cli.command('explain <id> [...logs]', 'Say what was decided on a request and why, from log files or standard input')
+  .example('hazelford explain 9c41d07be2a35f68 entry-*.log')
+  .action((id: string, logs: readonly string[], options: CommandOptions) => run(options, () =>
+    explain(id, (logs.length === 0 ? ['-'] : logs).map(readText))))
 cli.command('completion <shell>', 'Completion script for bash or zsh')
   .action((shell: string, options: CommandOptions) => run(options, () => completion(shell, cli.commands.map(command => command.name))))
 cli.help()
--- /dev/null
+++ b/packages/cli/src/test/explain.steps.ts
@@ -0,0 +1,69 @@
+/**
+ * Explains requests from recorded lines.
+ */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { exitCodes, type Report } from '../lib/exit-code.js'
+import { explain } from '../lib/queries/explain.js'
+
+interface ExplainWorld { logs: readonly string[], report: Report }
+
+function line (time: number, node: string, msg: string, fields: object = {}): string {
+  return `  ${time / 1_000} ${node} ${JSON.stringify({ level: 30, time, node, ...fields, msg })}`
+}
+
+Given('logs of two entries, in which a booking\'s answer was lost', function (this: ExplainWorld) {
+  this.logs = [
+    [
+      line(1_000, 'e1', 'request: taken.', { request: 'b1', route: 'book', service: 'shop', kind: 'non-idempotent' }),
+      line(1_001, 'e1', 'request: sent.', { request: 'b1', upstream: 'i-1', send: 1 }),
+      line(1_020, 'e1', 'request: answer lost.', { request: 'b1', upstream: 'i-1', cause: 'read ECONNRESET' }),
+      line(1_021, 'e1', 'request: over.', { request: 'b1', end: 'lost', took: 21 }),
+      '{"level":30,"time":10'
+    ].join('\n'),
+    [line(1_010, 'e2', 'request: taken.', { request: 'other' }), line(1_400, 'e2', 'membership: upstream gone.', { upstream: 'i-1' })].join('\n')
+  ]
+})
+
+When('the booking is explained', function (this: ExplainWorld) { this.report = explain('b1', this.logs) })
+
+Then('it says that it may have run and was not sent again, with the upstream and the broken connection', function (this: ExplainWorld) {
+  assert.equal(this.report.code, exitCodes.done)
+  assert.match(this.report.text, /may have run, so it was not sent again/)
+  assert.match(this.report.text, /ECONNRESET/)
+  assert.match(this.report.text, /upstream gone.*i-1/)
+  assert.doesNotMatch(this.report.text, /other/)
+})
+
+Given('logs of two entries, in which a draft was refused for its adapter', function (this: ExplainWorld) {
+  this.logs = [[
+    line(1_000, 'e1', 'request: taken.', { request: 'd1', want: { model: 'm', adapter: 'a7' } }),
+    line(1_900, 'e1', 'peers: suspected.', { peer: 'e2' }),
+    line(3_000, 'e1', 'request: over.', { request: 'd1', end: 'adapter-unavailable' })
+  ].join('\n'), line(500, 'e2', 'daemon: started.')]
+})
+
+When('the draft is explained', function (this: ExplainWorld) { this.report = explain('d1', this.logs) })
+
+Then('it says that it did not run, and shows the holder that did not answer', function (this: ExplainWorld) {
+  assert.match(this.report.text, /adapter could not be had in time.*did not run/)
+  assert.match(this.report.text, /suspected.*e2/)
+})
+
+Given('logs of two entries, in which a request has no end', function (this: ExplainWorld) {
+  this.logs = [[line(1_000, 'e1', 'request: taken.', { request: 'k1' }), line(1_700, 'e1', 'daemon: started.')].join('\n'), '']
+})
+
+When('that request is explained', function (this: ExplainWorld) { this.report = explain('k1', this.logs) })
+
+Then('it says that its entry was killed or its log ends too soon', function (this: ExplainWorld) {
+  assert.match(this.report.text, /killed or cut off, or its log ends too soon/)
+  assert.match(this.report.text, /daemon: started/)
+})
+
+When('a request that no log names is explained', function (this: ExplainWorld) { this.report = explain('none', ['']) })
+
+Then('it says where its lines may be', function (this: ExplainWorld) {
+  assert.equal(this.report.code, exitCodes.badInput)
+  assert.match(this.report.text, /log lines left out/)
+})
