Send a request on only after what came with it was read

Change: one turn of the event loop between placing and sending; the end of the caller's side counts.

--- a/packages/direct/src/lib/caller-server.ts
+++ b/packages/direct/src/lib/caller-server.ts
@@ -122,7 +122,14 @@
       arrivedAt,
       answer,
       onGone: run => {
-        res.on('close', () => { if (!res.writableFinished) run() })
+        const { socket } = req
+        const gone = (): void => { if (!res.writableFinished) run() }
+        // The end of the caller's side is seen a little before the connection's.
+        socket.once('end', gone)
+        res.once('close', () => {
+          socket.removeListener('end', gone)
+          gone()
+        })
       }
     })
   }
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -154,16 +154,23 @@
       ...(again === undefined ? {} : { again })
     }
     this._deps.place(query).then(placed => {
-      if (placed.kind === 'unplaced') return this._post(placed)
-      this._upstream = placed.upstream
-      this._version = placed.version
-      this._post({ kind: 'placed', upstream: placed.upstream.id })
+      // On a busy host a request and the close of its connection are read one after the
+      // other. Sent on in between, it would run for a caller who left long before.
+      setImmediate(() => this._placed(placed))
     }, (error: Error) => {
       this._deps.log.warn('request', 'not placed.', { request: this._call.facts.id, error: error.message })
       this._post({ kind: 'unplaced', cause: 'no-upstream' })
     })
   }
 
+  private _placed (placed: Placed): void {
+    if (this._remaining <= 0) return this._post({ kind: 'timeout' })
+    if (placed.kind === 'unplaced') return this._post(placed)
+    this._upstream = placed.upstream
+    this._version = placed.version
+    this._post({ kind: 'placed', upstream: placed.upstream.id })
+  }
+
   private _send (): void {
     const upstream = this._upstream!
     const { clock, codec, log } = this._deps
