--- a/packages/bench/src/lib/guards.ts
+++ b/packages/bench/src/lib/guards.ts
@@ -166,5 +166,69 @@
     replace: 'if (true)',
     feature: 'packages/sidecar/src/test/fence.feature',
     scenario: 'a holder that was paused'
+  },
+  {
+    promise: 'direct answers: the id tells whose answer it is',
+    file: 'packages/direct/dist/lib/exchange.js',
+    find: 'facts.requestId !== undefined && facts.requestId !== this._call.id',
+    replace: 'false',
+    feature: 'platform/src/test/answers.feature',
+    scenario: 'an answer that can\'t be trusted'
+  },
+  {
+    promise: 'direct answers: an answer without a length goes out without one',
+    file: 'packages/direct/dist/lib/caller-answer.js',
+    find: 'answer.framed ?',
+    replace: 'true ?',
+    feature: 'platform/src/test/answers.feature',
+    scenario: 'cut short'
+  },
+  {
+    promise: 'direct requests: what a lost booking did is not guessed',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: '!isIdempotent(request) ||',
+    replace: '',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'any sequence of outcomes'
+  },
+  {
+    promise: 'direct requests: nothing is sent for a caller who has left',
+    file: 'packages/direct/dist/lib/relay-task.js',
+    find: 'setImmediate(() => setImmediate(() => this._placed(placed)));',
+    replace: 'this._placed(placed);',
+    feature: 'platform/src/test/answers.feature',
+    scenario: 'before its request was read'
+  },
+  {
+    promise: 'outage: lapsed servers are not gone',
+    file: 'packages/direct/dist/lib/membership.js',
+    find: 'goneAt > now && upstream.record.state === \'ready\'',
+    replace: 'false',
+    feature: 'platform/src/test/store.feature',
+    scenario: 'records that lapse'
+  },
+  {
+    promise: 'direct configuration: never back to an older version',
+    file: 'packages/direct/dist/lib/config-holder.js',
+    find: 'this._table !== undefined && config.version <= this._table.version',
+    replace: 'false',
+    feature: 'platform/src/test/store.feature',
+    scenario: 'an older configuration'
+  },
+  {
+    promise: 'direct configuration: lost history is read anew',
+    file: 'packages/direct/dist/lib/store-mirror.js',
+    find: 'this._known = false;\n            return true;',
+    replace: 'return true;',
+    feature: 'platform/src/test/store.feature',
+    scenario: 'lost history'
+  },
+  {
+    promise: 'adapters: what a request was promised stays',
+    file: 'packages/decisions/dist/lib/adapter-plan.js',
+    find: 'slot.promisedUntil <= now &&',
+    replace: '',
+    feature: 'packages/decisions/src/test/adapter-plan.feature',
+    scenario: 'a slot that a request was promised'
   }
 ]
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -155,8 +155,9 @@
     }
     this._deps.place(query).then(placed => {
       // On a busy host a request and the close of its connection are read one after the
-      // other. Sent on in between, it would run for a caller who left long before.
-      setImmediate(() => this._placed(placed))
+      // other, in two turns of the event loop. Sent on in between, it would run for a caller
+      // who left long before.
+      setImmediate(() => setImmediate(() => this._placed(placed)))
     }, (error: Error) => {
       this._deps.log.warn('request', 'not placed.', { request: this._call.facts.id, error: error.message })
       this._post({ kind: 'unplaced', cause: 'no-upstream' })
