Log why an adapter was not to be had, and show its loads in an explanation

Cause: trying to explain a refused draft by its id alone led to no line on its adapter. Change: one line for each engine that could not have it, with cause and time waited; explain shows the loads of the request's adapter by any entry.

--- a/packages/cli/src/lib/queries/explain.ts
+++ b/packages/cli/src/lib/queries/explain.ts
@@ -56,8 +56,14 @@
   'shutting-down': 'The entry was stopping. It did not run.'
 }
 
-function isAbout (line: LogLine, upstreams: ReadonlySet<unknown>, nodes: ReadonlySet<string>): boolean {
+function wantOf (line: LogLine): { readonly model?: unknown, readonly adapter?: unknown } {
+  return typeof line.want === 'object' && line.want !== null ? line.want : {}
+}
+
+function isAbout (line: LogLine, first: LogLine, upstreams: ReadonlySet<unknown>, nodes: ReadonlySet<string>): boolean {
   if (line.request !== undefined) return false
+  const { model, adapter } = wantOf(first)
+  if (adapter !== undefined && line.adapter === adapter && line.model === model) return true
   return upstreams.has(line.upstream) || (nodes.has(line.node) && /^(store|lease|daemon|entry|config|peers):/.test(line.msg))
 }
 
@@ -78,7 +84,7 @@
   const last = end ?? own.at(-1)!
   const upstreams = new Set(own.map(({ upstream }) => upstream).filter(name => name !== undefined))
   const nodes = new Set(own.map(({ node }) => node))
-  const changes = lines.filter(line => line.time >= first.time - around && line.time <= last.time + around && isAbout(line, upstreams, nodes))
+  const changes = lines.filter(line => line.time >= first.time - around && line.time <= last.time + around && isAbout(line, first, upstreams, nodes))
   const outcome = end === undefined
     ? 'It has no end in these logs: its entry was killed or cut off, or its log ends too soon.'
     : meanings[String(end.end)] ?? `It ended as ${String(end.end)}.`
--- a/packages/cli/src/test/explain.steps.ts
+++ b/packages/cli/src/test/explain.steps.ts
@@ -40,7 +40,7 @@
     line(1_000, 'e1', 'request: taken.', { request: 'd1', want: { model: 'm', adapter: 'a7' } }),
     line(1_900, 'e1', 'peers: suspected.', { peer: 'e2' }),
     line(3_000, 'e1', 'request: over.', { request: 'd1', end: 'adapter-unavailable' })
-  ].join('\n'), line(500, 'e2', 'daemon: started.')]
+  ].join('\n'), [line(500, 'e2', 'daemon: started.'), line(1_400, 'e2', 'loads: load accepted.', { upstream: 'i-9', model: 'm', adapter: 'a7' })].join('\n')]
 })
 
 When('the draft is explained', function (this: ExplainWorld) { this.report = explain('d1', this.logs) })
@@ -48,6 +48,7 @@
 Then('it says that it did not run, and shows the holder that did not answer', function (this: ExplainWorld) {
   assert.match(this.report.text, /adapter could not be had in time.*did not run/)
   assert.match(this.report.text, /suspected.*e2/)
+  assert.match(this.report.text, /load accepted.*i-9/)
 })
 
 Given('logs of two entries, in which a request has no end', function (this: ExplainWorld) {
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -1,7 +1,7 @@
 /**
  * Finds the upstream for a request: ranks the candidates and gets the adapter there.
  */
-import { type Clock, type Ms, sleep } from '@hazelford/core'
+import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { type AdapterWant, DecayedCounter, type PlacementCandidate, rankCandidates, rendezvousOrder, replicasFor } from '@hazelford/decisions'
 import type { AdapterDirectory, EnsureQuery } from './adapter-directory.js'
 import type { Membership } from './membership.js'
@@ -49,6 +49,7 @@
 
   constructor (
     private readonly _clock: Clock,
+    private readonly _log: Log,
     private readonly _zone: string,
     private readonly _members: Membership,
     private readonly _directory: AdapterDirectory,
@@ -92,15 +93,20 @@
    */
   private async _await (upstream: Upstream, query: PlaceQuery, ask: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<Placed | undefined> {
     let { missing } = ask
+    const { request, tokens, dueAt } = query.prompt
+    const startedAt = this._clock.now()
     for (;;) {
       const patience = until - this._clock.now()
       if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return undefined
-      const { request, tokens, dueAt } = query.prompt
       const prompt = { request, tokens, dueIn: dueAt - this._clock.now() }
       const outcome = await this._directory.ensure(upstream, { ...ask, missing, patience, prompt })
       // It may have said that it leaves while the request waited.
       if (outcome.kind === 'ready') return this._isOpen(upstream) ? { kind: 'placed', upstream, version: outcome.version } : undefined
-      if (outcome.kind === 'unavailable') return undefined
+      if (outcome.kind === 'unavailable') {
+        const waited = Math.round(this._clock.now() - startedAt)
+        this._log.info('request', 'adapter not to be had.', { request, upstream: upstream.id, ...ask.want, cause: outcome.cause, waited, left: Math.round(patience) })
+        return undefined
+      }
       missing = false
     }
   }
