--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export * from './lib/adapter-demand.js'
 export * from './lib/adapter-plan.js'
 export * from './lib/choose-upstream.js'
 export * from './lib/decayed-counter.js'
--- /dev/null
+++ b/packages/decisions/src/lib/adapter-demand.ts
@@ -0,0 +1,80 @@
+/**
+ * What is asked of one engine, and what is loaded first.
+ */
+import type { Ms } from '@hazelford/core'
+import { DecayedCounter } from './decayed-counter.js'
+
+/** A model, or an adapter of it, in a version if one is declared. */
+export interface AdapterWant {
+  readonly model: string
+  readonly adapter?: string
+  readonly version?: number
+}
+
+/** How long and how urgently something is wanted. */
+export interface WantTerms {
+  /** 0 is the most urgent. */
+  readonly urgency: number
+  /** When nobody will wait for it any more. */
+  readonly until: Ms
+}
+
+/** Something that is waited for. */
+export interface Waiting extends WantTerms { readonly want: AdapterWant, readonly since: Ms }
+
+/** One step of priority outweighs this many times the requests. */
+const urgencyFactor = 3
+/** Time in which a change of demand shows. */
+const popularityHalfLife: Ms = 6_000
+const popularityCapacity = 5_000
+
+/** Names a model, or an adapter of it. */
+export function wantKey ({ model, adapter }: AdapterWant): string { return `${model}/${adapter ?? ''}` }
+
+/** Counts what is asked for and keeps what waits. */
+export class AdapterDemand {
+  private readonly _waiting = new Map<string, Waiting>()
+  private readonly _popularity = new DecayedCounter(popularityHalfLife, popularityCapacity)
+
+  get size (): number { return this._waiting.size }
+
+  count (key: string, now: Ms): void { this._popularity.add(key, now) }
+
+  popularity (key: string, now: Ms): number { return this._popularity.read(key, now) }
+
+  waits (key: string): boolean { return this._waiting.has(key) }
+
+  keys (): readonly string[] { return [...this._waiting.keys()] }
+
+  waitsForModel (model: string): boolean { return [...this._waiting.values()].some(({ want }) => want.model === model) }
+
+  served (key: string): void { this._waiting.delete(key) }
+
+  enqueue (want: AdapterWant, { urgency, until }: WantTerms, now: Ms): void {
+    const key = wantKey(want)
+    const earlier = this._waiting.get(key)
+    this._waiting.set(key, {
+      want,
+      urgency: Math.min(urgency, earlier?.urgency ?? Infinity),
+      since: earlier?.since ?? now,
+      until: Math.max(until, earlier?.until ?? 0)
+    })
+  }
+
+  /** A load that nobody waits for any more takes a slot from one that somebody does. */
+  dropExpired (now: Ms): void {
+    for (const [key, { until }] of this._waiting) if (until <= now) this._waiting.delete(key)
+  }
+
+  /**
+   * Who is loaded first when the weight store can't feed all: what most requests wait for,
+   * counted more the more urgent they are. Each entry asks again while it waits, so that
+   * what waits long gains weight too.
+   */
+  inOrder (now: Ms): readonly Waiting[] {
+    return [...this._waiting.values()]
+      .map(waiting => ({ waiting, weight: this.popularity(wantKey(waiting.want), now) * urgencyFactor ** -waiting.urgency }))
+      .sort((a, b) => b.weight - a.weight || a.waiting.since - b.waiting.since)
+      .map(({ waiting }) => waiting)
+  }
+}
--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -3,14 +3,9 @@
  */
 import { assertNever, type Ms } from '@hazelford/core'
 import type { EngineReport, EngineSpec, HeldModel, LoadTarget, OrderOutcome } from '@hazelford/ports'
-import { DecayedCounter } from './decayed-counter.js'
-
-/** A model, or an adapter of it, in a version if one is declared. */
-export interface AdapterWant {
-  readonly model: string
-  readonly adapter?: string
-  readonly version?: number
-}
+import { AdapterDemand, type AdapterWant, wantKey, type WantTerms } from './adapter-demand.js'
+import { AdapterUses } from './adapter-uses.js'
+import { LoadTimes } from './load-times.js'
 
 /** What the plan wants done next. */
 export type PlanAction =
@@ -38,37 +33,16 @@
 export const readyPromise: Ms = 300
 /** Adapters that may be in transit to one engine; it fails beyond. */
 const maxInTransit = 4
-/** Part of a late load's time so far after which the engine is asked again, and the least pause. */
-const lateShare = 0.12
-const lateFloor: Ms = 12
-/**
- * Loads slow down while many run, and nobody sees them all: the last few loads tell. One
- * that was over when first asked after may have been over for a while, and counts as a
- * seventh faster than it was expected.
- */
-const slowdownWeight = 0.3
-const inTimeFactor = 0.85
-const leastSlowdown = 0.1
-/** First guesses at load times, from the service's description; corrected by what is seen. */
-const freshLoad: Ms = 250
-const recentLoad: Ms = 25
-/** Added to an expected load time: the engine's next step. */
-const loadMargin: Ms = 2
 const modelLoad: Ms = 2_000
 /** A report lags by some hundred ms; a later one shows the effect of an order. */
 const reportLag: Ms = 250
 const conflictPause: Ms = 100
 /** Times an order without an answer is sent again before the engine is asked for a report. */
 const maxRepeats = 4
-/** One step of priority outweighs this many times the requests. */
-const urgencyFactor = 3
 /** How soon a plan that found no slot looks again. */
 const slotRetry: Ms = 50
 /** An adapter just loaded stays this long, for those who waited for it. */
 const settleTime: Ms = 150
-const popularityHalfLife: Ms = 6_000
-/** Adapters whose copies an engine keeps in its host's memory. */
-const recentCapacity = 120
 
 interface Slot {
   readonly model: string
@@ -87,17 +61,8 @@
   promisedUntil: Ms
 }
 
-/** Age at which an entry's word on what it uses no longer counts; streams last a few seconds. */
-const useLasts: Ms = 4_000
-
-interface Waiting { readonly want: AdapterWant, readonly urgency: number, readonly since: Ms, readonly until: Ms }
-
 /** How an adapter is asked for. */
-export interface AskTerms {
-  /** 0 is the most urgent. */
-  readonly urgency: number
-  /** When nobody will wait for it any more. */
-  readonly until: Ms
+export interface AskTerms extends WantTerms {
   /** The engine has just refused a request for lack of it. */
   readonly missing: boolean
   /** Whether to stand in line when every slot is in use. */
@@ -114,13 +79,9 @@
 export class AdapterPlan {
   private _slots = new Map<string, Slot>()
   private _models = new Map<string, 'loaded' | 'in-transit' | 'unknown'>()
-  private readonly _waiting = new Map<string, Waiting>()
-  private readonly _popularity = new DecayedCounter(popularityHalfLife, 5_000)
-  private readonly _recent = new Set<string>()
-  /** What each entry has open requests on, and when it said so. */
-  private readonly _uses = new Map<string, { readonly keys: ReadonlySet<string>, readonly at: Ms }>()
-  /** What load times are multiplied by, as engines slow down when many load. */
-  private _slowdown = 1
+  private readonly _demand = new AdapterDemand()
+  private readonly _uses = new AdapterUses()
+  private readonly _times = new LoadTimes()
   /** An order without an answer; it is sent again before any other. */
   private _unanswered: PlanAction & { readonly kind: 'load' | 'unload' } | undefined
   private _repeats = 0
@@ -135,7 +96,7 @@
   /** Adapters loaded, on their way or leaving: all of them hold slots. */
   get slotsUsed (): number { return this._slots.size }
 
-  get waiting (): number { return this._waiting.size }
+  get waiting (): number { return this._demand.size }
 
   holdsModel (model: string): boolean { return this._models.get(model) === 'loaded' }
 
@@ -155,7 +116,7 @@
     for (const { model, adapter, version } of report.coming) {
       const key = slotKey(model, adapter)
       const before = held.get(key)
-      this._slots.set(key, { model, adapter, version, state: 'in-transit', orderedAt: before?.orderedAt ?? askedAt, readyAt: Math.max(before?.readyAt ?? 0, askedAt + recentLoad), late: false, promisedUntil: 0 })
+      this._slots.set(key, { model, adapter, version, state: 'in-transit', orderedAt: before?.orderedAt ?? askedAt, readyAt: Math.max(before?.readyAt ?? 0, askedAt + this._times.shortest), late: false, promisedUntil: 0 })
     }
     // An order that was accepted after the report's values were read isn't in it yet.
     for (const [key, slot] of held) {
@@ -171,7 +132,7 @@
       const leaving = before?.state === 'unloading'
       if (leaving) this._askAgain(askedAt + reportLag)
       this._slots.set(key, { model, adapter, version, state: leaving ? 'unloading' : 'loaded', orderedAt: 0, readyAt: -Infinity, late: false, promisedUntil: before?.promisedUntil ?? 0 })
-      this._remember(key)
+      this._times.remember(key)
     }
   }
 
@@ -180,15 +141,6 @@
     this._reportAt = at
   }
 
-  private _remember (key: string): void {
-    this._recent.delete(key)
-    this._recent.add(key)
-    for (const oldest of this._recent) {
-      if (this._recent.size <= recentCapacity) break
-      this._recent.delete(oldest)
-    }
-  }
-
   /**
    * Takes an entry's word on the adapters that its open requests use here.
    *
@@ -200,23 +152,16 @@
    * @param now - time
    */
   noteUse (entry: string, keys: Iterable<string>, now: Ms): void {
-    this._uses.set(entry, { keys: new Set(keys), at: now })
+    this._uses.note(entry, keys, now)
   }
 
   /** Notes a request that is about to use an adapter, until its entry's next word. */
   addUse (entry: string, model: string, adapter: string, now: Ms): void {
-    const keys = new Set(this._uses.get(entry)?.keys ?? [])
-    keys.add(slotKey(model, adapter))
-    this._uses.set(entry, { keys, at: now })
+    this._uses.add(entry, slotKey(model, adapter), now)
     const slot = this._slots.get(slotKey(model, adapter))
     if (slot !== undefined) slot.promisedUntil = Math.max(slot.promisedUntil, now + readyPromise)
   }
 
-  private _inUse (key: string, now: Ms): boolean {
-    for (const { keys, at } of this._uses.values()) if (now - at < useLasts && keys.has(key)) return true
-    return false
-  }
-
   /**
    * Asks for an adapter, or for a model alone.
    *
@@ -225,21 +170,21 @@
    * @param now - time
    */
   ask (want: AdapterWant, terms: AskTerms, now: Ms): Readiness {
-    const key = slotKey(want.model, want.adapter ?? '')
-    this._popularity.add(key, now)
+    const key = wantKey(want)
+    this._demand.count(key, now)
     const slot = this._slots.get(key)
     if (terms.missing && slot !== undefined) this._distrust(slot, now)
     const ready = this.promise(want, now)
     if (ready !== undefined) return ready
     if (!terms.mayWait && this._occupied(key, slot, now)) return { kind: 'occupied' }
-    this._enqueue(key, want, terms, now)
+    this._demand.enqueue(want, terms, now)
     return { kind: 'coming' }
   }
 
   /** Whether it takes the end of somebody's requests to make room. */
   private _occupied (key: string, slot: Slot | undefined, now: Ms): boolean {
-    if (slot !== undefined) return slot.state === 'unloading' || (slot.state === 'loaded' && this._inUse(key, now))
-    const ahead = [...this._waiting.keys()].filter(other => !this._slots.has(other)).length
+    if (slot !== undefined) return slot.state === 'unloading' || (slot.state === 'loaded' && this._uses.inUse(key, now))
+    const ahead = this._demand.keys().filter(other => !this._slots.has(other)).length
     const free = this._spec.adapterSlots - this._slots.size - ahead
     return free <= 0 && this._victims(now) <= ahead
   }
@@ -256,36 +201,21 @@
    * @returns undefined when it can't be
    */
   promise (want: AdapterWant, now: Ms): Readiness & { readonly kind: 'ready' } | undefined {
-    const key = slotKey(want.model, want.adapter ?? '')
+    const key = wantKey(want)
     if (want.adapter === undefined) {
       if (!this.holdsModel(want.model)) return undefined
-      this._waiting.delete(key)
+      this._demand.served(key)
       return { kind: 'ready', until: now + readyPromise, version: undefined }
     }
     const slot = this._slots.get(key)
     if (slot === undefined || !this._usable(slot, want)) return undefined
     slot.promisedUntil = Math.max(slot.promisedUntil, now + readyPromise)
-    this._waiting.delete(key)
+    this._demand.served(key)
     return { kind: 'ready', until: slot.promisedUntil, version: slot.version }
   }
 
   holdsAdapter (model: string, adapter: string): boolean { return this._slots.has(slotKey(model, adapter)) }
 
-  private _enqueue (key: string, want: AdapterWant, { urgency, until }: AskTerms, now: Ms): void {
-    const earlier = this._waiting.get(key)
-    this._waiting.set(key, {
-      want,
-      urgency: Math.min(urgency, earlier?.urgency ?? Infinity),
-      since: earlier?.since ?? now,
-      until: Math.max(until, earlier?.until ?? 0)
-    })
-  }
-
-  /** A load that nobody waits for any more takes a slot from one that somebody does. */
-  private _dropExpired (now: Ms): void {
-    for (const [key, { until }] of this._waiting) if (until <= now) this._waiting.delete(key)
-  }
-
   private _usable (slot: Slot, want: AdapterWant): boolean {
     if (want.version !== undefined && (slot.version ?? 0) < want.version) return false
     return slot.state === 'loaded'
@@ -312,36 +242,22 @@
    * @param now - time
    */
   next (now: Ms): PlanAction {
-    this._dropExpired(now)
+    this._demand.dropExpired(now)
     if (this._mustReport) return now >= this._reportAt ? { kind: 'report' } : { kind: 'idle', until: this._reportAt }
     if (this._unanswered !== undefined) return this._unanswered
     const due = this._dueConfirmation(now)
     if (due !== undefined) return due
     const model = this._modelToLoad()
     if (model !== undefined) return { kind: 'load', target: { model } }
-    for (const { want } of this._byDemand(now)) {
+    for (const { want } of this._demand.inOrder(now)) {
       const action = want.adapter === undefined ? undefined : this._actionFor(want, now)
       if (action !== undefined) return action
     }
     // A waiting adapter may need a slot whose promise runs out.
-    const retry = this._waiting.size > 0 ? now + slotRetry : Infinity
+    const retry = this._demand.size > 0 ? now + slotRetry : Infinity
     return { kind: 'idle', until: Math.min(retry, this.nextReady(now) ?? Infinity) }
   }
 
-  /**
-   * Who is loaded first when the weight store can't feed all: what most requests wait for,
-   * counted more the more urgent they are. Each entry asks again while it waits, so that
-   * what waits long gains weight too.
-   */
-  private _byDemand (now: Ms): readonly Waiting[] {
-    const weigh = (waiting: Waiting): number =>
-      this._popularity.read(slotKey(waiting.want.model, waiting.want.adapter ?? ''), now) * urgencyFactor ** -waiting.urgency
-    return [...this._waiting.values()]
-      .map(waiting => ({ waiting, weight: weigh(waiting) }))
-      .sort((a, b) => b.weight - a.weight || a.waiting.since - b.waiting.since)
-      .map(({ waiting }) => waiting)
-  }
-
   /**
    * A load whose time should be over. Its order is sent once more: the engine says at once
    * whether it holds, while a report lags by some hundred ms.
@@ -362,7 +278,7 @@
     if ([...this._models.values()].includes('in-transit')) return undefined
     const room = this._spec.weightsMb - this._spec.models.filter(({ name }) => this._models.has(name)).reduce((sum, { weightsMb }) => sum + weightsMb, 0)
     const absent = this._spec.models.filter(({ name, weightsMb }) => !this._models.has(name) && weightsMb <= room)
-    const asked = absent.find(({ name }) => [...this._waiting.values()].some(({ want }) => want.model === name))
+    const asked = absent.find(({ name }) => this._demand.waitsForModel(name))
     return (asked ?? (this._models.size === 0 ? absent[0] : undefined))?.name
   }
 
@@ -374,7 +290,7 @@
     if (this._inTransit() >= maxInTransit || !this._storeHasRoom(want)) return undefined
     // A newer version takes the slot of the older one, once its requests have ended: until
     // then the engine would refuse new ones.
-    if (slot !== undefined) return this._inUse(slotKey(model, adapter), now) ? undefined : { kind: 'load', target: want }
+    if (slot !== undefined) return this._uses.inUse(slotKey(model, adapter), now) ? undefined : { kind: 'load', target: want }
     if (this._slots.size < this._spec.adapterSlots && this._weightsFit(model)) return { kind: 'load', target: want }
     const victim = this._victim(now)
     return victim === undefined ? undefined : { kind: 'unload', target: { model: victim.model, adapter: victim.adapter } }
@@ -391,9 +307,9 @@
    * more loads at once bring no adapter sooner and each one later.
    */
   private _storeHasRoom ({ model, adapter }: AdapterWant): boolean {
-    if (this._recent.has(slotKey(model, adapter ?? ''))) return true
-    const fresh = [...this._slots].filter(([key, slot]) => slot.state === 'in-transit' && !this._recent.has(key)).length
-    return fresh < Math.max(1, Math.floor(maxInTransit / Math.max(1, this._slowdown) ** 2))
+    if (this._times.isRecent(slotKey(model, adapter ?? ''))) return true
+    const fresh = [...this._slots].filter(([key, slot]) => slot.state === 'in-transit' && !this._times.isRecent(key)).length
+    return fresh < Math.max(1, Math.floor(maxInTransit / Math.max(1, this._times.slowdown) ** 2))
   }
 
   private _weightsFit (model: string): boolean {
@@ -411,7 +327,7 @@
    * engine, or wait for a load that it was told is done.
    */
   private _mayGo (key: string, slot: Slot, now: Ms): boolean {
-    return slot.state === 'loaded' && slot.promisedUntil <= now && !this._waiting.has(key) && !this._inUse(key, now)
+    return slot.state === 'loaded' && slot.promisedUntil <= now && !this._demand.waits(key) && !this._uses.inUse(key, now)
   }
 
   /** The least used adapter that may go. */
@@ -420,7 +336,7 @@
     let least = Infinity
     for (const [key, slot] of this._slots) {
       if (!this._mayGo(key, slot, now)) continue
-      const worth = this._popularity.read(key, now)
+      const worth = this._demand.popularity(key, now)
       if (worth >= least) continue
       worst = slot
       least = worth
@@ -504,25 +420,19 @@
     slot.state = 'in-transit'
     slot.orderedAt = now
     slot.late = false
-    slot.readyAt = now + (this._recent.has(key) ? recentLoad : freshLoad * this._slowdown) + loadMargin
+    slot.readyAt = now + this._times.expected(key)
   }
 
   private _loadLate (slot: Slot, now: Ms): void {
     slot.late = true
-    slot.readyAt = now + Math.max(lateFloor, (now - slot.orderedAt) * lateShare)
+    slot.readyAt = now + this._times.retryAfter(now - slot.orderedAt)
   }
 
   private _loadEnded (key: string, slot: Slot, now: Ms): void {
-    if (slot.state === 'in-transit') this._learn(key, slot, now)
+    if (slot.state === 'in-transit') this._times.learn(key, now - slot.orderedAt, slot.late)
     slot.state = 'loaded'
     slot.promisedUntil = Math.max(slot.promisedUntil, now + settleTime)
-    this._remember(key)
-  }
-
-  private _learn (key: string, slot: Slot, now: Ms): void {
-    if (this._recent.has(key)) return
-    const seen = slot.late ? (now - slot.orderedAt) / freshLoad : this._slowdown * inTimeFactor
-    this._slowdown = Math.max(leastSlowdown, this._slowdown + slowdownWeight * (seen - this._slowdown))
+    this._times.remember(key)
   }
 
   private _unloadAccepted ({ model, adapter }: LoadTarget, outcome: 'accepted' | 'holds', now: Ms): void {
--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -2,7 +2,7 @@
  * Where adapters can be used, and who can get them loaded.
  */
 import type { Clock, Log, Ms } from '@hazelford/core'
-import type { AdapterPresence, AdapterWant } from '@hazelford/decisions'
+import { type AdapterPresence, type AdapterWant, wantKey } from '@hazelford/decisions'
 import type { EngineDesk } from './engine-desk.js'
 import type { Ask, AskOutcome } from './engine-holder.js'
 import type { PeerClient } from './peer-calls.js'
@@ -23,8 +23,6 @@
 
 interface HeldPromise { readonly until: Ms, readonly version: number | undefined }
 
-function wantKey ({ model, adapter }: AdapterWant): string { return `${model}/${adapter ?? ''}` }
-
 /** Promises that holders made to this entry. */
 export class AdapterDirectory {
   private readonly _promises = new Map<string, Map<string, HeldPromise>>()
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -35,9 +35,7 @@
   retry_budget_ratio: z._default(atLeast(0), 0.2),
   /** Repeats to a service on top, in each window, over all entries. */
   retry_budget_slack: z._default(atLeast(0), 10),
-  budget_window_s: z._default(atLeast(0.1), 10),
-  /** Ms after its declaration from which only the new version of an adapter runs. */
-  version_ms: z._default(atLeast(0), 5_000)
+  budget_window_s: z._default(atLeast(0.1), 10)
 })
 
 /** Checked settings. */
--- a/packages/direct/src/lib/exchange.ts
+++ b/packages/direct/src/lib/exchange.ts
@@ -73,7 +73,6 @@
   private _over = false
   private _begun = false
   private _sent = false
-  private _answered = false
   private _timer: (() => void) | undefined
 
   constructor (
@@ -146,7 +145,6 @@
   }
 
   private _respond (res: IncomingMessage): void {
-    this._answered = true
     if (this._over) {
       res.resume()
       return
@@ -241,7 +239,4 @@
     res.on('aborted', () => this._broken('The connection broke within the answer.'))
     res.on('error', error => this._broken(error.message))
   }
-
-  /** Whether the upstream has begun to answer. */
-  get answered (): boolean { return this._answered }
 }
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -2,7 +2,7 @@
  * Drives one request: performs what its decisions ask for.
  */
 import { assertNever, type CancelTimer, type Clock, type Log, type Ms, Task } from '@hazelford/core'
-import { type AdapterWant, type ExchangeOutcome, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage } from '@hazelford/decisions'
+import { type AdapterWant, type ExchangeOutcome, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, wantKey } from '@hazelford/decisions'
 import type { CallCodec, CallFacts, Route } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
 import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
@@ -180,7 +180,7 @@
     this._sends++
     const resumed = this._answer.begun ? this._lastEventId : undefined
     log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), outstanding: upstream.outstanding, version: this._version, resumedAfter: resumed })
-    const release = upstream.open(this._want?.adapter === undefined ? undefined : `${this._want.model}/${this._want.adapter}`)
+    const release = upstream.open(this._want?.adapter === undefined ? undefined : wantKey(this._want))
     if (this._want !== undefined) upstream.sentPrompt(facts.promptTokens)
     const close = (outcome: ExchangeOutcome, latency?: Ms): void => {
       release()
