--- a/packages/bench/src/lib/bench-policy.ts
+++ b/packages/bench/src/lib/bench-policy.ts
@@ -3,23 +3,14 @@
  * arrivals.
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
-import { type Bound, lowerBound } from './policy/bound.js'
+import { lowerBound } from './policy/bound.js'
 import { type Conditions, type Deployment, drawArrivals, kalgoorlie, vozikom } from './policy/deployment.js'
 import { type Outcome, runExperiment } from './policy/experiment.js'
 import { createHazelford } from './policy/hazelford-policy.js'
 import { policyPage } from './policy/policy-page.js'
+import type { PolicyRow } from './policy/policy-row.js'
 import { createHash, createNaive } from './policy/simple-policies.js'
 
-/** One condition with what every policy made of it. */
-export interface PolicyRow {
-  readonly deployment: string
-  readonly condition: string
-  readonly naive: Outcome
-  readonly hash: Outcome
-  readonly hazelford: Outcome
-  readonly bound: Bound
-}
-
 const seconds = 240
 
 const conditions: readonly (readonly [string, Partial<Conditions>])[] = [
--- a/packages/bench/src/lib/bench-slopes.ts
+++ b/packages/bench/src/lib/bench-slopes.ts
@@ -11,22 +11,9 @@
 import { startFakeEntries, startFakeSidecars } from './fake-peers.js'
 import { cpuMs } from './process-usage.js'
 import { entrySettings, sidecarSettings } from './settings-text.js'
+import type { Slope, SlopePoint } from './slope.js'
 import { slopesPage } from './slopes-page.js'
 
-/** One measured point. */
-export interface SlopePoint { readonly x: number, readonly y: number }
-
-/** A line through measured points. */
-export interface Slope {
-  readonly name: string
-  readonly unitX: string
-  readonly unitY: string
-  readonly points: readonly SlopePoint[]
-  /** y = base + perUnit * x, by least squares. */
-  readonly base: number
-  readonly perUnit: number
-}
-
 const windowMs = 4_000
 const settleMs = 2_000
 const sidecarCounts = [10, 100, 300, 600, 1_000]
--- a/packages/bench/src/lib/policy/policy-page.ts
+++ b/packages/bench/src/lib/policy/policy-page.ts
@@ -1,7 +1,7 @@
 /**
  * Plots of the policy benchmark as one self-contained page.
  */
-import type { PolicyRow } from '../bench-policy.js'
+import type { PolicyRow } from './policy-row.js'
 
 const width = 560
 const height = 150
--- /dev/null
+++ b/packages/bench/src/lib/policy/policy-row.ts
@@ -0,0 +1,15 @@
+/**
+ * One row of the policy benchmark.
+ */
+import type { Bound } from './bound.js'
+import type { Outcome } from './experiment.js'
+
+/** One condition with what every policy made of it. */
+export interface PolicyRow {
+  readonly deployment: string
+  readonly condition: string
+  readonly naive: Outcome
+  readonly hash: Outcome
+  readonly hazelford: Outcome
+  readonly bound: Bound
+}
--- a/packages/bench/src/lib/slopes-page.ts
+++ b/packages/bench/src/lib/slopes-page.ts
@@ -1,7 +1,7 @@
 /**
  * Plots of the slopes as one self-contained page.
  */
-import type { Slope } from './bench-slopes.js'
+import type { Slope } from './slope.js'
 
 const width = 360
 const height = 160
--- a/packages/cli/src/lib/queries/timeline-page.ts
+++ b/packages/cli/src/lib/queries/timeline-page.ts
@@ -1,7 +1,7 @@
 /**
  * The time line as one self-contained page.
  */
-import type { MergedTimeline } from './timeline.js'
+import type { MergedTimeline } from './merged-timeline.js'
 
 /** Data goes into a script element; `<` is the one character that could end it. */
 function safeJson (value: unknown): string {
--- a/packages/cli/src/lib/queries/timeline.ts
+++ b/packages/cli/src/lib/queries/timeline.ts
@@ -1,11 +1,12 @@
 /**
  * `hazelford timeline` and `requests`: the events of all processes in causal order.
  */
-import { compareStamps, type TimelineEvent } from '@hazelford/core'
+import { compareStamps } from '@hazelford/core'
 import type { CliContext } from '../cli-context.js'
 import { exitCodes, type Report, report } from '../exit-code.js'
 import { askAll, listHosts, type ProcessTimeline } from '../processes.js'
 import { formatTable } from '../table.js'
+import type { MergedTimeline, PlacedEvent } from './merged-timeline.js'
 import { timelinePage } from './timeline-page.js'
 
 /** Which events to show. */
@@ -20,17 +21,6 @@
   readonly html?: boolean
 }
 
-/** An event and the process it happened in. */
-export interface PlacedEvent extends TimelineEvent { readonly process: string }
-
-/** Merged events and what is missing from them. */
-export interface MergedTimeline {
-  readonly events: readonly PlacedEvent[]
-  readonly unreachable: readonly string[]
-  /** Processes whose rings dropped events. */
-  readonly overflowed: readonly string[]
-}
-
 function passes (event: PlacedEvent, filter: TimelineFilter, from: number): boolean {
   return event.stamp.wall >= from &&
     (filter.request === undefined || event.request === filter.request) &&
