--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -33,7 +33,6 @@
 export const readyPromise: Ms = 300
 /** Adapters that may be in transit to one engine; it fails beyond. */
 const maxInTransit = 4
-const modelLoad: Ms = 2_000
 /** A report lags by some hundred ms; a later one shows the effect of an order. */
 const reportLag: Ms = 250
 const conflictPause: Ms = 100
@@ -90,9 +89,6 @@
 
   constructor (private readonly _spec: EngineSpec) {}
 
-  /** Whether the engine's state is known. */
-  get known (): boolean { return !this._mustReport }
-
   /** Adapters loaded, on their way or leaving: all of them hold slots. */
   get slotsUsed (): number { return this._slots.size }
 
@@ -402,7 +398,7 @@
   private _loadAccepted ({ model, adapter, version }: LoadTarget, outcome: 'accepted' | 'holds', now: Ms): void {
     if (adapter === undefined) {
       this._models.set(model, outcome === 'holds' ? 'loaded' : 'in-transit')
-      if (outcome === 'accepted') this._askAgain(now + Math.min(modelLoad, reportLag))
+      if (outcome === 'accepted') this._askAgain(now + reportLag)
       return
     }
     const key = slotKey(model, adapter)
--- a/packages/decisions/src/lib/route-table.ts
+++ b/packages/decisions/src/lib/route-table.ts
@@ -44,11 +44,6 @@
   }
 
   service (name: string): ServiceSpec | undefined { return this._services.get(name) }
-
-  /** Whether any route sends requests to a service. */
-  serves (service: string): boolean {
-    return this.config.routes.some(route => route.targets.some(target => target.service === service))
-  }
 }
 
 /**
--- a/packages/direct/src/lib/caller-server.ts
+++ b/packages/direct/src/lib/caller-server.ts
@@ -109,6 +109,8 @@
     req.on('end', () => {
       if (!answer.ended) this._handle(req, res, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), arrivedAt, answer)
     })
+    // The caller broke off within its body. Nothing was passed on, and the close of its
+    // connection ends the count of open requests.
     req.on('error', () => {})
   }
 
--- a/packages/direct/src/lib/connection-pool.ts
+++ b/packages/direct/src/lib/connection-pool.ts
@@ -30,7 +30,7 @@
 
 interface Idle { readonly socket: Socket, readonly since: Ms, readonly stop: () => void }
 
-/** Connections of one lifetime of an upstream. */
+/** Connections of one incarnation of an upstream. */
 export class ConnectionPool {
   private _idle: Idle[] = []
   private _open = 0
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -50,8 +50,6 @@
     this._startedAt = _options.clock.now()
   }
 
-  get held (): number { return this._holders.size }
-
   holder (upstream: string): EngineHolder | undefined { return this._holders.get(upstream) }
 
   /** Asks a holder of this entry; undefined when it doesn't hold the engine. */
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -1,5 +1,5 @@
 /**
- * One lifetime of an upstream, as this entry uses it.
+ * One incarnation of an upstream, as this entry uses it.
  */
 import type { Clock, Ms } from '@hazelford/core'
 import { promptTokensPerMs, UpstreamHealth } from '@hazelford/decisions'
--- a/packages/ports/src/lib/call-codec.ts
+++ b/packages/ports/src/lib/call-codec.ts
@@ -40,7 +40,7 @@
   readonly sealed: boolean
   /** Id of the request that the answer belongs to. */
   readonly requestId: string | undefined
-  /** Lifetime that answered, when it says so. */
+  /** Incarnation that answered, when it says so. */
   readonly instance: string | undefined
 }
 
--- a/packages/ports/src/lib/engine-control.ts
+++ b/packages/ports/src/lib/engine-control.ts
@@ -27,7 +27,7 @@
  * - `conflict`: another order runs, or the engine has accepted more orders than the sender knew.
  * - `fenced`: a newer holder has given orders.
  * - `refused`: the order can't be carried out as it is.
- * - `other-instance`: another lifetime answers at this address.
+ * - `other-instance`: another incarnation answers at this address.
  */
 export type OrderOutcome = 'accepted' | 'holds' | 'conflict' | 'fenced' | 'refused' | 'other-instance'
 
@@ -48,7 +48,7 @@
   readonly message: string
 }
 
-/** Control of one lifetime of an engine. */
+/** Control of one incarnation of an engine. */
 export interface EngineControl {
   readonly load: (target: LoadTarget, order: OrderContext) => ResultAsync<OrderOutcome, ControlFailure>
   readonly unload: (target: LoadTarget, order: OrderContext) => ResultAsync<OrderOutcome, ControlFailure>
--- a/packages/ports/src/lib/upstream-record.ts
+++ b/packages/ports/src/lib/upstream-record.ts
@@ -16,7 +16,7 @@
   readonly adapters: readonly HeldAdapter[]
 }
 
-/** One lifetime of an upstream. A restart has a new id. */
+/** One incarnation of an upstream. A restart has a new id. */
 export interface UpstreamRecord {
   readonly id: string
   readonly service: string
