--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -81,6 +81,7 @@
   private readonly _servers: Server[] = []
   private readonly _self: { readonly node: string, readonly host: string, port: number }
   private _settings: DirectSettings
+  private _peerPort = 0
   private _closing = false
   private _lastAnswer = false
   private _refusing = false
@@ -207,7 +208,8 @@
     const ready = splitAddress(settings.listen_ready)
     this._servers.push(await listen(createReadyServer(() => this.ready, platform.readinessPath), ready.host, ready.port))
     const peers = await servePeers(this._peerService(), settings.host, settings.peer_port)
-    this._self.port = portOf(peers)
+    this._peerPort = portOf(peers)
+    this._self.port = settings.advertised_peer_port === 0 ? this._peerPort : settings.advertised_peer_port
     this._servers.push(peers)
     await this._serveSeeds()
     this._servers.push(await listen(metrics.createServer('/metrics'), settings.host, settings.metrics_port))
@@ -224,7 +226,7 @@
 
   /** Ports it listens on, as chosen by the kernel where the settings say 0. */
   get ports (): { readonly callers: number, readonly ready: number, readonly peers: number } {
-    return { callers: portOf(this._callers.server), ready: portOf(this._servers[0]!), peers: this._self.port }
+    return { callers: portOf(this._callers.server), ready: portOf(this._servers[0]!), peers: this._peerPort }
   }
 
   /** Peers that start while the store is away find this entry at an address of its own. */
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -24,6 +24,8 @@
   listen_ready: address,
   /** Port on which the entries speak to each other. */
   peer_port: port,
+  /** Port at which the other entries reach that one, where something translates ports between them; 0 when nothing does. */
+  advertised_peer_port: z._default(port, 0),
   metrics_port: port,
   /** Where peers may be found while the store is away. */
   seeds: z._default(z.array(address), []),
@@ -59,7 +61,7 @@
 }
 
 /** Settings that take effect at a start only: sockets are open, and peers know them. */
-export const addressSettings = ['name', 'zone', 'host', 'store', 'listen_callers', 'listen_ready', 'listen_control', 'peer_port', 'metrics_port'] as const
+export const addressSettings = ['name', 'zone', 'host', 'store', 'listen_callers', 'listen_ready', 'listen_control', 'peer_port', 'advertised_peer_port', 'metrics_port'] as const
 
 /** Those settings of a process that runs. */
 export function pickAddresses (settings: DirectSettings): Pick<DirectSettings, typeof addressSettings[number]> {
