Do not count a repeated load as an order

Cause: a load under way that is asked after again is accepted (202) but changes nothing, and the engine does not count it. Its holder did, so the next order named a view that the engine did not have and was refused. Ruled out: two holders at once (one fence in each log). Change: the plan counts orders itself and leaves repeats out; stand-in and played engine behave as the real one does (accepting repeats before they look at the revision). The property of slots with late orders fails with the old counting too: an engine could have been ordered past its slots.

--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -86,6 +86,7 @@
   private _repeats = 0
   private _mustReport = true
   private _reportAt: Ms = 0
+  private _orders = 0
 
   constructor (private readonly _spec: EngineSpec) {}
 
@@ -94,6 +95,9 @@
 
   get waiting (): number { return this._demand.size }
 
+  /** Orders that the engine has counted, which the next one names as what it is based on. */
+  get orders (): number { return this._orders }
+
   holdsModel (model: string): boolean { return this._models.get(model) === 'loaded' }
 
   /**
@@ -104,6 +108,7 @@
    */
   takeReport (report: EngineReport, askedAt: Ms): void {
     this._unanswered = undefined
+    this._orders = report.orders
     const held = this._slots
     this._slots = new Map()
     this._models = new Map(report.models.map(({ model }) => [model, 'loaded']))
@@ -353,6 +358,7 @@
       case 'accepted':
       case 'holds':
         this._repeats = 0
+        if (this._isCounted(action, outcome)) this._orders++
         if (action.kind === 'load') this._loadAccepted(action.target, outcome, now)
         else this._unloadAccepted(action.target, outcome, now)
         return
@@ -372,6 +378,21 @@
     }
   }
 
+  /**
+   * Whether the engine counts an order that it took.
+   *
+   * A load that is under way, asked after again, is accepted once more but changes nothing and is
+   * not counted. Counted here, it made the engine refuse the next order as based on another
+   * view: 337 of 3,890 orders on a quiet day with six engines, each at the price of a report and 100 ms
+   * in which nothing could be loaded there.
+   */
+  private _isCounted (action: PlanAction & { readonly kind: 'load' | 'unload' }, outcome: 'accepted' | 'holds'): boolean {
+    if (action.kind === 'unload') return true
+    const { model, adapter } = action.target
+    const isRepeat = adapter !== undefined && this._slots.get(slotKey(model, adapter))?.state === 'in-transit'
+    return outcome === 'accepted' && !isRepeat
+  }
+
   /**
    * An order that got no answer may have been taken, or may be carried out seconds later.
    *
--- a/packages/decisions/src/test/adapter-plan.feature
+++ b/packages/decisions/src/test/adapter-plan.feature
@@ -44,3 +44,9 @@
     Given an engine whose adapter is in use in version 1
     When version 2 of it is asked for
     Then no load is ordered before its requests have ended
+
+  Scenario: loads that take longer than expected
+    Symptom: one order in twelve is refused, and after each of these an engine loads nothing for 100 ms.
+    Events: a load is late and its order is sent again to ask after it; the next order is refused.
+    Cause: the engine does not count the repeat, and its holder did.
+    Then of the orders of 60 asks for adapters whose loads take 400 ms none is refused
--- a/packages/decisions/src/test/adapter-plan.steps.ts
+++ b/packages/decisions/src/test/adapter-plan.steps.ts
@@ -18,23 +18,32 @@
 
 /** An engine that counts orders, and refuses one whose sender knew fewer. */
 class PlayedEngine {
+  /** @param loadTime - ms */
+  constructor (readonly loadTime = 250) {}
+
   readonly held = new Map<string, number>()
   readonly coming = new Map<string, number>()
   orders = 0
+  conflicts = 0
   most = 0
   mostComing = 0
 
   take ({ kind, target }: Order, after: number, now: number): OrderOutcome {
     this._arrive(now)
-    if (after !== this.orders) return 'conflict'
     const adapter = target.adapter!
+    // Asked after again, a load under way is accepted whatever it is based on, and not counted.
+    if (kind === 'load' && this.coming.has(adapter)) return 'accepted'
+    if (after !== this.orders) {
+      this.conflicts++
+      return 'conflict'
+    }
     if (kind === 'load' && this.held.has(adapter)) return 'holds'
     this.orders++
     if (kind === 'unload') {
       this.held.delete(adapter)
       return 'holds'
     }
-    if (!this.coming.has(adapter)) this.coming.set(adapter, now + 250)
+    this.coming.set(adapter, now + this.loadTime)
     this.most = Math.max(this.most, this.held.size + this.coming.size)
     this.mostComing = Math.max(this.mostComing, this.coming.size)
     return 'accepted'
@@ -71,27 +80,24 @@
 })
 
 /** Plays all asks; an order's fate decides whether it arrives, and whether its answer does. */
-function play ({ asks, fates }: Play): PlayedEngine {
-  const engine = new PlayedEngine()
+function play ({ asks, fates }: Play, loadTime?: number): PlayedEngine {
+  const engine = new PlayedEngine(loadTime)
   const plan = new AdapterPlan(specOf(4))
   const late: { at: number, order: Order, after: number }[] = []
-  let [now, known, sent] = [0, 0, 0]
+  let [now, sent] = [0, 0]
   const step = (): void => {
     for (const { order, after } of late.filter(({ at }) => at <= now)) engine.take(order, after, now)
     late.splice(0, late.length, ...late.filter(({ at }) => at > now))
     const action = plan.next(now)
     if (action.kind === 'idle') return
     if (action.kind === 'report') {
-      const report = engine.report(now)
-      known = report.orders
-      plan.takeReport(report, now)
+      plan.takeReport(engine.report(now), now)
       return
     }
     const fate = fates[sent++ % fates.length]!
-    if (fate === 'late') late.push({ at: now + 3_000, order: action, after: known })
-    const outcome = fate === 'answered' || fate === 'lost-after' ? engine.take(action, known, now) : undefined
+    if (fate === 'late') late.push({ at: now + 3_000, order: action, after: plan.orders })
+    const outcome = fate === 'answered' || fate === 'lost-after' ? engine.take(action, plan.orders, now) : undefined
     const heard = fate === 'answered' ? outcome : undefined
-    if (heard === 'accepted' || (heard === 'holds' && action.kind === 'unload')) known++
     plan.ordered(action, heard, now)
   }
   for (const { adapter, gap } of asks) {
@@ -195,3 +201,10 @@
   const action = this.plan.next(300)
   assert.ok(action.kind === 'load' && action.target.version === 2)
 })
+
+Then('of the orders of 60 asks for adapters whose loads take {int} ms none is refused', (loadTime: number) => {
+  const asks = Array.from({ length: 60 }, (_, n) => ({ adapter: 1 + n * 5 % 12, gap: 90 }))
+  const engine = play({ asks, fates: ['answered'] }, loadTime)
+  assert.ok(engine.orders > 20, `only ${engine.orders} orders`)
+  assert.equal(engine.conflicts, 0)
+})
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -83,7 +83,6 @@
   private _waiters: Waiter[] = []
   /** Open requests of each entry, and when it said so. */
   private readonly _outstanding = new Map<string, { readonly requests: number, readonly at: Ms }>()
-  private _orders = 0
   private _busy = false
   private _released = false
   private _wake: (() => void) | undefined
@@ -264,22 +263,23 @@
       await new Promise<void>(resolve => { clock.after(doubtPause, resolve) })
       return
     }
-    this._orders = report.value.orders
+    const { orders, models, coming } = report.value
+    const held = models.reduce((sum, { adapters }) => sum + adapters.length, 0)
+    log.info('loads', 'report taken.', { upstream, orders, counted: this._plan.orders, held, coming: coming.length, took: Math.round(clock.now() - askedAt) })
     this._plan.takeReport(report.value, askedAt)
   }
 
   private async _order (action: PlanAction & { readonly kind: 'load' | 'unload' }): Promise<void> {
     const { control, clock, fence, node } = this._options
-    const order = { holder: node, fence, afterOrders: this._orders }
+    const order = { holder: node, fence, afterOrders: this._plan.orders }
     const answer = await (action.kind === 'load' ? control.load(action.target, order) : control.unload(action.target, order))
     const outcome = answer.isOk() ? answer.value : undefined
-    if (outcome === 'accepted' || (outcome === 'holds' && action.kind === 'unload')) this._orders++
     this._plan.ordered(action, outcome, clock.now())
     this._note(action.kind, action.target, outcome)
   }
 
   private _note (kind: 'load' | 'unload', target: LoadTarget, outcome: OrderOutcome | undefined): void {
     const { log, upstream, fence } = this._options
-    log.info('loads', `${kind} ${outcome ?? 'unanswered'}.`, { upstream, ...target, fence, afterOrders: this._orders, waiting: this._plan.waiting, slotsUsed: this._plan.slotsUsed })
+    log.info('loads', `${kind} ${outcome ?? 'unanswered'}.`, { upstream, ...target, fence, afterOrders: this._plan.orders, waiting: this._plan.waiting, slotsUsed: this._plan.slotsUsed })
   }
 }
