Leave engines alone that their listed holder does not order

Change: such an engine is left alone for 500 ms (served from what is listed or promised, as with a holder that does not answer); only engines whose slots are all in use count towards the three that are asked; nobody stands in line where nobody orders. A request whose upstream lacked the adapter may go elsewhere. The causes are a union instead of text.

--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -15,6 +15,12 @@
  */
 const tryAgainEvery: Ms = 400
 
+/**
+ * How long an engine is left alone after the entry that is listed as its holder said that it
+ * does not order it. Another claims it within about this time, and the store tells who.
+ */
+const notHeldLasts: Ms = 500
+
 /** Longest wait of one call to a holder: a dead one shows no sooner. */
 const askLimit: Ms = 400
 
@@ -27,6 +33,8 @@
 export class AdapterDirectory {
   private readonly _promises = new Map<string, Map<string, HeldPromise>>()
   private readonly _suspects = new Set<string>()
+  /** Engines whose listed holder has said that it does not order them, and until when that counts. */
+  private readonly _notHeld = new Map<string, Ms>()
 
   constructor (
     private readonly _node: string,
@@ -40,7 +48,7 @@
   /** What is known of an adapter at an upstream. */
   presence (upstream: Upstream, want: AdapterWant): AdapterPresence {
     if (this._promised(upstream.id, want) !== undefined) return 'loaded'
-    if (this._askable(upstream.id)) return 'loadable'
+    if (this.canOrder(upstream.id)) return 'loadable'
     return this._listed(upstream, want) ? 'loaded' : 'unavailable'
   }
 
@@ -50,8 +58,10 @@
     return want.version !== undefined && (promise.version ?? 0) < want.version ? undefined : promise
   }
 
-  private _askable (upstream: string): boolean {
+  /** Whether somebody can be asked to load an adapter there. */
+  canOrder (upstream: string): boolean {
     if (this._desk.holder(upstream) !== undefined) return true
+    if ((this._notHeld.get(upstream) ?? -Infinity) > this._clock.now()) return false
     const holder = this._peers.holder(upstream)
     return holder !== undefined && !this._suspects.has(holder.node)
   }
@@ -67,7 +77,10 @@
   /** Forgets a promise that the upstream did not keep. */
   broken (upstream: string, want: AdapterWant): void { this._promises.get(upstream)?.delete(wantKey(want)) }
 
-  forget (upstream: string): void { this._promises.delete(upstream) }
+  forget (upstream: string): void {
+    this._promises.delete(upstream)
+    this._notHeld.delete(upstream)
+  }
 
   /**
    * Makes sure that an adapter can be used at an upstream.
@@ -77,7 +90,7 @@
    * @returns the version to expect there
    */
   async ensure (upstream: Upstream, query: EnsureQuery): Promise<AskOutcome> {
-    if (this._askable(upstream.id)) return this._askHolder(upstream, query)
+    if (this.canOrder(upstream.id)) return this._askHolder(upstream, query)
     // Nobody can be asked: what was promised or listed last is the best there is.
     const { want, missing } = query
     const promise = this._promised(upstream.id, want)
@@ -112,6 +125,7 @@
       promises.set(wantKey(query.want), { until: outcome.until, version: outcome.version })
       this._promises.set(upstream.id, promises)
     }
+    if (outcome.kind === 'unavailable' && outcome.cause === 'not held here') this._notHeld.set(upstream.id, this._clock.now() + notHeldLasts)
     return outcome
   }
 
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -13,11 +13,20 @@
   readonly promptBacklog: number
 }
 
+/** Why an adapter can't be had at an engine now. */
+export type UnavailableCause =
+  /** Every slot is in use: it can be had once requests have ended. */
+  | 'every slot is in use'
+  /** Who was asked does not order this engine, or not any more. */
+  | 'not held here'
+  | 'its holder does not answer'
+  | 'nobody orders this engine'
+
 /** What a holder says to an ask: it can be used, it will be, or it can't be had here now. */
 export type AskOutcome =
   | Readiness & { readonly kind: 'ready', readonly load?: EngineLoad }
   | { readonly kind: 'coming' }
-  | { readonly kind: 'unavailable', readonly cause: string }
+  | { readonly kind: 'unavailable', readonly cause: UnavailableCause }
 
 /** What an entry asks of a holder. */
 export interface Ask {
@@ -100,7 +109,7 @@
 
   /** Asks for an adapter and waits until it can be used, or for as long as the ask says. */
   async ask (ask: Ask): Promise<AskOutcome> {
-    if (this._released) return { kind: 'unavailable', cause: 'not held' }
+    if (this._released) return { kind: 'unavailable', cause: 'not held here' }
     this._outstanding.set(ask.entry, { requests: ask.outstanding, at: this._options.clock.now() })
     this._pacer.learn(ask.streams, ask.paused)
     const startedAt = this._options.clock.now()
@@ -192,7 +201,7 @@
   release (): void {
     this._released = true
     this._wake?.()
-    for (const waiter of [...this._waiters]) this._settle(waiter, { kind: 'unavailable', cause: 'no longer held' })
+    for (const waiter of [...this._waiters]) this._settle(waiter, { kind: 'unavailable', cause: 'not held here' })
   }
 
   private _settle (waiter: Waiter, outcome: AskOutcome): void {
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -3,7 +3,7 @@
  */
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Ms } from '@hazelford/core'
-import type { Ask, AskOutcome, EngineLoad } from './engine-holder.js'
+import type { Ask, AskOutcome, EngineLoad, UnavailableCause } from './engine-holder.js'
 import { callJson, readJson } from './json-client.js'
 import type { PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
@@ -22,7 +22,7 @@
 type AskReply =
   | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number, readonly load?: EngineLoad }
   | { readonly kind: 'coming' }
-  | { readonly kind: 'unavailable', readonly cause: string }
+  | { readonly kind: 'unavailable', readonly cause: UnavailableCause }
 
 const askPath = '/adapters/ask'
 const usePath = '/adapters/use'
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -28,8 +28,10 @@
   | { readonly kind: 'placed', readonly upstream: Upstream, readonly version: number | undefined }
   | { readonly kind: 'unplaced', readonly cause: 'no-upstream' | 'adapter-unavailable' }
 
-/** Upstreams at which an adapter is asked for before a request is refused. */
-const maxAsked = 3
+/** Upstreams with every slot in use at which an adapter is asked for before a request stands in line. */
+const maxOccupied = 3
+/** Upstreams tried at all, with those that nobody orders now. */
+const maxTried = 8
 /** An engine's first events are late for many reasons that pass; a lasting difference still counts. */
 const engineLatencyShare = 0.5
 /** Pause after an answer that came at once, so that a line is no busy loop. */
@@ -67,18 +69,22 @@
     const ranked = this._ranked(query)
     if (ranked.length === 0) return { kind: 'unplaced', cause: 'no-upstream' }
     if (query.want === undefined) return { kind: 'placed', upstream: ranked[0]!, version: undefined }
-    return this._placeAdapter(query, query.want, ranked.slice(0, maxAsked))
+    return this._placeAdapter(query, query.want, ranked.slice(0, maxTried))
   }
 
   /** Takes the first candidate that can have the adapter, else stands in line at the best. */
   private async _placeAdapter (query: PlaceQuery, want: AdapterWant, candidates: readonly Upstream[]): Promise<Placed> {
     const until = this._clock.now() + query.patience
+    const occupied: Upstream[] = []
     for (const upstream of candidates) {
+      if (occupied.length >= maxOccupied) break
       const placed = await this._await(upstream, query, { want, urgency: query.urgency, missing: query.again === upstream.id, mayWait: false }, until)
       if (placed !== undefined) return placed
+      if (this._directory.canOrder(upstream.id)) occupied.push(upstream)
     }
     for (let turn = 0; until > this._clock.now() && !query.cancelled(); turn++) {
-      const open = candidates.filter(upstream => this._isOpen(upstream))
+      // Where nobody can order now, a line would stand for nothing.
+      const open = occupied.filter(upstream => this._isOpen(upstream) && this._directory.canOrder(upstream.id))
       if (open.length === 0) break
       const placed = await this._await(open[turn % open.length]!, query, { want, urgency: query.urgency, missing: false, mayWait: true }, until)
       if (placed !== undefined) return placed
@@ -119,7 +125,12 @@
 
   private _ranked (query: PlaceQuery): readonly Upstream[] {
     const again = query.again === undefined ? undefined : this._members.get(query.again)
-    if (again !== undefined && this._isOpen(again)) return [again]
+    // The upstream that lacked the adapter goes first: it is on its way there.
+    const first = again !== undefined && this._isOpen(again) ? [again] : []
+    return [...first, ...this._rankedOthers(query)]
+  }
+
+  private _rankedOthers (query: PlaceQuery): readonly Upstream[] {
     const now = this._clock.now()
     const serving = this._members.serving(query.service)
       .filter(upstream => !query.avoid.has(upstream.id) && this._isOpen(upstream) && upstream.pool.hasRoom)
