Follow a peer's view while the store does not answer this entry

Cause: the store may turn some entries away or be cut off from them while it serves the others. Change: an entry that has not heard the store for 2.2 s asks one peer in 600 ms for what it knows, and takes it when that peer heard the store lately: configuration and versions go up only, upstreams and holders follow. Its first contact with the store is a read of everything, so that older changes are not played over the newer view. Scenario 'the store turns one entry away' (three ways): without the change two of the three fail (silent connections heal by themselves), with it none.

--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -16,6 +16,7 @@
 import { Membership } from './membership.js'
 import type { EntryMetrics } from './metrics.js'
 import { type AskMessage, PeerClient, type PeerService, servePeers } from './peer-calls.js'
+import { PeerFollower } from './peer-follower.js'
 import { learnFromPeers, type PeerState } from './peer-state.js'
 import { entryKey, ownPrefix, PeerTable } from './peer-table.js'
 import { Placer } from './placer.js'
@@ -50,6 +51,8 @@
 const balancerNotice: Ms = 2_600
 /** Left of the grace period for the process itself to end. */
 const graceMargin: Ms = 700
+/** Age told to peers when the store was never heard: JSON has no infinity. */
+const neverHeard: Ms = 1e9
 const defaultMaxBody = 4 << 20
 
 function budgetLimits (settings: DirectSettings): SharedBudgetLimits {
@@ -76,6 +79,7 @@
   private readonly _lease: LeaseKeeper
   private readonly _mirror: StoreMirror
   private readonly _client = new PeerClient()
+  private readonly _follower: PeerFollower
   private readonly _callers: CallerServer
   private readonly _budgets = new Map<string, SharedRetryBudget>()
   private readonly _servers: Server[] = []
@@ -116,6 +120,14 @@
     this._directory = new AdapterDirectory(settings.name, clock, log, this.peers, this._client, this.desk)
     this._placer = new Placer(clock, log, settings.zone, this.members, this._directory, () => this.peers.entryCount)
     this._mirror = this._createMirror()
+    this._follower = new PeerFollower({
+      clock,
+      log,
+      client: this._client,
+      peers: () => this.peers.entries.filter(({ node }) => node !== settings.name),
+      age: () => this._mirror.age(clock.now()),
+      take: state => this._follow(state)
+    })
     this._callers = new CallerServer({
       clock,
       maxBodyBytes: () => this.config.table?.config.limits.maxBodyBytes ?? defaultMaxBody,
@@ -215,6 +227,7 @@
     this._servers.push(await listen(metrics.createServer('/metrics'), settings.host, settings.metrics_port))
     this._mirror.start()
     this._lease.start()
+    this._follower.start()
     this._tellUses()
     const seeds = settings.seeds.filter(seed => seed !== settings.listen_control).map(splitAddress)
     learnFromPeers(seeds, this._client, clock, this._options.log, () => this._mirror.known, state => this._takeState(state))
@@ -249,13 +262,34 @@
   private _state (): PeerState | undefined {
     const { table } = this.config
     if (table === undefined || !this.members.known) return undefined
-    return { config: table.config, versions: this.config.versions, upstreams: [...this.members.all()].map(({ record }) => record) }
+    return {
+      age: Math.min(neverHeard, this._mirror.age(this._options.clock.now())),
+      config: table.config,
+      versions: this.config.versions,
+      upstreams: [...this.members.all()].map(({ record }) => record),
+      entries: this.peers.entries,
+      holders: this.peers.holders
+    }
+  }
+
+  /** Takes what a peer knows, where nothing is known yet. */
+  private _takeState (state: PeerState): void {
+    this._takeConfig(state)
+    this.members.reset(state.upstreams)
+    this.peers.follow(state.entries, state.holders)
+  }
+
+  /** Takes what a peer has heard from the store, which does not answer here. */
+  private _follow (state: PeerState): void {
+    this._takeConfig(state)
+    this.members.follow(state.upstreams)
+    this.peers.follow(state.entries, state.holders)
+    this._mirror.readAnew()
   }
 
-  private _takeState ({ config, versions, upstreams }: PeerState): void {
+  private _takeConfig ({ config, versions }: PeerState): void {
     this.config.offer(config)
     for (const version of versions) this.config.declare(version)
-    this.members.reset(upstreams)
   }
 
   /** Tells holders of adapters that were freed since they last heard of this entry. */
@@ -290,6 +324,7 @@
     this._callers.close()
     this._stopped = true
     this._mirror.stop()
+    this._follower.stop()
     for (const server of this._servers) {
       server.close()
       server.closeAllConnections()
@@ -301,6 +336,7 @@
   kill (): void {
     this._stopped = true
     this._mirror.stop()
+    this._follower.stop()
     this._lease.abandon()
     this.desk.dropAll()
     this._callers.server.closeAllConnections()
--- a/packages/direct/src/lib/membership.ts
+++ b/packages/direct/src/lib/membership.ts
@@ -47,6 +47,13 @@
     }
   }
 
+  /** Takes the list of a peer that hears the store; what it has dropped is gone. */
+  follow (records: readonly UpstreamRecord[]): void {
+    const listed = new Set(records.map(({ id }) => id))
+    for (const record of records) this.put(record)
+    for (const upstream of [...this._upstreams.values()]) if (!listed.has(upstream.id)) this._drop(upstream)
+  }
+
   put (record: UpstreamRecord): void {
     this._lapsed.delete(record.id)
     const known = this._upstreams.get(record.id)
--- a/packages/direct/src/lib/peer-state.ts
+++ b/packages/direct/src/lib/peer-state.ts
@@ -4,12 +4,17 @@
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import type { AdapterVersion, RouteConfig, UpstreamRecord } from '@hazelford/ports'
 import type { PeerClient } from './peer-calls.js'
+import type { HolderListing, PeerAddress } from './peer-table.js'
 
 /** Everything an entry needs to serve. */
 export interface PeerState {
+  /** Ms since the peer heard the store. */
+  readonly age: Ms
   readonly config: RouteConfig
   readonly versions: readonly AdapterVersion[]
   readonly upstreams: readonly UpstreamRecord[]
+  readonly entries: readonly PeerAddress[]
+  readonly holders: readonly HolderListing[]
 }
 
 /** Time in which the store answers an entry that starts, if it answers at all. */
--- a/packages/direct/src/lib/peer-table.ts
+++ b/packages/direct/src/lib/peer-table.ts
@@ -21,6 +21,9 @@
   readonly fence: number
 }
 
+/** A holder with the engine that it orders. */
+export interface HolderListing extends HolderRecord { readonly upstream: string }
+
 export function entryKey (node: string): string { return `${entriesPrefix}${node}` }
 export function holderKey (upstream: string): string { return `${holdersPrefix}${upstream}` }
 
@@ -51,6 +54,8 @@
 
   holder (upstream: string): HolderRecord | undefined { return this._holders.get(upstream) }
 
+  get holders (): readonly HolderListing[] { return [...this._holders].map(([upstream, record]) => ({ ...record, upstream })) }
+
   heldUpstreams (): readonly string[] { return [...this._holders.keys()] }
 
   reset (items: readonly StoreItem[]): void {
@@ -60,6 +65,23 @@
     this._changed()
   }
 
+  /**
+   * Takes the view of a peer that hears the store.
+   *
+   * A holder that is known here with a higher fence than there was claimed after the peer's view.
+   */
+  follow (entries: readonly PeerAddress[], holders: readonly HolderListing[]): void {
+    this._entries.clear()
+    for (const entry of entries) this._entries.set(entry.node, entry)
+    const before = new Map(this._holders)
+    this._holders.clear()
+    for (const { upstream, ...record } of holders) {
+      const known = before.get(upstream)
+      this._holders.set(upstream, known !== undefined && known.fence > record.fence ? known : record)
+    }
+    this._changed()
+  }
+
   apply (event: StoreEvent): void {
     if (event.kind === 'put') this._put(event.item)
     else this._remove(event.key)
--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -42,6 +42,7 @@
 export class StoreMirror {
   private _revision = 0
   private _known = false
+  private _anew = false
   private _failures = 0
   private _isLost = false
   private _stopped = false
@@ -58,6 +59,12 @@
 
   get revision (): number { return this._revision }
 
+  /**
+   * Reads everything at the next turn instead of going on with the watch. Changes since our revision
+   * would be played again over a newer view that came from elsewhere.
+   */
+  readAnew (): void { this._anew = true }
+
   /** Whether the store has been read. */
   get known (): boolean { return this._known }
 
@@ -73,7 +80,7 @@
 
   private async _run (): Promise<void> {
     while (!this._stopped) {
-      const heard = this._known ? await this._watch() : await this._list()
+      const heard = this._known && !this._anew ? await this._watch() : await this._list()
       if (heard) this._heard()
       else await this._pause(this._failed())
       if (this._known && heard) await this._pause(Math.min(gatherMost, gatherBase + gatherEach * this._entries()))
@@ -93,6 +100,7 @@
 
   private _takeListing (listing: StoreListing): void {
     this._known = true
+    this._anew = false
     this._revision = listing.revision
     this._listener.reset(listing.items)
   }
