Send requests where their adapter was held lately

Change: an entry remembers what each engine's record listed, as far as its host keeps copies; such an engine costs the 40 ms of a reload, a home without a copy the 250 ms of a load from the weight store. Further homes of hot adapters keep their price, or they would never be used. Scenario 'a copy away from home' fails before.

--- a/packages/decisions/src/lib/place-request.ts
+++ b/packages/decisions/src/lib/place-request.ts
@@ -1,16 +1,17 @@
 /**
  * Ranks the upstreams that a request may be sent to directly.
  */
-import type { Ms } from '@hazelford/core'
+import { assertNever, type Ms } from '@hazelford/core'
 
 /**
  * What is known of the request's adapter at an upstream.
  *
  * - `loaded`: a request can start at once.
+ * - `recent`: it was there lately; a copy in the host's memory loads ten times as fast as the weight store.
  * - `loadable`: somebody can order it.
  * - `unavailable`: nobody can order it there now.
  */
-export type AdapterPresence = 'loaded' | 'loadable' | 'unavailable'
+export type AdapterPresence = 'loaded' | 'recent' | 'loadable' | 'unavailable'
 
 /** One upstream as the ranking sees it. */
 export interface PlacementCandidate {
@@ -38,13 +39,17 @@
 
 /** A message to another zone and back, and the price of its bytes. */
 const otherZoneCost: Ms = 4
-/** Wait for an adapter that its home has held before: a copy is in the host's memory. */
-const homeLoadCost: Ms = 40
+/** Wait for an adapter of which a copy is in the host's memory. */
+const recentLoadCost: Ms = 40
+/** Wait for an adapter that comes from the weight store. */
+const freshLoadCost: Ms = 250
 /**
- * Wait for an adapter that comes from the weight store, and a slot taken from another
- * adapter: worth more than the fullest batch costs.
+ * Weighs a copy away from home, beside the wait: a slot taken from another adapter, and a place that the other
+ * entries don't look at first. Worth more than the fullest batch costs.
  */
-const awayLoadCost: Ms = 300
+const strayCost: Ms = 280
+/** A copy that is away from home already is used while it is there, but draws no lasting traffic. */
+const strayUseCost: Ms = 20
 const unavailableCost: Ms = 1_500
 /** How much slower a full batch is than an empty one, to the caller who waits for its first event. */
 const fullBatchCost: Ms = 120
@@ -59,13 +64,24 @@
 /** A failed request costs its caller about a latency target. */
 const failureCost: Ms = 800
 
+function adapterCost ({ adapter, rank }: PlacementCandidate, { replicas }: PlacementContext): Ms {
+  const atHome = rank < replicas
+  const stray = atHome ? 0 : strayUseCost
+  switch (adapter) {
+    case 'loaded': return stray
+    case 'recent': return recentLoadCost + stray
+    case 'loadable':
+      if (!atHome) return freshLoadCost + strayCost
+      // A further home of a hot adapter is worth its load, or it would never be used.
+      return replicas > 1 ? recentLoadCost : freshLoadCost
+    case 'unavailable': return unavailableCost + stray
+    default: return assertNever(adapter)
+  }
+}
+
 function cost (candidate: PlacementCandidate, context: PlacementContext): Ms {
   const waiting = Math.max(0, candidate.running + 1 - candidate.slots)
-  const atHome = candidate.rank < context.replicas
-  const load = { loaded: 0, loadable: atHome ? homeLoadCost : awayLoadCost, unavailable: unavailableCost }[candidate.adapter]
-  // A copy away from home is used while it is there, but draws no lasting traffic.
-  const stray = atHome ? 0 : homeLoadCost / 2
-  return load + stray + (candidate.sameZone ? 0 : otherZoneCost) + candidate.running / candidate.slots * fullBatchCost +
+  return adapterCost(candidate, context) + (candidate.sameZone ? 0 : otherZoneCost) + candidate.running / candidate.slots * fullBatchCost +
     waiting * queueCost + candidate.promptBacklog / promptTokensPerMs + candidate.failureShare * failureCost + candidate.latency
 }
 
--- a/packages/decisions/src/test/direct-decisions.feature
+++ b/packages/decisions/src/test/direct-decisions.feature
@@ -23,6 +23,13 @@
     And a request for an adapter leaves its home when the wait there is longer than a load elsewhere
     And the hottest adapter has more homes than others
 
+  Scenario: a copy away from home
+    Symptom: of adapters that are asked for now and then, most stand in two engines, and the weight store's rate is spent on the second copies.
+    Events: the home's slots are all in use and another engine loads the adapter; seconds later the next request finds room at home.
+    Cause: an entry knew only of copies that it had been promised within the last 300 ms.
+    Then a request for an adapter goes where it was held lately, and not home for a second copy
+    But a further home of a hot adapter is used as soon as the first one has more to do
+
   Scenario: long prompts come together
     Symptom: every stream of one engine pauses for half a second while the others idle.
     Events: several long prompts arrive within 100 ms and are sent to the engine with the fewest requests.
--- a/packages/decisions/src/test/direct-decisions.steps.ts
+++ b/packages/decisions/src/test/direct-decisions.steps.ts
@@ -102,3 +102,13 @@
   assert.equal(replicasFor(1, 3), 3)
   assert.equal(replicasFor(0.02, 12), 2)
 })
+
+Then('a request for an adapter goes where it was held lately, and not home for a second copy', () => {
+  const [best] = rankCandidates([candidate('home', { rank: 0 }), candidate('lately', { rank: 4, adapter: 'recent', running: 9 })], oneHome)
+  assert.equal(best?.id, 'lately')
+})
+
+Then('a further home of a hot adapter is used as soon as the first one has more to do', () => {
+  const [best] = rankCandidates([candidate('first', { rank: 0, adapter: 'loaded', running: 16 }), candidate('second', { rank: 1 })], { replicas: 2 })
+  assert.equal(best?.id, 'second')
+})
--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -48,7 +48,7 @@
   /** What is known of an adapter at an upstream. */
   presence (upstream: Upstream, want: AdapterWant): AdapterPresence {
     if (this._promised(upstream.id, want) !== undefined) return 'loaded'
-    if (this.canOrder(upstream.id)) return 'loadable'
+    if (this.canOrder(upstream.id)) return upstream.heldLately(wantKey(want), want.version) ? 'recent' : 'loadable'
     return this._listed(upstream, want) ? 'loaded' : 'unavailable'
   }
 
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -2,7 +2,7 @@
  * One incarnation of an upstream, as this entry uses it.
  */
 import type { Clock, Ms } from '@hazelford/core'
-import { promptTokensPerMs, UpstreamHealth } from '@hazelford/decisions'
+import { promptTokensPerMs, UpstreamHealth, wantKey } from '@hazelford/decisions'
 import type { UpstreamRecord } from '@hazelford/ports'
 import { ConnectionPool } from './connection-pool.js'
 import type { EngineLoad } from './engine-holder.js'
@@ -10,6 +10,9 @@
 /** Age at which a word on its load is no better than a guess. */
 const loadLasts: Ms = 1_500
 
+/** Adapters whose copies an engine keeps in its host's memory. */
+const recentCapacity = 120
+
 /** What is known of an upstream, and what this entry has there. */
 export class Upstream {
   readonly health = new UpstreamHealth()
@@ -24,10 +27,13 @@
   private _streams = 0
   private _paused = 0
   private readonly _uses = new Map<string, number>()
+  /** Versions of adapters that it said it held, the latest last. */
+  private readonly _recent = new Map<string, number>()
 
   constructor (private _record: UpstreamRecord, private readonly _clock: Clock, maxConnections: number) {
     this.pool = new ConnectionPool(_clock, { host: _record.host, port: _record.port, maxConnections })
     this._noteLeaving()
+    this._noteAdapters()
   }
 
   /** Takes its holder's word on its load. */
@@ -116,6 +122,27 @@
     // An upstream that leaves never comes back under the same id; a late word must not undo it.
     this._record = this._record.state === 'draining' ? { ...record, state: 'draining' } : record
     this._noteLeaving()
+    this._noteAdapters()
+  }
+
+  /** Whether it held an adapter lately, as far as its record said: a load of it reads a copy in the host's memory. */
+  heldLately (adapter: string, version: number | undefined): boolean {
+    const held = this._recent.get(adapter)
+    return held !== undefined && held >= (version ?? 0)
+  }
+
+  private _noteAdapters (): void {
+    for (const { model, adapters } of this._record.models) {
+      for (const { adapter, version } of adapters) {
+        const key = wantKey({ model, adapter })
+        this._recent.delete(key)
+        this._recent.set(key, version)
+      }
+    }
+    for (const oldest of this._recent.keys()) {
+      if (this._recent.size <= recentCapacity) break
+      this._recent.delete(oldest)
+    }
   }
 
   private _noteLeaving (): void {
