Tell the former holder of an engine before its first order by the new one

Events: the store turned an entry away and ended its lease at once; another claimed its engine. Cause: the first one could not hear the store and ordered for as long as its lease should have lasted. Scenario 'the store takes away the keys of an entry that it turns away' fails without it (an order with an older token after a newer one).

--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -110,6 +110,7 @@
       upstreams: () => this.members.all(),
       engineSpec: service => this.config.table?.service(service)?.engine,
       control: upstream => platform.control(upstream.record),
+      tellTaken: (former, msg) => this._client.tellTaken(former, msg),
       loaded: took => _options.metrics.loadStall.observe(took),
       ...(_options.settleTime === undefined ? {} : { settleTime: _options.settleTime })
     }, () => this._lease)
@@ -254,6 +255,7 @@
     return {
       ask: msg => this._answerPeer(msg),
       noteUse: ({ upstream, entry, uses }) => this.desk.holder(upstream)?.noteUse(entry, uses),
+      taken: msg => this.desk.taken(msg),
       now: () => this._options.clock.now(),
       state: () => this._state()
     }
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -6,6 +6,7 @@
 import type { EngineControl, EngineSpec, Store } from '@hazelford/ports'
 import { type Ask, type AskOutcome, EngineHolder } from './engine-holder.js'
 import type { LeaseKeeper } from './lease-keeper.js'
+import type { TakenMessage } from './peer-calls.js'
 import type { Upstream } from './upstream.js'
 import { holderKey, type PeerAddress, type PeerTable } from './peer-table.js'
 
@@ -20,6 +21,8 @@
   readonly engineSpec: (service: string) => EngineSpec | undefined
   readonly control: (upstream: Upstream) => EngineControl
   readonly loaded: (took: Ms) => void
+  /** Tells the former holder of an engine that it has a new one. */
+  readonly tellTaken: (former: PeerAddress, msg: TakenMessage) => Promise<void>
   /** Ms after the start before the first claim. */
   readonly settleTime?: Ms
 }
@@ -136,18 +139,45 @@
       removals: []
     }
     const outcome = await store.commit(txn)
-    this._claiming = false
     if (outcome.isErr()) {
       // If it took effect after all, our own key comes back by the watch and is claimed anew.
       log.info('loads', 'claim unanswered.', { upstreams: upstreams.map(({ id }) => id), cause: outcome.error.message })
-    } else if (outcome.value.kind === 'stored' && this._lease().lease === lease) {
-      for (const upstream of upstreams) this._hold(upstream, outcome.value.revision)
+    } else if (outcome.value.kind === 'stored') {
+      const { revision } = outcome.value
+      await Promise.all(upstreams.map(({ id }) => this._tellFormer(id, revision)))
+      if (this._lease().lease === lease) for (const upstream of upstreams) this._hold(upstream, revision)
     } else {
       log.info('loads', 'claim lost.', { upstreams: upstreams.map(({ id }) => id), outcome: outcome.value.kind })
     }
+    this._claiming = false
     this.review()
   }
 
+  /**
+   * Tells the former holder before the first order.
+   *
+   * The store may take away the keys of an entry that it turns away, long before the lease would have
+   * ended. That entry goes on ordering, its orders come after ours with an older fencing token, and on
+   * engines that don't check it both hold. It can't hear the store, but mostly it hears us.
+   */
+  private async _tellFormer (upstream: string, fence: number): Promise<void> {
+    const { peers, self, log, tellTaken } = this._options
+    const former = peers.former(upstream)
+    if (former === undefined || former.node === self.node) return
+    await tellTaken(former, { upstream, fence }).catch((error: Error) => {
+      log.info('loads', 'former holder does not answer.', { upstream, fence, former: former.node, formerFence: former.fence, cause: error.message })
+    })
+  }
+
+  /** Stops ordering an engine that another entry has claimed since. */
+  taken ({ upstream, fence }: TakenMessage): void {
+    const holder = this._holders.get(upstream)
+    if (holder === undefined || holder.fence >= fence) return
+    holder.release()
+    this._holders.delete(upstream)
+    this._options.log.info('loads', 'engine released.', { upstream, fence: holder.fence, cause: 'held by another', newFence: fence })
+  }
+
   private _hold (upstream: Upstream, fence: number): void {
     const { clock, log, self, control, engineSpec, loaded } = this._options
     const spec = engineSpec(upstream.record.service)
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -18,6 +18,9 @@
   readonly uses: readonly string[]
 }
 
+/** An engine that has a new holder. */
+export interface TakenMessage { readonly upstream: string, readonly fence: number }
+
 /** The answer; a promise is told as the time left, since clocks differ. */
 type AskReply =
   | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number, readonly load?: EngineLoad }
@@ -26,6 +29,7 @@
 
 const askPath = '/adapters/ask'
 const usePath = '/adapters/use'
+const takenPath = '/holders/taken'
 const statePath = '/state'
 const pingPath = '/ping'
 /** An entry may have requests open on some hundred adapters of an engine. */
@@ -38,6 +42,8 @@
 export interface PeerService {
   readonly ask: (msg: AskMessage) => Promise<AskOutcome>
   readonly noteUse: (msg: UseMessage) => void
+  /** Another entry orders an engine from now on. */
+  readonly taken: (msg: TakenMessage) => void
   readonly now: () => Ms
   /** Configuration and upstreams, for a peer that starts while the store is away. */
   readonly state: () => PeerState | undefined
@@ -60,6 +66,10 @@
     service.noteUse(await readJson(req, maxBody) as UseMessage)
     return sendJson(res, 200, {})
   }
+  if (req.method === 'POST' && req.url === takenPath) {
+    service.taken(await readJson(req, maxBody) as TakenMessage)
+    return sendJson(res, 200, {})
+  }
   if (req.method !== 'POST' || req.url !== askPath) return sendJson(res, 404, { error: `Nothing is served at ${req.url ?? ''}.` })
   const outcome = await service.ask(await readJson(req, maxBody) as AskMessage)
   const reply: AskReply = outcome.kind === 'ready'
@@ -125,5 +135,10 @@
     await callJson(this._agent, { host, port, method: 'POST', path: usePath, body: msg, timeout: answerMargin })
   }
 
+  /** Tells the former holder of an engine that it has a new one; rejects when it does not answer. */
+  async tellTaken ({ host, port }: PeerAddress, msg: TakenMessage): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'POST', path: takenPath, body: msg, timeout: answerMargin })
+  }
+
   close (): void { this._agent.destroy() }
 }
--- a/packages/direct/src/lib/peer-table.ts
+++ b/packages/direct/src/lib/peer-table.ts
@@ -41,6 +41,8 @@
 export class PeerTable {
   private readonly _entries = new Map<string, PeerAddress>()
   private readonly _holders = new Map<string, HolderRecord>()
+  /** Who held an engine before its key went, for as long as nobody else is known to. */
+  private readonly _former = new Map<string, HolderRecord>()
 
   /** @param _changed - hears of each change */
   constructor (private readonly _changed: () => void) {}
@@ -52,6 +54,9 @@
 
   get nodes (): readonly string[] { return [...this._entries.keys()] }
 
+  /** Who held an engine that has no holder now. */
+  former (upstream: string): HolderRecord | undefined { return this._former.get(upstream) }
+
   holder (upstream: string): HolderRecord | undefined { return this._holders.get(upstream) }
 
   get holders (): readonly HolderListing[] { return [...this._holders].map(([upstream, record]) => ({ ...record, upstream })) }
@@ -60,7 +65,7 @@
 
   reset (items: readonly StoreItem[]): void {
     this._entries.clear()
-    this._holders.clear()
+    for (const upstream of [...this._holders.keys()]) this._dropHolder(upstream)
     for (const item of items) this._put(item)
     this._changed()
   }
@@ -74,10 +79,10 @@
     this._entries.clear()
     for (const entry of entries) this._entries.set(entry.node, entry)
     const before = new Map(this._holders)
-    this._holders.clear()
+    for (const upstream of before.keys()) this._dropHolder(upstream)
     for (const { upstream, ...record } of holders) {
       const known = before.get(upstream)
-      this._holders.set(upstream, known !== undefined && known.fence > record.fence ? known : record)
+      this._setHolder(upstream, known !== undefined && known.fence > record.fence ? known : record)
     }
     this._changed()
   }
@@ -92,11 +97,22 @@
     const address = decodeAddress(value)
     if (address === undefined) return
     if (key.startsWith(entriesPrefix)) this._entries.set(key.slice(entriesPrefix.length), address)
-    else if (key.startsWith(holdersPrefix)) this._holders.set(key.slice(holdersPrefix.length), { ...address, fence: revision })
+    else if (key.startsWith(holdersPrefix)) this._setHolder(key.slice(holdersPrefix.length), { ...address, fence: revision })
   }
 
   private _remove (key: string): void {
     if (key.startsWith(entriesPrefix)) this._entries.delete(key.slice(entriesPrefix.length))
-    else if (key.startsWith(holdersPrefix)) this._holders.delete(key.slice(holdersPrefix.length))
+    else if (key.startsWith(holdersPrefix)) this._dropHolder(key.slice(holdersPrefix.length))
+  }
+
+  private _setHolder (upstream: string, record: HolderRecord): void {
+    this._holders.set(upstream, record)
+    this._former.delete(upstream)
+  }
+
+  private _dropHolder (upstream: string): void {
+    const record = this._holders.get(upstream)
+    if (record !== undefined) this._former.set(upstream, record)
+    this._holders.delete(upstream)
   }
 }
