Wait for another upstream from the last event of a stream, not from its request

What a caller waits was counted from the request and was over, so no engine was asked for the adapter. Change: counted from the last event. The line 'broken off.' names the cause. Scenario 'a stream that breaks off late' fails before.

--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -9,7 +9,7 @@
 /** Why an entry gives a request up. Logs and metrics name it. */
 export type RelayFailure =
   | 'no-upstream' | 'adapter-unavailable' | 'refused' | 'attempts-spent' | 'budget-spent'
-  | 'lost' | 'timeout-unsent' | 'timeout-sent' | 'stream-lost' | 'shutting-down'
+  | 'lost' | 'timeout-unsent' | 'timeout-sent' | 'shutting-down'
 
 /** What happens to a request. */
 export type RelayMessage =
@@ -109,7 +109,7 @@
 
 function giveUp (progress: Progress, failure: RelayFailure): Effects {
   if (progress.holdsError) return [{ kind: 'deliver' }, { kind: 'finish' }]
-  if (progress.begun) return [{ kind: 'break', failure: 'stream-lost' }]
+  if (progress.begun) return [{ kind: 'break', failure }]
   return [{ kind: 'fail', failure, notRun: !progress.mayHaveRun }]
 }
 
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -110,6 +110,7 @@
   }
 
   private _perform (effect: RelayEffect): void {
+    const { log } = this._deps
     switch (effect.kind) {
       case 'place': return this._place(effect.avoid, effect.again)
       case 'send': return this._send()
@@ -126,6 +127,7 @@
         this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._deps.retryAfter(effect.failure) })
         return this._end(effect.failure)
       case 'break':
+        log.info('request', 'broken off.', { request: this._call.facts.id, cause: effect.failure, lastEventId: this._lastEventId })
         this._answer.break()
         return this._end('broken')
       case 'forget': return this._end('caller-gone')
@@ -135,9 +137,15 @@
 
   private get _remaining (): Ms { return this._deadline - this._deps.clock.now() }
 
-  /** Ms that the request may still wait for a place. */
+  /**
+   * Ms that the request may still wait for a place.
+   *
+   * Callers leave after a silence, not after a time since their request: a stream that broke off in its
+   * fourth second is waited for as long as one that has not begun. Counted from the request, it
+   * could not be taken up elsewhere unless its adapter happened to be there.
+   */
   private get _patience (): Ms {
-    const waited = this._deps.clock.now() - this._call.arrivedAt
+    const waited = this._deps.clock.now() - (this._dataAt ?? this._call.arrivedAt)
     const stays = Math.max(leaveFloor, leaveTargets * this._route.latencyTarget) - firstEventMargin
     return Math.max(0, Math.min(this._remaining * loadShare, stays - waited))
   }
