--- a/packages/bench/src/test/callers-interface.steps.ts
+++ b/packages/bench/src/test/callers-interface.steps.ts
@@ -6,19 +6,28 @@
 import { request } from 'undici'
 import type { SystemWorld } from './support/world.js'
 
+interface ChatAnswer {
+  readonly model: string
+  readonly created: number
+  readonly choices: readonly { readonly message: { readonly content: string } }[]
+  readonly usage: { readonly prompt_tokens: number, readonly completion_tokens: number, readonly total_tokens: number }
+}
+
 function chat (world: SystemWorld, stream: boolean): ReturnType<typeof request> {
   const body = JSON.stringify({ model: 'a', messages: [{ role: 'user', content: 'p' }], max_tokens: 3, stream })
   return request(`${world.system.url}/v1/chat/completions`, { method: 'POST', headers: { 'content-type': 'application/json' }, body })
 }
 
 Then('a chat completion is answered whole and streamed, by the version in force', async function (this: SystemWorld) {
-  const whole = await (await chat(this, false)).body.json() as { model: string, choices: { message: { content: string } }[] }
+  const whole = await (await chat(this, false)).body.json() as ChatAnswer
   assert.equal(whole.model, 'a@2')
   assert.equal(whole.choices[0]!.message.content, 'a@2:0 a@2:1 a@2:2 ')
+  assert.deepEqual(whole.usage, { prompt_tokens: 1, completion_tokens: 3, total_tokens: 4 })
+  assert.ok(Math.abs(whole.created - Date.now() / 1_000) < 60, `created ${whole.created}`)
   const streamed = await (await chat(this, true)).body.text()
-  const deltas = streamed.split('\n\n').filter(event => event.startsWith('data: {')).map(event => JSON.parse(event.slice(6)) as { model: string, choices: { delta: { content: string } }[] })
+  const deltas = streamed.split('\n\n').filter(event => event.startsWith('data: {')).map(event => JSON.parse(event.slice(6)) as { model: string, created: number, choices: { delta: { content: string } }[] })
   assert.equal(deltas.map(event => event.choices[0]!.delta.content).join(''), 'a@2:0 a@2:1 a@2:2 ')
-  assert.ok(deltas.every(event => event.model === 'a@2'))
+  assert.ok(deltas.every(event => event.model === 'a@2' && event.created > 0))
   assert.ok(streamed.endsWith('data: [DONE]\n\n'))
 })
 
--- a/packages/stand-ins/src/lib/model-engine.ts
+++ b/packages/stand-ins/src/lib/model-engine.ts
@@ -143,19 +143,27 @@
     return RESPONSE_ALREADY_SENT
   })
 
+  /** A word counts as a token, as far as the interface's figures go. */
+  function countTokens (prompt: string): number { return prompt.split(/\s+/).filter(word => word !== '').length }
+
+  /** Seconds since 1970, as the interface has it. */
+  function createdNow (): number { return Math.floor(Date.now() / 1_000) }
+
   function tokenEvent (chat: boolean, id: string, model: string, text: string, finish: string | null): string {
     const words = JSON.stringify(text)
     const end = finish === null ? 'null' : `"${finish}"`
     return chat
-      ? `{"id":"${id}","object":"chat.completion.chunk","model":"${model}","choices":[{"index":0,"delta":{"content":${words}},"finish_reason":${end}}]}`
-      : `{"id":"${id}","object":"text_completion","model":"${model}","choices":[{"index":0,"text":${words},"finish_reason":${end}}]}`
+      ? `{"id":"${id}","object":"chat.completion.chunk","created":${createdNow()},"model":"${model}","choices":[{"index":0,"delta":{"content":${words}},"finish_reason":${end}}]}`
+      : `{"id":"${id}","object":"text_completion","created":${createdNow()},"model":"${model}","choices":[{"index":0,"text":${words},"finish_reason":${end}}]}`
   }
 
-  function wholeAnswer (chat: boolean, id: string, model: string, text: string, tokens: number): object {
+  function wholeAnswer (chat: boolean, id: string, model: string, text: string, tokens: number, prompt: string): object {
     const choice = chat
       ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
       : { index: 0, text, finish_reason: 'stop' }
-    return { id, object: chat ? 'chat.completion' : 'text_completion', model, choices: [choice], usage: { completion_tokens: tokens } }
+    const promptTokens = countTokens(prompt)
+    const usage = { prompt_tokens: promptTokens, completion_tokens: tokens, total_tokens: promptTokens + tokens }
+    return { id, object: chat ? 'chat.completion' : 'text_completion', created: createdNow(), model, choices: [choice], usage }
   }
 
   async function complete (c: Context<Raw>, chat: boolean): Promise<Response> {
@@ -183,7 +191,7 @@
         isRead: () => true,
         emit: index => { text += word(index) },
         finish: () => {
-          const answer = JSON.stringify(wholeAnswer(chat, id, shownModel, text, tokens))
+          const answer = JSON.stringify(wholeAnswer(chat, id, shownModel, text, tokens, prompt))
           outgoing.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(answer) })
           outgoing.end(answer)
         }
