Keep an answer of another kind from ending the entry; go on by the version declared now

A stream that had broken off went on at a server that answered with an error of its own; it was delivered as a whole answer though the stream's head had gone out. Change: such an answer counts as a lost one; a fault in one request is logged and ends that request alone. A stream that goes on elsewhere went by the version declared when it came, up to twelve seconds before. Change: each placement asks for the version declared then. Scenario 'a stream that goes on after a new version was declared' fails before.

--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -161,6 +161,9 @@
 }
 
 function whole (failed: boolean, request: RelayRequest, progress: Progress): Turn {
+  // A stream that goes on elsewhere can meet an answer of another kind, such as that upstream's own error.
+  // Part of the stream has gone out, so it can neither be delivered nor taken for the rest.
+  if (progress.begun) return lost(request, progress)
   const deliver: Effects = [{ kind: 'deliver' }, { kind: 'finish' }]
   if (!failed || request.kind !== 'read-only' || progress.tried.size >= request.maxAttempts) return end(deliver)
   progress.mayHaveRun = true
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -384,16 +384,18 @@
   private _relay (incoming: Incoming, route: Route, service: string, table: RouteTable, call: ConstructorParameters<typeof RelayTask>[0]): void {
     const { clock, log, metrics, platform } = this._options
     const { id, model, adapter, patience } = call.facts
-    const want = this._wanted(table, service, model, adapter)
+    const wanted = (): AdapterWant | undefined => this._wanted(table, service, model, adapter)
+    const want = wanted()
     const budget = this._budgetOf(service)
     budget.request(clock.now())
     this._placer.count(service, want)
     metrics.open.inc()
     log.info('request', 'taken.', { request: id, route: route.name, service, kind: route.kind, patience, want, config: table.version })
-    const task = new RelayTask(call, route, service, want, incoming.answer, {
+    const task = new RelayTask(call, route, service, incoming.answer, {
       clock,
       log,
       codec: platform.codec,
+      want: wanted,
       place: query => this._placer.place(query),
       takeRepeat: () => this._takeRepeat(budget, id),
       retryAfter: failure => this._retryAfter(failure),
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -37,6 +37,8 @@
   readonly clock: Clock
   readonly log: Log
   readonly codec: CallCodec
+  /** The adapter that it needs, in the version declared now. */
+  readonly want: () => AdapterWant | undefined
   readonly place: (query: PlaceQuery) => Promise<Placed>
   readonly takeRepeat: () => boolean
   readonly retryAfter: (failure: RelayFailure) => Ms
@@ -76,6 +78,7 @@
   private _exchange: Exchange | undefined
   private _upstream: Upstream | undefined
   private _version: number | undefined
+  private _want: AdapterWant | undefined
   private _whole: WholeAnswer | undefined
   private _held: WholeAnswer | undefined
   private _head: AnswerHead | undefined
@@ -91,7 +94,6 @@
     private readonly _call: ReadCall,
     private readonly _route: Route,
     private readonly _service: string,
-    private readonly _want: AdapterWant | undefined,
     private readonly _answer: CallerAnswer,
     private readonly _deps: RelayDepsOfEntry
   ) {
@@ -106,7 +108,23 @@
   callerGone (): void { this._post({ kind: 'caller-gone' }) }
 
   private _post (msg: RelayMessage): void {
-    if (!this._over) this._task.post(msg)
+    if (this._over) return
+    try {
+      this._task.post(msg)
+    } catch (error) {
+      this._fault(error as Error)
+    }
+  }
+
+  /**
+   * Ends this request after a fault of ours. Thrown on, it would end the process, and with it every
+   * other caller's request; it shows by this line and a connection that is cut.
+   */
+  private _fault (error: Error): void {
+    this._deps.log.warn('request', 'ended by a fault of the entry.', { request: this._call.facts.id, error: error.stack })
+    this._exchange?.abandon()
+    this._answer.break()
+    this._end('broken')
   }
 
   private _perform (effect: RelayEffect): void {
@@ -151,6 +169,9 @@
   }
 
   private _place (avoid: ReadonlySet<string>, again: string | undefined): void {
+    // A stream may go on elsewhere many seconds after its request. A version that was declared since is
+    // in force there; by the one of its first placement it would begin anew on weights that were replaced.
+    this._want = this._deps.want()
     const query: PlaceQuery = {
       service: this._service,
       want: this._want,
