--- a/packages/decisions/src/lib/prompt-pacer.ts
+++ b/packages/decisions/src/lib/prompt-pacer.ts
@@ -60,7 +60,7 @@
  * reads, every stream that runs there stands still. A first event may come 800 ms after its
  * request, so a clump is spread over that time: as slowly as the due times of those who wait
  * allow, never so fast that streams pause for too long. In a played engine with 14, 22 and 34 requests a
- * second (prompts take 0.32, 0.48 and 0.74 of its time) 99, 94 and 75 in 100 streams are on time; at one
+ * second (prompts take 0.32, 0.48 and 0.74 of its time) 99, 98 and 72 in 100 streams are on time; at one
  * fixed rate, the largest that it can read, 92, 85 and 67.
  *
  * While all can be on time, those that must start first go first. When they can't, urgent ones go
