Release engines and take lists in one place each; leave a non-idempotent request alone after a fault of ours

Read through as a newcomer: two ways to release an engine and to take a list stood side by side, a figure in a comment was off, and a fault of the entry cut a non-idempotent request that its upstream may run.

--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -38,7 +38,7 @@
 const conflictPause: Ms = 100
 /**
  * Times an order without an answer is sent again before the engine is asked for a report. With a third of
- * the orders unanswered, one order in 700 gets this far.
+ * the orders unanswered, one order in 2,000 gets this far.
  */
 const maxRepeats = 6
 /** How soon a plan that found no slot looks again. */
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -90,15 +90,13 @@
 
   /** Drops engines that leave or are gone, or that somebody else holds by now. */
   private _dropLost (): void {
-    const { peers, self, log } = this._options
+    const { peers } = this._options
     const living = new Set([...this._options.upstreams()].filter(({ record }) => record.state === 'ready').map(({ id }) => id))
     for (const [id, holder] of this._holders) {
       const record = peers.holder(id)
       const taken = record !== undefined && record.fence > holder.fence
       if (living.has(id) && !taken) continue
-      holder.release()
-      this._holders.delete(id)
-      log.info('loads', 'engine released.', { upstream: id, cause: taken ? 'held by another' : 'leaving or gone', by: record?.node, node: self.node })
+      this._release(id, holder, taken ? 'held by another' : 'leaving or gone', record?.fence)
     }
   }
 
@@ -173,9 +171,13 @@
   taken ({ upstream, fence }: TakenMessage): void {
     const holder = this._holders.get(upstream)
     if (holder === undefined || holder.fence >= fence) return
+    this._release(upstream, holder, 'held by another', fence)
+  }
+
+  private _release (upstream: string, holder: EngineHolder, cause: 'held by another' | 'leaving or gone', newFence: number | undefined): void {
     holder.release()
     this._holders.delete(upstream)
-    this._options.log.info('loads', 'engine released.', { upstream, fence: holder.fence, cause: 'held by another', newFence: fence })
+    this._options.log.info('loads', 'engine released.', { upstream, fence: holder.fence, cause, newFence })
   }
 
   private _hold (upstream: Upstream, fence: number): void {
--- a/packages/direct/src/lib/membership.ts
+++ b/packages/direct/src/lib/membership.ts
@@ -40,18 +40,19 @@
   /** Takes the whole list. */
   reset (records: readonly UpstreamRecord[]): void {
     this._known = true
-    const listed = new Set(records.map(({ id }) => id))
-    for (const record of records) this.put(record)
-    for (const id of [...this._upstreams.keys()]) {
-      if (!listed.has(id)) this.remove(id)
-    }
+    for (const { id } of this._putAll(records)) this.remove(id)
   }
 
   /** Takes the list of a peer that hears the store; what it has dropped is gone. */
   follow (records: readonly UpstreamRecord[]): void {
+    for (const upstream of this._putAll(records)) this._drop(upstream)
+  }
+
+  /** Takes all records of a list and gives the upstreams that it lacks. */
+  private _putAll (records: readonly UpstreamRecord[]): readonly Upstream[] {
     const listed = new Set(records.map(({ id }) => id))
     for (const record of records) this.put(record)
-    for (const upstream of [...this._upstreams.values()]) if (!listed.has(upstream.id)) this._drop(upstream)
+    return [...this._upstreams.values()].filter(({ id }) => !listed.has(id))
   }
 
   put (record: UpstreamRecord): void {
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -122,7 +122,8 @@
    */
   private _fault (error: Error): void {
     this._deps.log.warn('request', 'ended by a fault of the entry.', { request: this._call.facts.id, error: error.stack })
-    this._exchange?.abandon()
+    // A non-idempotent request goes on at its upstream, as when its caller leaves.
+    if (this._route.kind !== 'non-idempotent') this._exchange?.abandon()
     this._answer.break()
     this._end('broken')
   }
