Report from logs what requests wait for, and log its parts

A request's wait before its send is now logged by parts (forAdapter, atDoor on 'request: sent.'), and 'hazelford report LOGS...' gives waits by route and part, ends, causes of refusals, loads by origin and engines by holder over time. No decision is changed.

--- a/packages/cli/src/lib/queries/explain.ts
+++ b/packages/cli/src/lib/queries/explain.ts
@@ -2,14 +2,7 @@
  * `hazelford explain`: what was decided on one request and why, from logs alone.
  */
 import { exitCodes, type Report, report } from '../exit-code.js'
-
-/** One log line of an entry. */
-interface LogLine {
-  readonly time: number
-  readonly node: string
-  readonly msg: string
-  readonly [field: string]: unknown
-}
+import { type LogLine, mergeLogs } from './log-lines.js'
 
 /** Changes around a request that bear on it, in ms before and after. */
 const around = 1_500
@@ -17,19 +10,6 @@
 const framing: ReadonlySet<string> = new Set(['level', 'time', 'node', 'msg', 'request'])
 const shownChanges = 12
 
-function parseLine (text: string): LogLine | undefined {
-  // Lines may have a prefix, such as a time and a host, from whatever collected them.
-  const start = text.indexOf('{')
-  if (start < 0) return undefined
-  try {
-    const line = JSON.parse(text.slice(start)) as Partial<LogLine>
-    return typeof line.time === 'number' && typeof line.msg === 'string' ? { ...line, time: line.time, msg: line.msg, node: String(line.node) } : undefined
-  } catch {
-    // Half a line at the end of a file, or output of another program: nothing of ours.
-    return undefined
-  }
-}
-
 function describeFields (line: LogLine): string {
   const parts = Object.entries(line).filter(([name]) => !framing.has(name)).map(([name, value]) => `${name} ${typeof value === 'object' ? JSON.stringify(value) : String(value)}`)
   return parts.length === 0 ? '' : ` (${parts.join(', ')})`
@@ -74,7 +54,7 @@
  * @param texts - logs of any number of processes
  */
 export function explain (id: string, texts: readonly string[]): Report {
-  const lines = texts.flatMap(text => text.split('\n')).map(parseLine).filter(line => line !== undefined).sort((a, b) => a.time - b.time)
+  const lines = mergeLogs(texts)
   const own = lines.filter(({ request }) => request === id)
   const first = own[0]
   if (first === undefined) {
--- /dev/null
+++ b/packages/cli/src/lib/queries/report-load.ts
@@ -0,0 +1,163 @@
+/**
+ * `hazelford report`: what requests waited for and what engines were ordered, from logs alone.
+ */
+import { exitCodes, type Report, report } from '../exit-code.js'
+import { formatTable } from '../table.js'
+import { type LogLine, mergeLogs } from './log-lines.js'
+
+/** The part of the logs to report on, in ms from their first line. */
+export interface ReportSpan {
+  readonly from: number | undefined
+  readonly length: number | undefined
+}
+
+/** Waits of one route's requests, in ms. */
+interface RouteWaits {
+  readonly sent: number[]
+  readonly forAdapter: number[]
+  readonly atDoor: number[]
+  readonly atEngine: number[]
+  readonly ends: Map<string, number>
+}
+
+/** Where an adapter had been before a load of it. */
+type LoadOrigin = 'never before' | 'elsewhere before' | 'here before'
+
+interface Loads { readonly count: number, readonly took: readonly number[] }
+
+const shares = [0.5, 0.8, 0.95]
+/** Rows of the table of holders. */
+const holderSteps = 12
+
+function quantiles (values: readonly number[]): readonly string[] {
+  const sorted = [...values].sort((a, b) => a - b)
+  return shares.map(share => sorted.length === 0 ? '-' : String(sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]))
+}
+
+function count (counts: Map<string, number>, key: string): void { counts.set(key, (counts.get(key) ?? 0) + 1) }
+
+function waitsByRoute (lines: readonly LogLine[]): ReadonlyMap<string, RouteWaits> {
+  const routes = new Map<string, RouteWaits>()
+  const open = new Map<unknown, { readonly route: RouteWaits, waited?: number }>()
+  for (const line of lines) {
+    if (line.msg === 'request: taken.') {
+      const name = String(line.route)
+      const route = routes.get(name) ?? { sent: [], forAdapter: [], atDoor: [], atEngine: [], ends: new Map() }
+      routes.set(name, route)
+      open.set(line.request, { route })
+    }
+    const request = open.get(line.request)
+    if (request === undefined) continue
+    const { route } = request
+    if (line.msg === 'request: sent.' && line.send === 1) {
+      request.waited = Number(line.waited)
+      route.sent.push(request.waited)
+      if (line.forAdapter !== undefined) route.forAdapter.push(Number(line.forAdapter))
+      if (line.atDoor !== undefined) route.atDoor.push(Number(line.atDoor))
+    }
+    if (line.msg !== 'request: over.') continue
+    count(route.ends, String(line.end))
+    if (line.firstData !== undefined && request.waited !== undefined) route.atEngine.push(Number(line.firstData) - request.waited)
+  }
+  return routes
+}
+
+function waitTable (routes: ReadonlyMap<string, RouteWaits>): string {
+  const rows = [...routes].sort(([, a], [, b]) => b.sent.length - a.sent.length).flatMap(([name, route]) => [
+    [name, String(route.sent.length), 'before it was sent', ...quantiles(route.sent)],
+    ['', '', 'for its adapter', ...quantiles(route.forAdapter)],
+    ['', '', 'to be let in', ...quantiles(route.atDoor)],
+    ['', '', 'sent, to first event', ...quantiles(route.atEngine)]
+  ])
+  return formatTable(['route', 'sent', 'ms', 'median', '80 in 100', '95 in 100'], rows.filter(row => row[3] !== '-'))
+}
+
+function endTable (routes: ReadonlyMap<string, RouteWaits>): string {
+  const rows = [...routes].flatMap(([name, { ends }]) => [...ends].map(([end, times]) => [name, end, String(times)]))
+  return formatTable(['route', 'end', 'requests'], rows.sort((a, b) => Number(b[2]) - Number(a[2])))
+}
+
+/** Counts lines by a field, such as the causes for which an adapter was not to be had. */
+function causeTable (lines: readonly LogLine[]): string {
+  const causes = new Map<string, number>()
+  for (const { msg, cause } of lines) if (msg === 'request: adapter not to be had.') count(causes, String(cause))
+  return formatTable(['adapter not to be had', 'times'], [...causes].map(([cause, times]) => [cause, String(times)]))
+}
+
+function loadsByOrigin (lines: readonly LogLine[]): ReadonlyMap<LoadOrigin, Loads> {
+  const held = new Map<string, Set<unknown>>()
+  const begun = new Map<string, { readonly at: number, readonly origin: LoadOrigin }>()
+  const loads = new Map<LoadOrigin, { count: number, took: number[] }>()
+  for (const { msg, time, upstream, model, adapter } of lines) {
+    if (adapter === undefined || (msg !== 'loads: load accepted.' && msg !== 'loads: load holds.')) continue
+    const name = `${String(model)}/${String(adapter)}`
+    const key = `${String(upstream)} ${name}`
+    const places = held.get(name) ?? new Set()
+    const earlier = begun.get(key)
+    if (msg === 'loads: load accepted.' && earlier === undefined) {
+      const origin = places.has(upstream) ? 'here before' : places.size > 0 ? 'elsewhere before' : 'never before'
+      begun.set(key, { at: time, origin })
+    }
+    if (msg !== 'loads: load holds.' || earlier === undefined) continue
+    begun.delete(key)
+    held.set(name, places.add(upstream))
+    const entry = loads.get(earlier.origin) ?? { count: 0, took: [] }
+    entry.count++
+    entry.took.push(time - earlier.at)
+    loads.set(earlier.origin, entry)
+  }
+  return loads
+}
+
+function loadTable (loads: ReadonlyMap<LoadOrigin, Loads>): string {
+  const rows = [...loads].map(([origin, entry]) => [origin, String(entry.count), ...quantiles(entry.took)])
+  return formatTable(['loads, adapter held', 'times', 'median ms', '80 in 100', '95 in 100'], rows)
+}
+
+/** Who orders which engine after each line that changes it. */
+function * holdersOverTime (lines: readonly LogLine[]): Generator<{ readonly time: number, readonly holders: ReadonlyMap<unknown, string> }> {
+  const holders = new Map<unknown, string>()
+  for (const { msg, time, node, upstream } of lines) {
+    if (msg === 'loads: engine held.') holders.set(upstream, node)
+    else if ((msg === 'loads: engine released.' || msg === 'loads: engine handed over.') && holders.get(upstream) === node) holders.delete(upstream)
+    else if (msg === 'lease: lost.' || msg === 'daemon: started.') for (const [engine, holder] of holders) if (holder === node) holders.delete(engine)
+    yield { time, holders }
+  }
+}
+
+function holderTable (lines: readonly LogLine[]): string {
+  const first = lines[0]?.time ?? 0
+  const step = ((lines.at(-1)?.time ?? 0) - first) / holderSteps
+  const nodes = [...new Set(lines.filter(({ msg }) => msg === 'loads: engine held.').map(({ node }) => node))].sort()
+  const rows: string[][] = []
+  for (const { time, holders } of holdersOverTime(lines)) {
+    while (rows.length < holderSteps && time >= first + rows.length * step) {
+      const counts = nodes.map(node => String([...holders.values()].filter(holder => holder === node).length))
+      rows.push([`${((rows.length * step) / 1_000).toFixed(1)}`, ...counts])
+    }
+  }
+  return formatTable(['engines ordered, at s', ...nodes], rows)
+}
+
+/**
+ * Reports on the load of a span of time.
+ *
+ * @param texts - logs of any number of processes
+ * @param span - the part to look at
+ */
+export function reportLoad (texts: readonly string[], span: ReportSpan): Report {
+  const all = mergeLogs(texts)
+  const first = all[0]
+  if (first === undefined) return report(exitCodes.badInput, 'No line of an entry is in these logs.')
+  const from = first.time + (span.from ?? 0)
+  const until = from + (span.length ?? Infinity)
+  const lines = all.filter(({ time }) => time >= from && time < until)
+  const routes = waitsByRoute(lines)
+  const loads = loadsByOrigin(lines)
+  const text = [waitTable(routes), endTable(routes), causeTable(lines), loadTable(loads), holderTable(lines)].join('\n\n')
+  const data = {
+    routes: [...routes].map(([route, { sent, forAdapter, atDoor, atEngine, ends }]) => ({ route, sent: sent.length, before: quantiles(sent), forAdapter: quantiles(forAdapter), atDoor: quantiles(atDoor), atEngine: quantiles(atEngine), ends: Object.fromEntries(ends) })),
+    loads: [...loads].map(([origin, { count: times, took }]) => ({ origin, times, took: quantiles(took) }))
+  }
+  return report(exitCodes.done, text, data)
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -16,6 +16,7 @@
 import { explain } from './lib/queries/explain.js'
 import { check, diff, history, show } from './lib/queries/config-queries.js'
 import { adapters, status } from './lib/queries/process-queries.js'
+import { reportLoad } from './lib/queries/report-load.js'
 import { requests, timeline } from './lib/queries/timeline.js'
 
 interface GlobalOptions {
@@ -35,6 +36,8 @@
   readonly upstream?: string
   readonly kind?: string
   readonly html?: boolean
+  readonly from?: string
+  readonly for?: string
 }
 
 const watchMs = 1_000
@@ -78,7 +81,7 @@
 function parseSpan (text: string | undefined): number | undefined {
   if (text === undefined) return undefined
   const match = /^(\d+)(ms|s|m|h)$/.exec(text)
-  if (match === null) throw new UsageError(`--since takes a time span such as 30s, 5m or 1h, not "${text}".`)
+  if (match === null) throw new UsageError(`A time span is such as 30s, 5m or 1h, not "${text}".`)
   return Number(match[1]) * unitsMs[match[2]!]!
 }
 
@@ -156,6 +159,11 @@
   .example('hazelford explain 9c41d07be2a35f68 entry-*.log')
   .action((id: string, logs: readonly string[], options: CommandOptions) => run(options, () =>
     explain(id, (logs.length === 0 ? ['-'] : logs).map(readText))))
+cli.command('report [...logs]', 'Say what requests waited for, why they were refused, what was loaded and who ordered engines, from log files or standard input')
+  .option('--from <span>', 'Leave out what came before this time from the first line, such as 30s').option('--for <span>', 'Only this long from there')
+  .example('hazelford report --from 20s --for 10s entry-*.log')
+  .action((logs: readonly string[], options: CommandOptions) => run(options, () =>
+    reportLoad((logs.length === 0 ? ['-'] : logs).map(readText), { from: parseSpan(options.from), length: parseSpan(options.for) })))
 cli.command('completion <shell>', 'Completion script for bash or zsh')
   .action((shell: string, options: CommandOptions) => run(options, () => completion(shell, cli.commands.map(command => command.name))))
 cli.help()
--- /dev/null
+++ b/packages/cli/src/test/report.steps.ts
@@ -0,0 +1,55 @@
+/**
+ * Reports on recorded lines.
+ */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { exitCodes, type Report } from '../lib/exit-code.js'
+import { reportLoad } from '../lib/queries/report-load.js'
+
+interface ReportWorld { recorded: readonly string[], loadReport: Report }
+
+function line (time: number, node: string, msg: string, fields: object = {}): string {
+  return `${node} ${JSON.stringify({ level: 30, time, node, ...fields, msg })}`
+}
+
+Given('logs of two entries, in which a draft waited for its adapter and one was refused', function (this: ReportWorld) {
+  const load = { upstream: 'i-1', model: 'm', adapter: 'a1' }
+  this.recorded = [
+    [
+      line(1_000, 'e1', 'loads: engine held.', { upstream: 'i-1' }),
+      line(1_100, 'e1', 'request: taken.', { request: 'd1', route: 'draft' }),
+      line(1_110, 'e1', 'loads: load accepted.', load),
+      line(1_380, 'e1', 'loads: load holds.', load),
+      line(1_420, 'e1', 'request: sent.', { request: 'd1', send: 1, waited: 320, forAdapter: 280, atDoor: 40 }),
+      line(1_500, 'e1', 'request: over.', { request: 'd1', end: 'delivered', firstData: 390 })
+    ].join('\n'),
+    [
+      line(1_200, 'e2', 'loads: engine held.', { upstream: 'i-2' }),
+      line(3_000, 'e2', 'request: taken.', { request: 'd2', route: 'draft' }),
+      line(3_010, 'e2', 'request: adapter not to be had.', { request: 'd2', cause: 'every slot is in use' }),
+      line(3_020, 'e2', 'request: over.', { request: 'd2', end: 'adapter-unavailable' })
+    ].join('\n')
+  ]
+})
+
+When('the load is reported', function (this: ReportWorld) { this.loadReport = reportLoad(this.recorded, { from: undefined, length: undefined }) })
+
+When('the load of the first second is reported', function (this: ReportWorld) { this.loadReport = reportLoad(this.recorded, { from: 0, length: 1_000 }) })
+
+Then('it gives the waits by part, the cause of the refusal, the loads by origin and the engines by holder', function (this: ReportWorld) {
+  const { code, text } = this.loadReport
+  assert.equal(code, exitCodes.done)
+  assert.match(text, /draft +1 +before it was sent +320/)
+  assert.match(text, /for its adapter +280/)
+  assert.match(text, /to be let in +40/)
+  assert.match(text, /sent, to first event +70/)
+  assert.match(text, /draft +adapter-unavailable +1/)
+  assert.match(text, /every slot is in use +1/)
+  assert.match(text, /never before +1 +270/)
+  assert.match(text, /engines ordered, at s +e1 +e2/)
+})
+
+Then('it leaves out what came later', function (this: ReportWorld) {
+  assert.match(this.loadReport.text, /draft +delivered +1/)
+  assert.doesNotMatch(this.loadReport.text, /adapter-unavailable/)
+})
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -24,8 +24,9 @@
 
 /** What a holder says to an ask: it can be used, it will be, or it can't be had here now. */
 export type AskOutcome =
-  | Readiness & { readonly kind: 'ready', readonly load?: EngineLoad }
-  | { readonly kind: 'coming' }
+  /** `atDoor`: Ms of this ask that the prompt waited to be let in, after its adapter was there. */
+  | Readiness & { readonly kind: 'ready', readonly load?: EngineLoad, readonly atDoor?: Ms }
+  | { readonly kind: 'coming', readonly atDoor?: Ms }
   | { readonly kind: 'unavailable', readonly cause: UnavailableCause }
 
 /** What an entry asks of a holder. */
@@ -115,12 +116,13 @@
     const startedAt = this._options.clock.now()
     const outcome = await this._await(ask)
     if (outcome.kind !== 'ready') return outcome
-    const left = ask.answerIn - (this._options.clock.now() - startedAt)
-    if (ask.prompt !== undefined && !await this._letIn(ask, left)) return { kind: 'coming' }
+    const readyAt = this._options.clock.now()
+    const left = ask.answerIn - (readyAt - startedAt)
+    if (ask.prompt !== undefined && !await this._letIn(ask, left)) return { kind: 'coming', atDoor: this._options.clock.now() - readyAt }
     const now = this._options.clock.now()
     const { want, entry, prompt } = ask
     if (want.adapter !== undefined && prompt !== undefined) this._plan.addUse(entry, want.model, want.adapter, now)
-    return { ...outcome, load: { others: this._othersThan(ask.entry), promptBacklog: this._pacer.backlog(now) } }
+    return { ...outcome, atDoor: now - readyAt, load: { others: this._othersThan(ask.entry), promptBacklog: this._pacer.backlog(now) } }
   }
 
   /** Waits until the engine can read the prompt. */
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -23,8 +23,8 @@
 
 /** The answer; a promise is told as the time left, since clocks differ. */
 type AskReply =
-  | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number, readonly load?: EngineLoad }
-  | { readonly kind: 'coming' }
+  | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number, readonly load?: EngineLoad, readonly atDoor?: Ms }
+  | { readonly kind: 'coming', readonly atDoor?: Ms }
   | { readonly kind: 'unavailable', readonly cause: UnavailableCause }
 
 const askPath = '/adapters/ask'
@@ -72,10 +72,13 @@
   }
   if (req.method !== 'POST' || req.url !== askPath) return sendJson(res, 404, { error: `Nothing is served at ${req.url ?? ''}.` })
   const outcome = await service.ask(await readJson(req, maxBody) as AskMessage)
-  const reply: AskReply = outcome.kind === 'ready'
-    ? { kind: 'ready', lasts: outcome.until - service.now(), ...(outcome.version === undefined ? {} : { version: outcome.version }), ...(outcome.load === undefined ? {} : { load: outcome.load }) }
-    : outcome
-  sendJson(res, 200, reply)
+  sendJson(res, 200, toReply(outcome, service.now()))
+}
+
+function toReply (outcome: AskOutcome, now: Ms): AskReply {
+  if (outcome.kind !== 'ready') return outcome
+  const { until, ...rest } = outcome
+  return { ...rest, lasts: until - now }
 }
 
 /**
@@ -114,8 +117,10 @@
     const answer = await callJson(this._agent, { host: peer.host, port: peer.port, method: 'POST', path: askPath, body: msg, timeout: msg.answerIn + answerMargin })
     if (answer.status !== 200) throw new Error(`The holder answered ${answer.status}.`)
     const reply = answer.body as AskReply
+    if (reply.kind !== 'ready') return reply
+    const { lasts, version, ...rest } = reply
     // The promise runs from the reply; counting from the request is the safe side.
-    return reply.kind === 'ready' ? { kind: 'ready', until: Math.max(sentAt, now() - answerMargin) + reply.lasts, version: reply.version, ...(reply.load === undefined ? {} : { load: reply.load }) } : reply
+    return { ...rest, version, until: Math.max(sentAt, now() - answerMargin) + lasts }
   }
 
   /** Asks for configuration and upstreams. */
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -23,9 +23,17 @@
   readonly cancelled: () => boolean
 }
 
+/** What a request waited for before it could be sent. */
+export interface PlaceWaits {
+  /** Ms until its adapter was there: for a slot and for the load. */
+  readonly adapter: Ms
+  /** Ms until the engine could read its prompt. */
+  readonly door: Ms
+}
+
 /** Where a request can go. */
 export type Placed =
-  | { readonly kind: 'placed', readonly upstream: Upstream, readonly version: number | undefined }
+  | { readonly kind: 'placed', readonly upstream: Upstream, readonly version: number | undefined, readonly waits?: PlaceWaits }
   | { readonly kind: 'unplaced', readonly cause: 'no-upstream' | 'adapter-unavailable' }
 
 /** Upstreams with every slot in use at which an adapter is asked for before a request stands in line. */
@@ -74,6 +82,14 @@
 
   /** Takes the first candidate that can have the adapter, else stands in line at the best. */
   private async _placeAdapter (query: PlaceQuery, want: AdapterWant, candidates: readonly Upstream[]): Promise<Placed> {
+    const startedAt = this._clock.now()
+    const placed = await this._placeAtOne(query, want, candidates)
+    if (placed.kind === 'unplaced') return placed
+    const door = placed.waits?.door ?? 0
+    return { ...placed, waits: { adapter: this._clock.now() - startedAt - door, door } }
+  }
+
+  private async _placeAtOne (query: PlaceQuery, want: AdapterWant, candidates: readonly Upstream[]): Promise<Placed> {
     const until = this._clock.now() + query.patience
     const occupied: Upstream[] = []
     for (const upstream of candidates) {
@@ -101,13 +117,15 @@
     let { missing } = ask
     const { request, tokens, dueAt } = query.prompt
     const startedAt = this._clock.now()
+    let door = 0
     for (;;) {
       const patience = until - this._clock.now()
       if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return undefined
       const prompt = { request, tokens, dueIn: dueAt - this._clock.now() }
       const outcome = await this._directory.ensure(upstream, { ...ask, missing, patience, prompt })
       // It may have said that it leaves while the request waited.
-      if (outcome.kind === 'ready') return this._isOpen(upstream) ? { kind: 'placed', upstream, version: outcome.version } : undefined
+      if (outcome.kind !== 'unavailable') door += outcome.atDoor ?? 0
+      if (outcome.kind === 'ready') return this._isOpen(upstream) ? { kind: 'placed', upstream, version: outcome.version, waits: { adapter: 0, door } } : undefined
       if (outcome.kind === 'unavailable') {
         const waited = Math.round(this._clock.now() - startedAt)
         this._log.info('request', 'adapter not to be had.', { request, upstream: upstream.id, ...ask.want, cause: outcome.cause, waited, left: Math.round(patience) })
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -6,7 +6,7 @@
 import type { CallCodec, CallFacts, Route } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
 import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
-import type { Placed, PlaceQuery } from './placer.js'
+import type { Placed, PlaceQuery, PlaceWaits } from './placer.js'
 import type { Upstream } from './upstream.js'
 
 /** A request that was read whole. */
@@ -78,6 +78,7 @@
   private _exchange: Exchange | undefined
   private _upstream: Upstream | undefined
   private _version: number | undefined
+  private _waits: PlaceWaits | undefined
   private _want: AdapterWant | undefined
   private _whole: WholeAnswer | undefined
   private _held: WholeAnswer | undefined
@@ -199,6 +200,7 @@
     if (placed.kind === 'unplaced') return this._post(placed)
     this._upstream = placed.upstream
     this._version = placed.version
+    this._waits = placed.waits
     this._post({ kind: 'placed', upstream: placed.upstream.id })
   }
 
@@ -209,7 +211,7 @@
     const sentAt = clock.now()
     this._sends++
     const resumed = this._answer.begun ? this._lastEventId : undefined
-    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), outstanding: upstream.outstanding, version: this._version, resumedAfter: resumed })
+    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...this._waitFields(), outstanding: upstream.outstanding, version: this._version, resumedAfter: resumed })
     const release = upstream.open(this._want?.adapter === undefined ? undefined : wantKey(this._want))
     if (this._want !== undefined) upstream.sentPrompt(facts.promptTokens)
     const close = (outcome: ExchangeOutcome, latency?: Ms): void => {
@@ -276,6 +278,12 @@
     })
   }
 
+  /** Parts of the wait of a stream that needed an adapter, for the log. */
+  private _waitFields (): object {
+    if (this._waits === undefined) return {}
+    return { forAdapter: Math.round(this._waits.adapter), atDoor: Math.round(this._waits.door) }
+  }
+
   private _closeExchange: () => void = () => {}
 
   private get _repeatable (): boolean {
