Don't claim an engine back within a turn of having left it to another

A claim did not ask what the claimant had ordered lately. Change: an entry leaves an engine alone for a turn (setting holder_turn_ms, from the platform's bound) after it gave it up, unless nobody else held it since; others claim it. An entry that restarts does not know what it ordered and claims only a turn after its start, except what its own key still names. Handovers wait a turn and a second. Test: a property over handovers, stops and starts fails without the guard.

--- a/packages/decisions/src/lib/share-engines.ts
+++ b/packages/decisions/src/lib/share-engines.ts
@@ -1,6 +1,7 @@
 /**
  * Spreads engines evenly over the entries that order them.
  */
+import type { Ms } from '@hazelford/core'
 import { rendezvousOrder } from './rendezvous.js'
 
 /** Who orders what, as one entry sees it. */
@@ -69,3 +70,32 @@
   const engine = [...shares.holders].find(([id, holder]) => holder === self && mayGo(id))?.[0]
   return engine === undefined ? undefined : { engine, to: rendezvousOrder(engine, takers)[0]! }
 }
+
+/** Left over of a turn, for an order that was still on its way when its sender stopped ordering. */
+const turnMargin: Ms = 300
+
+/**
+ * Engines that an entry has ordered and does not any more.
+ *
+ * Two holders that order one engine in turn look to it like two that don't know of each other: first A, then B, then A
+ * again. It shows as orders of A around one of B within a turn. Whoever has left an engine to another
+ * therefore leaves it alone until the turn is over; a third entry may claim it at once.
+ */
+export class FormerHolds {
+  private readonly _leftAt = new Map<string, Ms>()
+
+  /** @param _turn - ms within which two holders must not take turns */
+  constructor (private readonly _turn: Ms) {}
+
+  /** Notes that an engine is ordered no more by this entry. */
+  left (engine: string, now: Ms): void { this._leftAt.set(engine, now) }
+
+  /** Whether an engine that another may have ordered since can be claimed. */
+  mayReturn (engine: string, now: Ms): boolean {
+    const leftAt = this._leftAt.get(engine)
+    if (leftAt === undefined) return true
+    if (now - leftAt < this._turn + turnMargin) return false
+    this._leftAt.delete(engine)
+    return true
+  }
+}
--- a/packages/decisions/src/test/share-engines.feature
+++ b/packages/decisions/src/test/share-engines.feature
@@ -14,3 +14,9 @@
 
   Scenario: entries with the same view claim different engines
     Then for any entries each free engine has one first claimant and no entry is first for more than its share
+
+  Scenario: an engine goes back to an entry that ordered it just before
+    Symptom: an engine is ordered by two entries in turn, as by two that don't know of each other.
+    Events: an entry hands an engine to another, which is stopped 0.7 s later; the first claims it anew.
+    Cause: a claim did not ask what the claimant itself had ordered lately.
+    Then for any handovers, stops and starts no entry orders an engine on both sides of another within a turn
--- a/packages/decisions/src/test/share-engines.steps.ts
+++ b/packages/decisions/src/test/share-engines.steps.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { claimOrders, pickHandover } from '../lib/share-engines.js'
+import { claimOrders, FormerHolds, pickHandover } from '../lib/share-engines.js'
 import { propertyOptions } from './support/property-options.js'
 
 class Shares {
@@ -90,3 +90,90 @@
     assert.ok(Math.max(...shares.counts()) <= Math.ceil(engines / entries))
   }), propertyOptions)
 })
+
+const turn = 3_000
+const claimStep = 500
+const tick = 100
+
+/** Who ordered an engine, and until when. */
+interface Hold { readonly entry: string, readonly from: number, until: number }
+
+/** Entries that stop and start at any time, and what each has ordered. */
+class Turns {
+  private readonly _shares: Shares
+  private readonly _memories = new Map<string, FormerHolds>()
+  private readonly _freeSince = new Map<string, number>()
+  private readonly _startedAt = new Map<string, number>()
+  private readonly _former = new Map<string, string>()
+  readonly holds = new Map<string, Hold[]>()
+  private _now = 0
+
+  constructor (engines: number, entries: number) {
+    this._shares = new Shares(names('engine', engines), names('entry', entries))
+    for (const entry of this._shares.entries) this._memories.set(entry, new FormerHolds(turn))
+  }
+
+  /** Lets time pass; entries claim what is free and hand over what is uneven. */
+  pass (until: number): void {
+    for (; this._now < until; this._now += tick) {
+      for (const engine of this._shares.engines) if (!this._shares.holders.has(engine)) this._claim(engine)
+      for (const engine of this._shares.holders.keys()) this.holds.get(engine)!.at(-1)!.until = this._now
+      for (const entry of this._shares.entries) this._handOver(entry)
+    }
+  }
+
+  toggle (entry: string): void {
+    if (this._shares.entries.includes(entry)) {
+      for (const [engine, holder] of this._shares.holders) if (holder === entry) this._leave(engine, entry)
+      this._shares.stop(entry)
+      return
+    }
+    this._shares.entries = [...this._shares.entries, entry]
+    this._memories.set(entry, new FormerHolds(turn))
+    this._startedAt.set(entry, this._now)
+  }
+
+  private _leave (engine: string, entry: string): void {
+    this._shares.holders.delete(engine)
+    this._former.set(engine, entry)
+    this._memories.get(entry)!.left(engine, this._now)
+    this._freeSince.set(engine, this._now)
+  }
+
+  private _claim (engine: string): void {
+    const since = this._freeSince.get(engine) ?? 0
+    const order = claimOrders([engine], this._shares).get(engine)!
+    const claimant = order.find((entry, rank) => this._now - since >= rank * claimStep && this._now - (this._startedAt.get(entry) ?? -turn) >= turn &&
+      (this._former.get(engine) === entry || this._memories.get(entry)!.mayReturn(engine, this._now)))
+    if (claimant === undefined) return
+    this._shares.holders.set(engine, claimant)
+    this.holds.set(engine, [...this.holds.get(engine) ?? [], { entry: claimant, from: this._now, until: this._now }])
+  }
+
+  private _handOver (entry: string): void {
+    const handover = pickHandover(entry, this._shares, () => true)
+    if (handover !== undefined) this._leave(handover.engine, entry)
+  }
+}
+
+Then('for any handovers, stops and starts no entry orders an engine on both sides of another within a turn', () => {
+  const steps = fc.array(fc.record({ entry: fc.nat(4), after: fc.integer({ min: 1, max: 30 }) }), { maxLength: 30 })
+  fc.assert(fc.property(steps, list => {
+    const turns = new Turns(8, 5)
+    let now = 1_000
+    turns.pass(now)
+    for (const { entry, after } of list) {
+      turns.toggle(`entry-${entry}`)
+      turns.pass(now += after * tick)
+    }
+    for (const holds of turns.holds.values()) checkTurns(holds)
+  }), propertyOptions)
+})
+
+function checkTurns (holds: readonly Hold[]): void {
+  for (const [i, hold] of holds.entries()) {
+    const earlier = holds.slice(0, i).findLast(({ entry }) => entry === hold.entry)
+    const between = earlier === undefined ? 0 : holds.slice(holds.indexOf(earlier) + 1, i).length
+    if (between > 0) assert.ok(hold.from - earlier!.until >= turn, `${hold.entry} orders again after ${hold.from - earlier!.until} ms: ${JSON.stringify(holds)}`)
+  }
+}
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -2,7 +2,7 @@
  * Claims engines in the store and orders those that this entry holds.
  */
 import type { CancelTimer, Clock, Log, Ms } from '@hazelford/core'
-import { type AdapterWant, claimOrders, type EngineShares, pickHandover } from '@hazelford/decisions'
+import { type AdapterWant, claimOrders, type EngineShares, FormerHolds, pickHandover } from '@hazelford/decisions'
 import type { EngineControl, EngineSpec, Store } from '@hazelford/ports'
 import { type Ask, type AskOutcome, EngineHolder } from './engine-holder.js'
 import type { LeaseKeeper } from './lease-keeper.js'
@@ -23,7 +23,11 @@
   readonly loaded: (took: Ms) => void
   /** Tells the former holder of an engine that it has a new one. */
   readonly tellTaken: (former: PeerAddress, msg: TakenMessage) => Promise<void>
-  /** Ms after the start before the first claim. */
+  /** Whether the whole system starts, so that no engine can have been ordered just before. */
+  readonly firstStart: boolean
+  /** Ms within which two holders must not order one engine in turn. */
+  readonly holderTurn: Ms
+  /** Ms after the start before the first claim; by default as {@link firstStart} says. */
   readonly settleTime?: Ms
 }
 
@@ -36,12 +40,12 @@
  * Time after the start in which the other entries register; all start within 0.3 s, and one
  * that claimed at once would hold every engine.
  */
-const defaultSettleTime: Ms = 900
+const firstSettleTime: Ms = 900
 /**
- * Time an entry must be known for, and an engine be held for, before the engine is handed over. Longer than
- * the time within which two holders of one engine must not take turns (3 s), and than an entry that stops takes to leave.
+ * Time beyond a turn for which an entry must be known, and an engine be held, before the engine is handed over: an entry
+ * that stops takes about as long to leave.
  */
-const handoverAfter: Ms = 4_000
+const handoverMargin: Ms = 1_000
 /** Pause between two handovers: each must be seen by all before the next is decided. */
 const handoverPause: Ms = 1_000
 /** Keys that one transaction may name. */
@@ -53,6 +57,9 @@
   /** Engines without a holder, and since when. */
   private readonly _free = new Map<string, Ms>()
   private readonly _startedAt: Ms
+  private readonly _formerHolds: FormerHolds
+  private readonly _handoverAfter: Ms
+  private readonly _settleTime: Ms
   /** Entries listed, and since when. */
   private readonly _listed = new Map<string, Ms>()
   private _claiming = false
@@ -64,6 +71,11 @@
 
   constructor (private readonly _options: DeskOptions, private readonly _lease: () => LeaseKeeper) {
     this._startedAt = _options.clock.now()
+    const { holderTurn, firstStart, settleTime } = _options
+    this._formerHolds = new FormerHolds(holderTurn)
+    this._handoverAfter = holderTurn + handoverMargin
+    // What this host ordered just before a restart is not known any more.
+    this._settleTime = settleTime ?? (firstStart ? firstSettleTime : holderTurn)
   }
 
   holder (upstream: string): EngineHolder | undefined { return this._holders.get(upstream) }
@@ -80,8 +92,7 @@
 
   /** The lease ended: somebody else may order from now on. */
   dropAll (): void {
-    for (const holder of this._holders.values()) holder.release()
-    this._holders.clear()
+    for (const [id, holder] of this._holders) this._drop(id, holder)
   }
 
   /** Looks at what changed in the store, soon. */
@@ -111,7 +122,7 @@
 
   /** Engines of ours and what is known of the others, for entries that have been listed for a while. */
   private _settledShares (now: Ms): EngineShares {
-    const entries = [...this._listed].filter(([, since]) => now - since >= handoverAfter).map(([node]) => node)
+    const entries = [...this._listed].filter(([, since]) => now - since >= this._handoverAfter).map(([node]) => node)
     return { entries, holders: this._knownHolders() }
   }
 
@@ -125,7 +136,7 @@
     if (this._handing || this._claiming || now - this._handedAt < handoverPause || !this._lease().valid) return
     const handover = pickHandover(this._options.self.node, this._settledShares(now), engine => {
       const holder = this._holders.get(engine)
-      return holder !== undefined && now - holder.since >= handoverAfter
+      return holder !== undefined && now - holder.since >= this._handoverAfter
     })
     if (handover === undefined) return
     this._handing = true
@@ -144,7 +155,7 @@
     const holder = this._holders.get(upstream)
     if (holder === undefined) return
     await holder.finish()
-    this._holders.delete(upstream)
+    this._drop(upstream, holder)
     const key = holderKey(upstream)
     const outcome = await store.commit({ conditions: [{ key, revision: holder.fence }], puts: [], removals: [key] })
     // Unanswered or refused, our own key is still listed here and the engine is claimed anew.
@@ -169,9 +180,8 @@
     const claimable: Upstream[] = []
     const seen = new Set<string>()
     const orders = claimOrders(this._unheld().map(({ id }) => id), { entries: peers.nodes, holders: this._knownHolders() })
-    const settleTime = this._options.settleTime ?? defaultSettleTime
-    const settling = clock.now() - this._startedAt < settleTime
-    if (settling || !this._lease().valid) this._options.clock.after(settleTime / 3, () => this.review())
+    const settling = clock.now() - this._startedAt < this._settleTime
+    if (settling || !this._lease().valid) this._options.clock.after(this._settleTime / 3, () => this.review())
     if (!this._lease().valid) return []
     for (const upstream of this._engines()) {
       if (this._holders.has(upstream.id)) continue
@@ -183,7 +193,8 @@
       const since = this._free.get(upstream.id) ?? now
       this._free.set(upstream.id, since)
       const rank = orders.get(upstream.id)?.indexOf(self.node) ?? -1
-      if (ours || (!settling && rank >= 0 && now - since >= rank * claimStep)) claimable.push(upstream)
+      const mayReturn = peers.former(upstream.id)?.node === self.node || this._formerHolds.mayReturn(upstream.id, now)
+      if (ours || (!settling && mayReturn && rank >= 0 && now - since >= rank * claimStep)) claimable.push(upstream)
     }
     for (const id of this._free.keys()) if (!seen.has(id)) this._free.delete(id)
     return claimable.slice(0, claimsAtOnce)
@@ -247,9 +258,14 @@
   }
 
   private _release (upstream: string, holder: EngineHolder, cause: 'held by another' | 'leaving or gone', newFence: number | undefined): void {
+    this._drop(upstream, holder)
+    this._options.log.info('loads', 'engine released.', { upstream, fence: holder.fence, cause, newFence })
+  }
+
+  private _drop (upstream: string, holder: EngineHolder): void {
     holder.release()
     this._holders.delete(upstream)
-    this._options.log.info('loads', 'engine released.', { upstream, fence: holder.fence, cause, newFence })
+    this._formerHolds.left(upstream, this._options.clock.now())
   }
 
   private _hold (upstream: Upstream, fence: number): void {
