Give an adapter a second home only where both homes use their slots

Cause: with 48 slots (8 engines of 6) further homes of hot adapters took 15, at any load; every slot in use is the steady cause of refusals. Change: a second home needs a share of the requests of twice the mean slot's (48 slots: 0.042; 216 and 273 slots: 0.01 as before). Test: a play over Zipf 1.2 on four fleets; further homes take a quarter of the slots at most.

--- a/packages/decisions/src/lib/place-request.ts
+++ b/packages/decisions/src/lib/place-request.ts
@@ -104,8 +104,13 @@
     .map(ranked => ranked.candidate)
 }
 
-/** Share of the requests from which an adapter has a second home, so that load can be evened out. */
+/** Share of the requests from which an adapter has a second home, so that load can be evened out, where slots are many. */
 const popularShare = 0.01
+/**
+ * Times the mean slot's share of the requests that each of two homes must serve, at least. Below, the second one
+ * takes a slot from adapters that are asked for more often than it is.
+ */
+const slotWorth = 1
 const spread = 2
 
 /**
@@ -117,8 +122,10 @@
  *
  * @param share - part of the service's requests that are for it, 0 to 1
  * @param upstreams - upstreams of the service
+ * @param slotsEach - adapters that one of them holds
  */
-export function replicasFor (share: number, upstreams: number): number {
-  const wanted = Math.max(share >= popularShare ? 2 : 1, Math.ceil(share * upstreams * spread))
+export function replicasFor (share: number, upstreams: number, slotsEach: number): number {
+  const popular = Math.max(popularShare, 2 * slotWorth / (upstreams * slotsEach))
+  const wanted = Math.max(share >= popular ? 2 : 1, Math.ceil(share * upstreams * spread))
   return Math.min(upstreams, wanted)
 }
--- a/packages/decisions/src/test/direct-decisions.feature
+++ b/packages/decisions/src/test/direct-decisions.feature
@@ -23,6 +23,12 @@
     And a request for an adapter leaves its home when the wait there is longer than a load elsewhere
     And the hottest adapter has more homes than others
 
+  Scenario: engines with few slots
+    Symptom: requests wait for a slot in every engine, while a third of the slots hold second copies.
+    Events: eight engines of six slots, three thousand adapters of the usual popularity.
+    Cause: what made an adapter worth a second home did not depend on how many slots there are.
+    Then further homes take at most a quarter of the slots, where these are few as where they are many
+
   Scenario: a copy away from home
     Symptom: of adapters that are asked for now and then, most stand in two engines, and the weight store's rate is spent on the second copies.
     Events: the home's slots are all in use and another engine loads the adapter; seconds later the next request finds room at home.
--- a/packages/decisions/src/test/direct-decisions.steps.ts
+++ b/packages/decisions/src/test/direct-decisions.steps.ts
@@ -97,10 +97,25 @@
 })
 
 Then('the hottest adapter has more homes than others', () => {
-  assert.ok(replicasFor(0.22, 12) > replicasFor(0.05, 12))
-  assert.equal(replicasFor(0.001, 12), 1)
-  assert.equal(replicasFor(1, 3), 3)
-  assert.equal(replicasFor(0.02, 12), 2)
+  assert.ok(replicasFor(0.22, 12, 21) > replicasFor(0.05, 12, 21))
+  assert.equal(replicasFor(0.001, 12, 21), 1)
+  assert.equal(replicasFor(1, 3, 21), 3)
+  assert.equal(replicasFor(0.02, 12, 21), 2)
+})
+
+/** Shares of adapters whose popularity falls with their rank as usual: the first draws 22 in 100 requests. */
+function zipfShares (adapters: number): readonly number[] {
+  const weights = Array.from({ length: adapters }, (_, rank) => (rank + 1) ** -1.2)
+  const sum = weights.reduce((a, b) => a + b, 0)
+  return weights.map(weight => weight / sum)
+}
+
+Then('further homes take at most a quarter of the slots, where these are few as where they are many', () => {
+  for (const [engines, slots] of [[8, 6], [6, 36], [13, 21], [36, 5]] as const) {
+    const homes = zipfShares(3_000).reduce((sum, share) => sum + replicasFor(share, engines, slots) - 1, 0)
+    assert.ok(homes <= engines * slots / 4, `${homes} further homes, ${engines * slots} slots`)
+    assert.ok(homes >= 4, `${homes} further homes`)
+  }
 })
 
 Then('a request for an adapter goes where it was held lately, and not home for a second copy', () => {
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -121,7 +121,7 @@
       ended: () => this.desk.dropAll()
     })
     this._directory = new AdapterDirectory(settings.name, clock, log, this.peers, this._client, this.desk)
-    this._placer = new Placer(clock, log, settings.zone, this.members, this._directory, () => this.peers.entryCount)
+    this._placer = new Placer(clock, log, settings.zone, this.members, this._directory, () => this.peers.entryCount, service => this.config.table?.service(service)?.engine?.adapterSlots ?? 1)
     this._mirror = this._createMirror()
     this._follower = new PeerFollower({
       clock,
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -63,7 +63,9 @@
     private readonly _zone: string,
     private readonly _members: Membership,
     private readonly _directory: AdapterDirectory,
-    private readonly _entries: () => number
+    private readonly _entries: () => number,
+    /** Adapters that an engine of a service holds at once. */
+    private readonly _adapterSlots: (service: string) => number
   ) {}
 
   /** Counts a request for the adapter's popularity. */
@@ -188,7 +190,7 @@
     const total = this._seen.read(service, now)
     if (want.adapter === undefined) return upstreams
     if (total < minSeen) return 1
-    return replicasFor(this._seen.read(`${service} ${want.model}/${want.adapter}`, now) / total, upstreams)
+    return replicasFor(this._seen.read(`${service} ${want.model}/${want.adapter}`, now) / total, upstreams, this._adapterSlots(service))
   }
 
   /** Rendezvous order of an adapter; kept until the upstreams change. */
