Let restarted entries claim after 0.9 s again

Change: the wait is gone. What a restart forgets does no harm: an entry told to stop orders nothing from then on and serves 2.6 s more, one that is killed finds its own keys. The property plays stops of that length.

--- a/packages/decisions/src/lib/share-engines.ts
+++ b/packages/decisions/src/lib/share-engines.ts
@@ -80,6 +80,9 @@
  * Two holders that order one engine in turn look to it like two that don't know of each other: first A, then B, then A
  * again. It shows as orders of A around one of B within a turn. Whoever has left an engine to another
  * therefore leaves it alone until the turn is over; a third entry may claim it at once.
+ *
+ * A restart forgets this, and needs no more: an entry that is told to stop orders nothing from then on and still serves for
+ * longer than most of a turn, and one that is killed finds its own keys.
  */
 export class FormerHolds {
   private readonly _leftAt = new Map<string, Ms>()
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -112,7 +112,6 @@
       control: upstream => platform.control(upstream.record),
       tellTaken: (former, msg) => this._client.tellTaken(former, msg),
       loaded: took => _options.metrics.loadStall.observe(took),
-      firstStart: settings.first_start,
       holderTurn: settings.holder_turn_ms,
       ...(_options.settleTime === undefined ? {} : { settleTime: _options.settleTime })
     }, () => this._lease)
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -23,11 +23,9 @@
   readonly loaded: (took: Ms) => void
   /** Tells the former holder of an engine that it has a new one. */
   readonly tellTaken: (former: PeerAddress, msg: TakenMessage) => Promise<void>
-  /** Whether the whole system starts, so that no engine can have been ordered just before. */
-  readonly firstStart: boolean
   /** Ms within which two holders must not order one engine in turn. */
   readonly holderTurn: Ms
-  /** Ms after the start before the first claim; by default as {@link firstStart} says. */
+  /** Ms after the start before the first claim. */
   readonly settleTime?: Ms
 }
 
@@ -40,7 +38,7 @@
  * Time after the start in which the other entries register; all start within 0.3 s, and one
  * that claimed at once would hold every engine.
  */
-const firstSettleTime: Ms = 900
+const defaultSettleTime: Ms = 900
 /**
  * Time beyond a turn for which an entry must be known, and an engine be held, before the engine is handed over: an entry
  * that stops takes about as long to leave.
@@ -71,11 +69,10 @@
 
   constructor (private readonly _options: DeskOptions, private readonly _lease: () => LeaseKeeper) {
     this._startedAt = _options.clock.now()
-    const { holderTurn, firstStart, settleTime } = _options
+    const { holderTurn, settleTime } = _options
     this._formerHolds = new FormerHolds(holderTurn)
     this._handoverAfter = holderTurn + handoverMargin
-    // What this host ordered just before a restart is not known any more.
-    this._settleTime = settleTime ?? (firstStart ? firstSettleTime : holderTurn)
+    this._settleTime = settleTime ?? defaultSettleTime
   }
 
   holder (upstream: string): EngineHolder | undefined { return this._holders.get(upstream) }
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -38,8 +38,6 @@
   /** Repeats to a service on top, in each window, over all entries. */
   retry_budget_slack: z._default(atLeast(0), 10),
   budget_window_s: z._default(atLeast(0.1), 10),
-  /** Whether the whole system starts for the first time; an entry that restarts leaves engines to others for a turn. */
-  first_start: z._default(z.boolean(), true),
   /** Ms within which two holders of an engine must not order it in turn. */
   holder_turn_ms: z._default(atLeast(0), 3_000)
 })
