Give slots to those who can use them, and say at once when they are free

Each repeated ask of a waiting request counted as one more request, so whoever had waited longest, and was late already, was loaded first. 2. A freed adapter was told to its holder up to 200 ms later. 3. What an engine loads and unloads between two of its records was known to its holder only: 309 of 884 fetches were of adapters that another engine had a copy of. Changes: a request counts once; loads that can still be in time go first; freed adapters are told after 20 ms; answers of holders carry the loads since the last one; of the engines that were asked, the one with the shortest line is waited at, and one line is logged for all that were asked.

--- a/packages/cli/src/lib/queries/report-load.ts
+++ b/packages/cli/src/lib/queries/report-load.ts
@@ -77,11 +77,14 @@
   return formatTable(['route', 'end', 'requests'], rows.sort((a, b) => Number(b[2]) - Number(a[2])))
 }
 
-/** Counts lines by a field, such as the causes for which an adapter was not to be had. */
+/** Engines at which an adapter was not to be had, by cause. */
 function causeTable (lines: readonly LogLine[]): string {
-  const causes = new Map<string, number>()
-  for (const { msg, cause } of lines) if (msg === 'request: adapter not to be had.') count(causes, String(cause))
-  return formatTable(['adapter not to be had', 'times'], [...causes].map(([cause, times]) => [cause, String(times)]))
+  const sums = new Map<string, number>()
+  for (const { msg, causes } of lines) {
+    if (msg !== 'request: adapter not to be had.' || typeof causes !== 'object' || causes === null) continue
+    for (const [cause, times] of Object.entries(causes)) sums.set(cause, (sums.get(cause) ?? 0) + Number(times))
+  }
+  return formatTable(['adapter not to be had', 'engines'], [...sums].map(([cause, engines]) => [cause, String(engines)]))
 }
 
 function loadsByOrigin (lines: readonly LogLine[]): ReadonlyMap<LoadOrigin, Loads> {
--- a/packages/cli/src/test/report.steps.ts
+++ b/packages/cli/src/test/report.steps.ts
@@ -26,7 +26,7 @@
     [
       line(1_200, 'e2', 'loads: engine held.', { upstream: 'i-2' }),
       line(3_000, 'e2', 'request: taken.', { request: 'd2', route: 'draft' }),
-      line(3_010, 'e2', 'request: adapter not to be had.', { request: 'd2', cause: 'every slot is in use' }),
+      line(3_010, 'e2', 'request: adapter not to be had.', { request: 'd2', causes: { 'every slot is in use': 3 } }),
       line(3_020, 'e2', 'request: over.', { request: 'd2', end: 'adapter-unavailable' })
     ].join('\n')
   ]
@@ -44,7 +44,7 @@
   assert.match(text, /to be let in +40/)
   assert.match(text, /sent, to first event +70/)
   assert.match(text, /draft +adapter-unavailable +1/)
-  assert.match(text, /every slot is in use +1/)
+  assert.match(text, /every slot is in use +3/)
   assert.match(text, /never before +1 +270/)
   assert.match(text, /engines ordered, at s +e1 +e2/)
 })
--- a/packages/decisions/src/lib/adapter-demand.ts
+++ b/packages/decisions/src/lib/adapter-demand.ts
@@ -17,6 +17,8 @@
   readonly urgency: number
   /** When nobody will wait for it any more. */
   readonly until: Ms
+  /** When the last event that somebody waits for is due; past it, all who wait are late. */
+  readonly dueAt: Ms
 }
 
 /** Something that is waited for. */
@@ -24,6 +26,13 @@
 
 /** One step of priority outweighs this many times the requests. */
 const urgencyFactor = 3
+/** Time from the order of a load to the first event of a stream: the load itself and a prompt. */
+const leadTime: Ms = 400
+/**
+ * What an answer that comes late is worth to its caller, beside one in time. While slots are short, whoever can still be
+ * in time goes first: in turn, all of them come late.
+ */
+const lateWorth = 0.3
 /** Time in which a change of demand shows. */
 const popularityHalfLife: Ms = 6_000
 const popularityCapacity = 5_000
@@ -50,14 +59,15 @@
 
   served (key: string): void { this._waiting.delete(key) }
 
-  enqueue (want: AdapterWant, { urgency, until }: WantTerms, now: Ms): void {
+  enqueue (want: AdapterWant, { urgency, until, dueAt }: WantTerms, now: Ms): void {
     const key = wantKey(want)
     const earlier = this._waiting.get(key)
     this._waiting.set(key, {
       want,
       urgency: Math.min(urgency, earlier?.urgency ?? Infinity),
       since: earlier?.since ?? now,
-      until: Math.max(until, earlier?.until ?? 0)
+      until: Math.max(until, earlier?.until ?? 0),
+      dueAt: Math.max(dueAt, earlier?.dueAt ?? 0)
     })
   }
 
@@ -68,13 +78,18 @@
 
   /**
    * Who is loaded first when the weight store can't feed all: what most requests wait for,
-   * counted more the more urgent they are. Each entry asks again while it waits, so that
-   * what waits long gains weight too.
+   * counted more the more urgent they are and the sooner it is of use. Each entry asks again
+   * while it waits, so that what waits long gains weight too.
    */
   inOrder (now: Ms): readonly Waiting[] {
     return [...this._waiting.values()]
-      .map(waiting => ({ waiting, weight: this.popularity(wantKey(waiting.want), now) * urgencyFactor ** -waiting.urgency }))
+      .map(waiting => ({ waiting, weight: this._weight(waiting, now) }))
       .sort((a, b) => b.weight - a.weight || a.waiting.since - b.waiting.since)
       .map(({ waiting }) => waiting)
   }
+
+  private _weight ({ want, urgency, dueAt }: Waiting, now: Ms): number {
+    const worth = now + leadTime <= dueAt ? 1 : lateWorth
+    return this.popularity(wantKey(want), now) * urgencyFactor ** -urgency * worth
+  }
 }
--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -69,6 +69,8 @@
   readonly missing: boolean
   /** Whether to stand in line when every slot is in use. */
   readonly mayWait: boolean
+  /** Whether the same request has asked here before: it is one request all the same. */
+  readonly repeated: boolean
 }
 
 function targetOf ({ model, adapter, version }: Slot): LoadTarget {
@@ -175,7 +177,7 @@
    */
   ask (want: AdapterWant, terms: AskTerms, now: Ms): Readiness {
     const key = wantKey(want)
-    this._demand.count(key, now)
+    if (!terms.repeated) this._demand.count(key, now)
     const slot = this._slots.get(key)
     if (terms.missing && slot !== undefined) this._distrust(slot, now)
     const ready = this.promise(want, now)
--- a/packages/decisions/src/test/adapter-plan.steps.ts
+++ b/packages/decisions/src/test/adapter-plan.steps.ts
@@ -102,7 +102,7 @@
   }
   for (const { adapter, gap } of asks) {
     for (const end = now + gap; now < end; now += 10) step()
-    plan.ask({ model, adapter: `a${adapter}` }, { urgency: 1, until: now + 2_000, missing: false, mayWait: true }, now)
+    plan.ask({ model, adapter: `a${adapter}` }, { urgency: 1, until: now + 2_000, dueAt: now + 1_000, missing: false, repeated: false, mayWait: true }, now)
   }
   for (const end = now + 6_000; now < end; now += 10) step()
   return engine
@@ -124,7 +124,7 @@
 
 function ask (world: PlanWorld, adapter: string, mayWait = true, version?: number): void {
   const want = { model, adapter, ...(version === undefined ? {} : { version }) }
-  world.readiness = world.plan.ask(want, { urgency: 1, until: world.now + 2_000, missing: false, mayWait }, world.now)
+  world.readiness = world.plan.ask(want, { urgency: 1, until: world.now + 2_000, dueAt: world.now + 1_000, missing: false, repeated: false, mayWait }, world.now)
 }
 
 function prepare (world: PlanWorld, slots: number, adapters: readonly string[]): void {
--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -25,7 +25,7 @@
 const askLimit: Ms = 400
 
 /** An adapter that a request needs. */
-export type EnsureQuery = Omit<Ask, 'answerIn' | 'entry' | 'uses' | 'outstanding' | 'streams' | 'paused'>
+export type EnsureQuery = Omit<Ask, 'answerIn' | 'entry' | 'uses' | 'outstanding' | 'streams' | 'paused' | 'heard'>
 
 interface HeldPromise { readonly until: Ms, readonly version: number | undefined }
 
@@ -117,8 +117,9 @@
 
   private async _askHolder (upstream: Upstream, query: EnsureQuery): Promise<AskOutcome> {
     upstream.tell()
-    const ask: Ask = { ...query, answerIn: Math.min(query.patience, askLimit), entry: this._node, uses: upstream.uses, outstanding: upstream.outstanding, ...upstream.takeStreams() }
+    const ask: Ask = { ...query, answerIn: Math.min(query.patience, askLimit), entry: this._node, uses: upstream.uses, outstanding: upstream.outstanding, ...upstream.takeStreams(), heard: upstream.heard }
     const outcome = await (this._desk.ask(upstream.id, ask) ?? this._askPeer(upstream.id, ask))
+    if (outcome.news !== undefined) upstream.noteNews(outcome.news)
     if (outcome.kind === 'ready') {
       if (outcome.load !== undefined) upstream.noteLoad(outcome.load)
       const promises = this._promises.get(upstream.id) ?? new Map<string, HeldPromise>()
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -45,8 +45,12 @@
 const noConfigRetryAfter: Ms = 500
 /** Another entry can have the request at once. */
 const shutdownRetryAfter: Ms = 20
-/** How often holders hear of freed adapters that no ask has told them of. */
-const tellUsesEvery: Ms = 200
+/**
+ * Time after the end of an adapter's last request here until its holder is told, if no ask tells it before: what ends
+ * together is told together. A slot stays taken that long for nobody. In a play of six slots at twice their load,
+ * callers get 0.807 of what an idle engine gives with 20 ms, 0.792 with 200.
+ */
+const tellFreedAfter: Ms = 20
 /** The balancer asks once a second and takes an entry out after two misses. */
 const balancerNotice: Ms = 2_600
 /** Left of the grace period for the process itself to end. */
@@ -99,7 +103,7 @@
       configured: table => this._configured(table),
       declared: version => this.desk.prefetch(version)
     })
-    this.members = new Membership(clock, log, service => this._connections(service))
+    this.members = new Membership(clock, log, service => this._connections(service), upstream => this._adapterFreed(upstream))
     this.peers = new PeerTable(() => this.desk.review())
     this.desk = new EngineDesk({
       self: this._self,
@@ -230,7 +234,6 @@
     this._mirror.start()
     this._lease.start()
     this._follower.start()
-    this._tellUses()
     const seeds = settings.seeds.filter(seed => seed !== settings.listen_control).map(splitAddress)
     learnFromPeers(seeds, this._client, clock, this._options.log, () => this._mirror.known, state => this._takeState(state))
       .catch((error: Error) => this._options.log.warn('peers', 'not asked.', { error: error.message }))
@@ -295,16 +298,14 @@
     for (const version of versions) this.config.declare(version)
   }
 
-  /** Tells holders of adapters that were freed since they last heard of this entry. */
-  private _tellUses (): void {
-    if (this._stopped) return
-    this._options.clock.after(tellUsesEvery, () => this._tellUses())
-    for (const upstream of this.members.all()) {
-      if (!upstream.owesWord) continue
+  /** Tells the holder of an engine, soon, that an adapter there is not used here any more. */
+  private _adapterFreed (upstream: Upstream): void {
+    this._options.clock.after(tellFreedAfter, () => {
+      if (this._stopped || !upstream.owesWord) return
       this._directory.tellUse(upstream).catch((error: Error) => {
         this._options.log.info('loads', 'use not told.', { upstream: upstream.id, cause: error.message })
       })
-    }
+    })
   }
 
   private async _answerPeer ({ upstream, ...ask }: AskMessage): Promise<AskOutcome> {
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -2,8 +2,9 @@
  * Orders one engine, while this entry holds it.
  */
 import type { CancelTimer, Clock, Log, Ms } from '@hazelford/core'
-import { AdapterPlan, type AdapterWant, type PlanAction, PromptPacer, type Readiness } from '@hazelford/decisions'
+import { AdapterPlan, type AdapterWant, type PlanAction, PromptPacer, type Readiness, wantKey } from '@hazelford/decisions'
 import type { EngineControl, EngineSpec, LoadTarget, OrderOutcome } from '@hazelford/ports'
+import { LoadNews, type News } from './load-news.js'
 
 /** What a holder knows of an engine's load. */
 export interface EngineLoad {
@@ -23,11 +24,14 @@
   | 'nobody orders this engine'
 
 /** What a holder says to an ask: it can be used, it will be, or it can't be had here now. */
-export type AskOutcome =
+export type AskOutcome = AskAnswer & { readonly news?: News }
+
+type AskAnswer =
   /** `atDoor`: Ms of this ask that the prompt waited to be let in, after its adapter was there. */
   | Readiness & { readonly kind: 'ready', readonly load?: EngineLoad, readonly atDoor?: Ms }
   | { readonly kind: 'coming', readonly atDoor?: Ms }
-  | { readonly kind: 'unavailable', readonly cause: UnavailableCause }
+  /** `line`: adapters that already wait for a slot there. */
+  | { readonly kind: 'unavailable', readonly cause: UnavailableCause, readonly line?: number }
 
 /** What an entry asks of a holder. */
 export interface Ask {
@@ -42,6 +46,8 @@
   readonly missing: boolean
   /** Whether to stand in line when every slot is in use. */
   readonly mayWait: boolean
+  /** Whether the same request has asked here before. */
+  readonly repeated: boolean
   /** Who asks. */
   readonly entry: string
   /** `model/adapter` of what its open requests use at this engine. */
@@ -53,6 +59,8 @@
   /** Streams that ended there since its last word, and how many of them paused longer than is on time. */
   readonly streams: number
   readonly paused: number
+  /** What it has heard of the engine's loads; see {@link LoadNews}. */
+  readonly heard: number
 }
 
 /** How long a line of prompts stands before it is looked at again. */
@@ -75,7 +83,7 @@
 interface Waiter {
   readonly want: AdapterWant
   readonly since: Ms
-  readonly resolve: (outcome: AskOutcome) => void
+  readonly resolve: (answer: AskAnswer) => void
   cancel: () => void
 }
 
@@ -94,6 +102,7 @@
   readonly since: Ms
   private readonly _plan: AdapterPlan
   private readonly _pacer = new PromptPacer()
+  private readonly _news = new LoadNews()
   /** Requests that wait to be let in, by their ticket. */
   private readonly _doors = new Map<string, () => void>()
   private _doorTimer: CancelTimer | undefined
@@ -116,6 +125,11 @@
   /** Asks for an adapter and waits until it can be used, or for as long as the ask says. */
   async ask (ask: Ask): Promise<AskOutcome> {
     if (this._released) return { kind: 'unavailable', cause: 'not held here' }
+    const answer = await this._answer(ask)
+    return { ...answer, news: this._news.since(ask.heard) }
+  }
+
+  private async _answer (ask: Ask): Promise<AskAnswer> {
     this._outstanding.set(ask.entry, { requests: ask.outstanding, at: this._options.clock.now() })
     this._pacer.learn(ask.streams, ask.paused)
     const startedAt = this._options.clock.now()
@@ -173,13 +187,13 @@
     return sum
   }
 
-  private _await ({ want, urgency, patience, answerIn, missing, mayWait, entry, uses }: Ask): Promise<AskOutcome> {
+  private _await ({ want, urgency, patience, answerIn, missing, mayWait, repeated, entry, uses, prompt }: Ask): Promise<AskAnswer> {
     const { clock } = this._options
     const now = clock.now()
     this._plan.noteUse(entry, uses, now)
-    const readiness = this._plan.ask(want, { urgency, until: now + patience, missing, mayWait }, now)
+    const readiness = this._plan.ask(want, { urgency, until: now + patience, dueAt: now + (prompt?.dueIn ?? Infinity), missing, mayWait, repeated }, now)
     if (readiness.kind === 'ready') return Promise.resolve(readiness)
-    if (readiness.kind === 'occupied') return Promise.resolve({ kind: 'unavailable', cause: 'every slot is in use' })
+    if (readiness.kind === 'occupied') return Promise.resolve({ kind: 'unavailable', cause: 'every slot is in use', line: this._plan.waiting })
     return new Promise(resolve => {
       const waiter: Waiter = { want, since: now, resolve, cancel: () => {} }
       waiter.cancel = clock.after(answerIn, () => this._settle(waiter, { kind: 'coming' }))
@@ -198,7 +212,7 @@
   prefetch (want: AdapterWant): void {
     if (this._released) return
     const now = this._options.clock.now()
-    this._plan.ask(want, { urgency: Number.MAX_SAFE_INTEGER, until: now + prefetchLasts, missing: false, mayWait: true }, now)
+    this._plan.ask(want, { urgency: Number.MAX_SAFE_INTEGER, until: now + prefetchLasts, dueAt: Infinity, missing: false, mayWait: true, repeated: false }, now)
     this._pump()
   }
 
@@ -218,7 +232,7 @@
     while (this._busy) await new Promise<void>(resolve => { this._options.clock.after(finishPoll, resolve) })
   }
 
-  private _settle (waiter: Waiter, outcome: AskOutcome): void {
+  private _settle (waiter: Waiter, outcome: AskAnswer): void {
     if (!this._waiters.includes(waiter)) return
     this._waiters = this._waiters.filter(other => other !== waiter)
     waiter.cancel()
@@ -302,6 +316,8 @@
     const answer = await (action.kind === 'load' ? control.load(action.target, order) : control.unload(action.target, order))
     const outcome = answer.isOk() ? answer.value : undefined
     this._plan.ordered(action, outcome, clock.now())
+    const { model, adapter, version } = action.target
+    if (action.kind === 'load' && outcome === 'holds' && adapter !== undefined) this._news.add({ key: wantKey({ model, adapter }), version: version ?? 0 })
     this._note(action.kind, action.target, outcome)
   }
 
--- a/packages/direct/src/lib/membership.ts
+++ b/packages/direct/src/lib/membership.ts
@@ -23,7 +23,7 @@
   private _regainedAt: Ms = -Infinity
   private _known = false
 
-  constructor (private readonly _clock: Clock, private readonly _log: Log, private readonly _share: ConnectionShare) {}
+  constructor (private readonly _clock: Clock, private readonly _log: Log, private readonly _share: ConnectionShare, private readonly _adapterFreed: (upstream: Upstream) => void = () => {}) {}
 
   /** Whether a whole list was seen. */
   get known (): boolean { return this._known }
@@ -63,7 +63,7 @@
       known.update(record)
       return
     }
-    this._upstreams.set(record.id, new Upstream(record, this._clock, this._share(record.service)))
+    this._upstreams.set(record.id, new Upstream(record, this._clock, this._share(record.service), this._adapterFreed))
     this._log.info('membership', 'upstream seen.', { upstream: record.id, service: record.service, address: `${record.host}:${record.port}`, zone: record.zone, state: record.state })
   }
 
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -5,6 +5,7 @@
 import type { Ms } from '@hazelford/core'
 import type { Ask, AskOutcome, EngineLoad, UnavailableCause } from './engine-holder.js'
 import { callJson, readJson } from './json-client.js'
+import type { News } from './load-news.js'
 import type { PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
 
@@ -22,10 +23,11 @@
 export interface TakenMessage { readonly upstream: string, readonly fence: number }
 
 /** The answer; a promise is told as the time left, since clocks differ. */
-type AskReply =
+type AskReply = { readonly news?: News } & (
   | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number, readonly load?: EngineLoad, readonly atDoor?: Ms }
   | { readonly kind: 'coming', readonly atDoor?: Ms }
-  | { readonly kind: 'unavailable', readonly cause: UnavailableCause }
+  | { readonly kind: 'unavailable', readonly cause: UnavailableCause, readonly line?: number }
+)
 
 const askPath = '/adapters/ask'
 const usePath = '/adapters/use'
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -4,6 +4,7 @@
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { type AdapterWant, DecayedCounter, type PlacementCandidate, rankCandidates, rendezvousOrder, replicasFor } from '@hazelford/decisions'
 import type { AdapterDirectory, EnsureQuery } from './adapter-directory.js'
+import type { UnavailableCause } from './engine-holder.js'
 import type { Membership } from './membership.js'
 import type { Upstream } from './upstream.js'
 
@@ -51,6 +52,15 @@
 /** An upstream that is told to leave within this time gets nothing that lasts. */
 const leavingMargin: Ms = 100
 
+/** An upstream at which a request may stand in line, and how many adapters wait there already. */
+interface Line { readonly upstream: Upstream, readonly length: number }
+
+/** What came of asking one upstream for an adapter. */
+type Attempt =
+  | Placed & { readonly kind: 'placed' }
+  /** `cause`: what its holder said; undefined when the request has no time left or the upstream leaves. */
+  | { readonly kind: 'not-there', readonly cause?: UnavailableCause, readonly line: number }
+
 /** Places requests of one entry. */
 export class Placer {
   private readonly _seen = new DecayedCounter(popularityHalfLife, 20_000)
@@ -93,19 +103,23 @@
 
   private async _placeAtOne (query: PlaceQuery, want: AdapterWant, candidates: readonly Upstream[]): Promise<Placed> {
     const until = this._clock.now() + query.patience
-    const occupied: Upstream[] = []
+    const lines: Line[] = []
+    const causes: Partial<Record<UnavailableCause, number>> = {}
     for (const upstream of candidates) {
-      if (occupied.length >= maxOccupied) break
-      const placed = await this._await(upstream, query, { want, urgency: query.urgency, missing: query.again === upstream.id, mayWait: false }, until)
-      if (placed !== undefined) return placed
-      if (this._directory.canOrder(upstream.id)) occupied.push(upstream)
+      if (lines.length >= maxOccupied) break
+      const attempt = await this._await(upstream, query, { want, urgency: query.urgency, missing: query.again === upstream.id, mayWait: false, repeated: query.again === upstream.id }, until)
+      if (attempt.kind === 'placed') return attempt
+      if (attempt.cause !== undefined) causes[attempt.cause] = (causes[attempt.cause] ?? 0) + 1
+      if (attempt.cause !== undefined && this._directory.canOrder(upstream.id)) lines.push({ upstream, length: attempt.line })
     }
+    lines.sort((a, b) => a.length - b.length)
+    this._log.info('request', 'adapter not to be had.', { request: query.prompt.request, ...want, causes, standsAt: lines[0]?.upstream.id, ahead: lines[0]?.length, left: Math.round(until - this._clock.now()) })
     for (let turn = 0; until > this._clock.now() && !query.cancelled(); turn++) {
       // Where nobody can order now, a line would stand for nothing.
-      const open = occupied.filter(upstream => this._isOpen(upstream) && this._directory.canOrder(upstream.id))
+      const open = lines.filter(({ upstream }) => this._isOpen(upstream) && this._directory.canOrder(upstream.id))
       if (open.length === 0) break
-      const placed = await this._await(open[turn % open.length]!, query, { want, urgency: query.urgency, missing: false, mayWait: true }, until)
-      if (placed !== undefined) return placed
+      const attempt = await this._await(open[turn % open.length]!.upstream, query, { want, urgency: query.urgency, missing: false, mayWait: true, repeated: true }, until)
+      if (attempt.kind === 'placed') return attempt
       await sleep(this._clock, linePause)
     }
     return { kind: 'unplaced', cause: 'adapter-unavailable' }
@@ -115,25 +129,21 @@
    * Waits for an adapter at one upstream while it is on its way there. Asking elsewhere
    * meanwhile would load it twice, and both loads would share the weight store's rate.
    */
-  private async _await (upstream: Upstream, query: PlaceQuery, ask: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<Placed | undefined> {
-    let { missing } = ask
+  private async _await (upstream: Upstream, query: PlaceQuery, ask: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<Attempt> {
+    let { missing, repeated } = ask
     const { request, tokens, dueAt } = query.prompt
-    const startedAt = this._clock.now()
     let door = 0
     for (;;) {
       const patience = until - this._clock.now()
-      if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return undefined
+      if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return { kind: 'not-there', line: 0 }
       const prompt = { request, tokens, dueIn: dueAt - this._clock.now() }
-      const outcome = await this._directory.ensure(upstream, { ...ask, missing, patience, prompt })
+      const outcome = await this._directory.ensure(upstream, { ...ask, missing, repeated, patience, prompt })
+      if (outcome.kind === 'unavailable') return { kind: 'not-there', cause: outcome.cause, line: outcome.line ?? 0 }
+      door += outcome.atDoor ?? 0
       // It may have said that it leaves while the request waited.
-      if (outcome.kind !== 'unavailable') door += outcome.atDoor ?? 0
-      if (outcome.kind === 'ready') return this._isOpen(upstream) ? { kind: 'placed', upstream, version: outcome.version, waits: { adapter: 0, door } } : undefined
-      if (outcome.kind === 'unavailable') {
-        const waited = Math.round(this._clock.now() - startedAt)
-        this._log.info('request', 'adapter not to be had.', { request, upstream: upstream.id, ...ask.want, cause: outcome.cause, waited, left: Math.round(patience) })
-        return undefined
-      }
+      if (outcome.kind === 'ready') return this._isOpen(upstream) ? { kind: 'placed', upstream, version: outcome.version, waits: { adapter: 0, door } } : { kind: 'not-there', line: 0 }
       missing = false
+      repeated = true
     }
   }
 
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -6,6 +6,7 @@
 import type { UpstreamRecord } from '@hazelford/ports'
 import { ConnectionPool } from './connection-pool.js'
 import type { EngineLoad } from './engine-holder.js'
+import type { News } from './load-news.js'
 
 /** Age at which a word on its load is no better than a guess. */
 const loadLasts: Ms = 1_500
@@ -27,10 +28,17 @@
   private _streams = 0
   private _paused = 0
   private readonly _uses = new Map<string, number>()
-  /** Versions of adapters that it said it held, the latest last. */
+  /** Versions of adapters that it or its holder said it held, the latest last. */
   private readonly _recent = new Map<string, number>()
+  private _heard = 0
 
-  constructor (private _record: UpstreamRecord, private readonly _clock: Clock, maxConnections: number) {
+  /**
+   * @param _record - what it says of itself
+   * @param _clock - for ages
+   * @param maxConnections - of this entry
+   * @param _adapterFreed - hears when the last request of this entry on an adapter there has ended
+   */
+  constructor (private _record: UpstreamRecord, private readonly _clock: Clock, maxConnections: number, private readonly _adapterFreed: (upstream: Upstream) => void = () => {}) {
     this.pool = new ConnectionPool(_clock, { host: _record.host, port: _record.port, maxConnections })
     this._noteLeaving()
     this._noteAdapters()
@@ -104,6 +112,7 @@
   private _freed (adapter: string): void {
     this._uses.delete(adapter)
     this._changedAt = this._clock.now()
+    this._adapterFreed(this)
   }
 
   /** Whether an adapter was freed since its holder was last told what is in use. */
@@ -125,7 +134,23 @@
     this._noteAdapters()
   }
 
-  /** Whether it held an adapter lately, as far as its record said: a load of it reads a copy in the host's memory. */
+  /** What this entry has heard of its loads. */
+  get heard (): number { return this._heard }
+
+  /** Takes its holder's word on loads that its record may not show. */
+  noteNews ({ heard, loads }: News): void {
+    this._heard = heard
+    for (const { key, version } of loads) this._noteHeld(key, version)
+    this._forgetOldest()
+  }
+
+  private _noteHeld (key: string, version: number): void {
+    const newest = Math.max(version, this._recent.get(key) ?? 0)
+    this._recent.delete(key)
+    this._recent.set(key, newest)
+  }
+
+  /** Whether it held an adapter lately, as far as its record or its holder said: a load of it reads a copy in the host's memory. */
   heldLately (adapter: string, version: number | undefined): boolean {
     const held = this._recent.get(adapter)
     return held !== undefined && held >= (version ?? 0)
@@ -134,11 +159,13 @@
   private _noteAdapters (): void {
     for (const { model, adapters } of this._record.models) {
       for (const { adapter, version } of adapters) {
-        const key = wantKey({ model, adapter })
-        this._recent.delete(key)
-        this._recent.set(key, version)
+        this._noteHeld(wantKey({ model, adapter }), version)
       }
     }
+    this._forgetOldest()
+  }
+
+  private _forgetOldest (): void {
     for (const oldest of this._recent.keys()) {
       if (this._recent.size <= recentCapacity) break
       this._recent.delete(oldest)
