--- a/packages/cli/src/lib/queries/report-load.ts
+++ b/packages/cli/src/lib/queries/report-load.ts
@@ -3,6 +3,7 @@
  */
 import { exitCodes, type Report, report } from '../exit-code.js'
 import { formatTable } from '../table.js'
+import { loadPage, type Series } from './load-page.js'
 import { type LogLine, mergeLogs } from './log-lines.js'
 
 /** The part of the logs to report on, in ms from their first line. */
@@ -28,6 +29,8 @@
 const shares = [0.5, 0.8, 0.95]
 /** Rows of the table of holders. */
 const holderSteps = 12
+/** Steps of time in a plot. */
+const plotSteps = 48
 
 function quantiles (values: readonly number[]): readonly string[] {
   const sorted = [...values].sort((a, b) => a - b)
@@ -128,18 +131,44 @@
   }
 }
 
-function holderTable (lines: readonly LogLine[]): string {
+/** Steps of equal length over the lines, in ms since 1970. */
+function stepsOver (lines: readonly LogLine[], steps: number): readonly number[] {
   const first = lines[0]?.time ?? 0
-  const step = ((lines.at(-1)?.time ?? 0) - first) / holderSteps
+  const length = ((lines.at(-1)?.time ?? first) - first) / steps
+  return Array.from({ length: steps }, (_, step) => first + step * length)
+}
+
+/** Engines that each entry orders at each step. */
+function holderSeries (lines: readonly LogLine[], steps: readonly number[]): readonly Series[] {
   const nodes = [...new Set(lines.filter(({ msg }) => msg === 'loads: engine held.').map(({ node }) => node))].sort()
-  const rows: string[][] = []
+  const counts: number[][] = []
   for (const { time, holders } of holdersOverTime(lines)) {
-    while (rows.length < holderSteps && time >= first + rows.length * step) {
-      const counts = nodes.map(node => String([...holders.values()].filter(holder => holder === node).length))
-      rows.push([`${((rows.length * step) / 1_000).toFixed(1)}`, ...counts])
+    while (counts.length < steps.length && time >= steps[counts.length]!) {
+      counts.push(nodes.map(node => [...holders.values()].filter(holder => holder === node).length))
     }
   }
-  return formatTable(['engines ordered, at s', ...nodes], rows)
+  return nodes.map((name, column) => ({ name, values: counts.map(row => row[column]!) }))
+}
+
+function holderTable (lines: readonly LogLine[], start: number): string {
+  const steps = stepsOver(lines, holderSteps)
+  const series = holderSeries(lines, steps)
+  const rows = steps.map((time, step) => [((time - start) / 1_000).toFixed(1), ...series.map(({ values }) => String(values[step] ?? 0))])
+  return formatTable(['engines ordered, at s', ...series.map(({ name }) => name)], rows)
+}
+
+/** Requests by how they ended, in each step. */
+function endSeries (lines: readonly LogLine[], steps: readonly number[]): readonly Series[] {
+  const series = new Map<string, number[]>()
+  const over = lines.filter(({ msg }) => msg === 'request: over.')
+  for (const { time, end } of over) {
+    const name = String(end)
+    const values = series.get(name) ?? steps.map(() => 0)
+    series.set(name, values)
+    const step = steps.findLastIndex(from => from <= time)
+    values[step] = values[step]! + 1
+  }
+  return [...series].map(([name, values]) => ({ name, values }))
 }
 
 /**
@@ -147,8 +176,9 @@
  *
  * @param texts - logs of any number of processes
  * @param span - the part to look at
+ * @param form - tables, or one self-contained page with plots
  */
-export function reportLoad (texts: readonly string[], span: ReportSpan): Report {
+export function reportLoad (texts: readonly string[], span: ReportSpan, form: 'text' | 'page' = 'text'): Report {
   const all = mergeLogs(texts)
   const first = all[0]
   if (first === undefined) return report(exitCodes.badInput, 'No line of an entry is in these logs.')
@@ -157,10 +187,16 @@
   const lines = all.filter(({ time }) => time >= from && time < until)
   const routes = waitsByRoute(lines)
   const loads = loadsByOrigin(lines)
-  const text = [waitTable(routes), endTable(routes), causeTable(lines), loadTable(loads), holderTable(lines)].join('\n\n')
+  const tables = [waitTable(routes), endTable(routes), causeTable(lines), loadTable(loads), holderTable(lines, first.time)]
   const data = {
     routes: [...routes].map(([route, { sent, forAdapter, atDoor, atEngine, ends }]) => ({ route, sent: sent.length, before: quantiles(sent), forAdapter: quantiles(forAdapter), atDoor: quantiles(atDoor), atEngine: quantiles(atEngine), ends: Object.fromEntries(ends) })),
     loads: [...loads].map(([origin, { count: times, took }]) => ({ origin, times, took: quantiles(took) }))
   }
-  return report(exitCodes.done, text, data)
+  if (form === 'text') return report(exitCodes.done, tables.join('\n\n'), data)
+  const steps = stepsOver(lines, plotSteps)
+  const plots = [
+    { title: 'Requests by how they ended', series: endSeries(lines, steps) },
+    { title: 'Engines ordered, by entry', series: holderSeries(lines, steps) }
+  ]
+  return report(exitCodes.done, loadPage({ steps: steps.map(time => (time - first.time) / 1_000), plots, tables }), data)
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -160,10 +160,10 @@
   .action((id: string, logs: readonly string[], options: CommandOptions) => run(options, () =>
     explain(id, (logs.length === 0 ? ['-'] : logs).map(readText))))
 cli.command('report [...logs]', 'Say what requests waited for, why they were refused, what was loaded and who ordered engines, from log files or standard input')
-  .option('--from <span>', 'Leave out what came before this time from the first line, such as 30s').option('--for <span>', 'Only this long from there')
+  .option('--from <span>', 'Leave out what came before this time from the first line, such as 30s').option('--for <span>', 'Only this long from there').option('--html', 'One self-contained page with plots')
   .example('hazelford report --from 20s --for 10s entry-*.log')
   .action((logs: readonly string[], options: CommandOptions) => run(options, () =>
-    reportLoad((logs.length === 0 ? ['-'] : logs).map(readText), { from: parseSpan(options.from), length: parseSpan(options.for) })))
+    reportLoad((logs.length === 0 ? ['-'] : logs).map(readText), { from: parseSpan(options.from), length: parseSpan(options.for) }, options.html === true ? 'page' : 'text')))
 cli.command('completion <shell>', 'Completion script for bash or zsh')
   .action((shell: string, options: CommandOptions) => run(options, () => completion(shell, cli.commands.map(command => command.name))))
 cli.help()
--- a/packages/cli/src/test/report.steps.ts
+++ b/packages/cli/src/test/report.steps.ts
@@ -53,3 +53,13 @@
   assert.match(this.loadReport.text, /draft +delivered +1/)
   assert.doesNotMatch(this.loadReport.text, /adapter-unavailable/)
 })
+
+When('the load is reported as a page', function (this: ReportWorld) { this.loadReport = reportLoad(this.recorded, { from: undefined, length: undefined }, 'page') })
+
+Then('it holds a bar for each end of a request and loads nothing from elsewhere', function (this: ReportWorld) {
+  const { text } = this.loadReport
+  assert.match(text, /<title>delivered, from 0\.5 s: 1<\/title>/)
+  assert.match(text, /<title>adapter-unavailable, from \d\.\d s: 1<\/title>/)
+  assert.match(text, /<pre>route/)
+  assert.doesNotMatch(text, /https?:|src=/)
+})
