--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -117,7 +117,7 @@
     for (const node of nodes) if (!this._listed.has(node)) this._listed.set(node, now)
   }
 
-  /** Engines of ours and what is known of the others, for entries that have been listed for a while. */
+  /** Entries that have been listed long enough to be given engines, and who holds what. */
   private _settledShares (now: Ms): EngineShares {
     const entries = [...this._listed].filter(([, since]) => now - since >= this._handoverAfter).map(([node]) => node)
     return { entries, holders: this._knownHolders() }
@@ -197,6 +197,7 @@
     return claimable.slice(0, claimsAtOnce)
   }
 
+  /** Engines that can be ordered. */
   private _engines (): readonly Upstream[] {
     return [...this._options.upstreams()].filter(({ record }) => record.state === 'ready' && this._options.engineSpec(record.service) !== undefined)
   }
@@ -259,6 +260,7 @@
     this._options.log.info('loads', 'engine released.', { upstream, fence: holder.fence, cause, newFence })
   }
 
+  /** Ends the orders to an engine, and remembers when. */
   private _drop (upstream: string, holder: EngineHolder): void {
     holder.release()
     this._holders.delete(upstream)
