Know an upstream by its id and its start; leave out records of other writers

Cause: a server may start again under the id that it had. Its record then named a server that was known: its adapters, counted orders, health and farewell were those of the life before, and a late record of that life undid the new one.

Change: a record and a report carry the start. A later start is a new incarnation: connections, health, uses, promises and the holder's plan begin anew, and what was under way changes nothing. An earlier word, and one without a start once one is known, is dropped. A record that lacks a field, or has one of another type, names no server; it is logged once for each revision. A holder's key that can't be read is claimed on its revision.

--- a/packages/direct/src/lib/connection-pool.ts
+++ b/packages/direct/src/lib/connection-pool.ts
@@ -34,6 +34,7 @@
 export class ConnectionPool {
   private _idle: Idle[] = []
   private _open = 0
+  private _closed = false
   private _idleLimit = defaultIdle
 
   /** Connections opened since the start. */
@@ -59,8 +60,9 @@
     if (Number.isFinite(seconds) && seconds > 0) this._idleLimit = Math.max(0, seconds * 1_000 - idleMargin)
   }
 
-  /** Closes what is idle; connections in use end with their requests. */
+  /** Closes what is idle; connections in use end with their requests and are not taken up again. */
   close (): void {
+    this._closed = true
     for (const { socket, stop } of this._idle) {
       stop()
       socket.destroy()
@@ -94,6 +96,10 @@
 
   private _keep (socket: Socket): void {
     if (socket.destroyed || !socket.writable) return
+    if (this._closed) {
+      socket.destroy()
+      return
+    }
     // Bytes behind a whole answer belong to no request. Left in the connection they would
     // be read as the answer to the next one, which is somebody else's.
     if (socket.readableLength > 0) {
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -103,7 +103,12 @@
       configured: table => this._configured(table),
       declared: version => this.desk.prefetch(version)
     })
-    this.members = new Membership(clock, log, service => this._connections(service), upstream => this._adapterFreed(upstream))
+    this.members = new Membership(clock, log, {
+      connections: service => this._connections(service),
+      adapterFreed: upstream => this._adapterFreed(upstream),
+      gone: upstream => this._directory.forget(upstream.id),
+      restarted: upstream => this.desk.restarted(upstream)
+    })
     this.peers = new PeerTable(() => this.desk.review())
     this.desk = new EngineDesk({
       self: this._self,
@@ -152,7 +157,7 @@
       reset: items => {
         const under = (prefix: string): readonly StoreItem[] => items.filter(({ key }) => key.startsWith(prefix))
         this.config.reset(under(operators))
-        this.members.reset(under(upstreams).flatMap(item => this._decodeUpstream(item.key, item.value)))
+        this.members.reset(under(upstreams).flatMap(item => this._decodeUpstream(item)))
         this.peers.reset(under(ownPrefix))
       },
       changed: event => {
@@ -166,20 +171,19 @@
     }, () => this.peers.entryCount)
   }
 
-  private _decodeUpstream (key: string, value: string): readonly UpstreamRecord[] {
-    const decoded = this._options.platform.decodeUpstream(key, value)
+  private _decodeUpstream ({ key, value, revision }: StoreItem): readonly UpstreamRecord[] {
+    const { decodeUpstream, layout } = this._options.platform
+    const decoded = decodeUpstream(key, value)
     if (decoded.isOk()) return [decoded.value]
-    this._options.log.warn('membership', 'record can not be read.', { key, problem: decoded.error.message })
+    this.members.unreadable(key.slice(layout.upstreams.length), revision, decoded.error.message)
     return []
   }
 
   private _upstreamChanged (event: StoreEvent): void {
     if (event.kind === 'put') {
-      for (const record of this._decodeUpstream(event.item.key, event.item.value)) this.members.put(record)
+      for (const record of this._decodeUpstream(event.item)) this.members.put(record)
     } else {
-      const id = event.key.slice(this._options.platform.layout.upstreams.length)
-      this.members.remove(id)
-      this._directory.forget(id)
+      this.members.remove(event.key.slice(this._options.platform.layout.upstreams.length))
     }
     this.desk.review()
   }
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -92,6 +92,11 @@
     for (const [id, holder] of this._holders) this._drop(id, holder)
   }
 
+  /** An engine has started again under its id: it holds nothing and counts orders anew. */
+  restarted (upstream: Upstream): void {
+    this._holders.get(upstream.id)?.restart(upstream.record.startedAt, this._options.control(upstream))
+  }
+
   /** Looks at what changed in the store, soon. */
   review (): void {
     if (this._timer !== undefined) return
@@ -213,7 +218,7 @@
     this._claiming = true
     const value = JSON.stringify(self)
     const txn = {
-      conditions: upstreams.map(({ id }) => ({ key: holderKey(id), revision: peers.holder(id)?.fence ?? 0 })),
+      conditions: upstreams.map(({ id }) => ({ key: holderKey(id), revision: peers.holderRevision(id) })),
       puts: upstreams.map(({ id }) => ({ key: holderKey(id), value, lease })),
       removals: []
     }
@@ -280,6 +285,7 @@
       fence,
       spec,
       control: control(upstream),
+      ...(upstream.record.startedAt === undefined ? {} : { startedAt: upstream.record.startedAt }),
       clock,
       log,
       mayOrder: () => this._lease().valid,
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -1,9 +1,9 @@
 /**
  * Orders one engine, while this entry holds it.
  */
-import type { CancelTimer, Clock, Log, Ms } from '@hazelford/core'
+import { type CancelTimer, type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { AdapterPlan, type AdapterWant, type PlanAction, PromptPacer, type Readiness, wantKey } from '@hazelford/decisions'
-import type { EngineControl, EngineSpec, LoadTarget, OrderOutcome } from '@hazelford/ports'
+import { compareStarts, type EngineControl, type EngineSpec, type LoadTarget, type OrderOutcome } from '@hazelford/ports'
 import { LoadNews, type News } from './load-news.js'
 
 /** What a holder knows of an engine's load. */
@@ -73,6 +73,8 @@
   readonly fence: number
   readonly spec: EngineSpec
   readonly control: EngineControl
+  /** Start of the engine, if it says so. */
+  readonly startedAt?: number
   readonly clock: Clock
   readonly log: Log
   /** Whether the lease on the engine surely holds. */
@@ -100,9 +102,11 @@
 export class EngineHolder {
   /** When it began to hold the engine. */
   readonly since: Ms
-  private readonly _plan: AdapterPlan
-  private readonly _pacer = new PromptPacer()
-  private readonly _news = new LoadNews()
+  private _plan: AdapterPlan
+  private _pacer = new PromptPacer()
+  private _news = new LoadNews()
+  private _control: EngineControl
+  private _startedAt: number | undefined
   /** Requests that wait to be let in, by their ticket. */
   private readonly _doors = new Map<string, () => void>()
   private _doorTimer: CancelTimer | undefined
@@ -116,6 +120,8 @@
   constructor (private readonly _options: HolderOptions) {
     this.since = _options.clock.now()
     this._plan = new AdapterPlan(_options.spec)
+    this._control = _options.control
+    this._startedAt = _options.startedAt
     this._pump()
   }
 
@@ -219,6 +225,29 @@
   /** Versions held of an adapter. */
   holds (model: string, adapter: string): boolean { return this._plan.holdsAdapter(model, adapter) }
 
+  /**
+   * The engine has started again.
+   *
+   * Its plan says what the former life held: promised on, requests would be refused for adapters that are not there,
+   * and orders that count on the former life's would be turned down. What is under way there changes nothing here.
+   *
+   * @param startedAt - of the new life
+   * @param control - of the new life
+   */
+  restart (startedAt: number | undefined, control: EngineControl): void {
+    if (this._released) return
+    this._control = control
+    if (compareStarts(startedAt, this._startedAt) !== 'later') return
+    this._options.log.info('loads', 'engine started again.', { upstream: this._options.upstream, fence: this.fence, startedAt, before: this._startedAt })
+    this._startedAt = startedAt
+    this._plan = new AdapterPlan(this._options.spec)
+    this._pacer = new PromptPacer()
+    this._news = new LoadNews()
+    this._outstanding.clear()
+    for (const waiter of [...this._waiters]) this._settle(waiter, { kind: 'coming' })
+    this._pump()
+  }
+
   /** Orders nothing more. */
   release (): void {
     this._released = true
@@ -229,7 +258,7 @@
   /** Orders nothing more; resolves once no order is under way. */
   async finish (): Promise<void> {
     this.release()
-    while (this._busy) await new Promise<void>(resolve => { this._options.clock.after(finishPoll, resolve) })
+    while (this._busy) await sleep(this._options.clock, finishPoll)
   }
 
   private _settle (waiter: Waiter, outcome: AskAnswer): void {
@@ -296,26 +325,39 @@
   }
 
   private async _report (): Promise<void> {
-    const { control, clock, log, upstream } = this._options
+    const { clock, log, upstream } = this._options
+    const plan = this._plan
     const askedAt = clock.now()
-    const report = await control.report()
+    const report = await this._control.report()
+    if (plan !== this._plan) return
     if (report.isErr()) {
       log.info('loads', 'no report.', { upstream, cause: report.error.message })
-      await new Promise<void>(resolve => { clock.after(doubtPause, resolve) })
+      await sleep(clock, doubtPause)
+      return
+    }
+    const { orders, models, coming, startedAt } = report.value
+    const life = compareStarts(startedAt, this._startedAt)
+    if (life === 'later') return this.restart(startedAt, this._control)
+    if (life === 'earlier') {
+      log.info('loads', 'report of an earlier life dropped.', { upstream, startedAt, known: this._startedAt })
+      await sleep(clock, doubtPause)
       return
     }
-    const { orders, models, coming } = report.value
     const held = models.reduce((sum, { adapters }) => sum + adapters.length, 0)
     log.info('loads', 'report taken.', { upstream, orders, counted: this._plan.orders, held, coming: coming.length, took: Math.round(clock.now() - askedAt) })
-    this._plan.takeReport(report.value, askedAt)
+    plan.takeReport(report.value, askedAt)
   }
 
   private async _order (action: PlanAction & { readonly kind: 'load' | 'unload' }): Promise<void> {
-    const { control, clock, fence, node } = this._options
-    const order = { holder: node, fence, afterOrders: this._plan.orders }
+    const { clock, fence, node } = this._options
+    const plan = this._plan
+    const control = this._control
+    const order = { holder: node, fence, afterOrders: plan.orders }
     const answer = await (action.kind === 'load' ? control.load(action.target, order) : control.unload(action.target, order))
+    // The answer belongs to an earlier life of the engine.
+    if (plan !== this._plan) return
     const outcome = answer.isOk() ? answer.value : undefined
-    this._plan.ordered(action, outcome, clock.now())
+    plan.ordered(action, outcome, clock.now())
     const { model, adapter, version } = action.target
     if (action.kind === 'load' && outcome === 'holds' && adapter !== undefined) this._news.add({ key: wantKey({ model, adapter }), version: version ?? 0 })
     this._note(action.kind, action.target, outcome)
--- a/packages/direct/src/lib/membership.ts
+++ b/packages/direct/src/lib/membership.ts
@@ -2,7 +2,7 @@
  * The upstreams that live, from what they write into the store.
  */
 import type { Clock, Log, Ms } from '@hazelford/core'
-import type { UpstreamRecord } from '@hazelford/ports'
+import { compareStarts, type UpstreamRecord } from '@hazelford/ports'
 import { Upstream } from './upstream.js'
 
 /**
@@ -11,8 +11,20 @@
  */
 const lapseGrace: Ms = 2_300
 
-/** Tells how many connections this entry may open to an upstream of a service. */
-export type ConnectionShare = (service: string) => number
+/** Upstreams that are gone of which the last start is remembered; late words on them come within seconds. */
+const goneKept = 1_000
+
+/** Hears of upstreams. */
+export interface MembershipListener {
+  /** How many connections this entry may open to an upstream of a service. */
+  readonly connections: (service: string) => number
+  /** The last request of this entry on an adapter there has ended. */
+  readonly adapterFreed: (upstream: Upstream) => void
+  /** What was known of this incarnation holds no more. */
+  readonly gone: (upstream: Upstream) => void
+  /** An upstream has started again under its id. */
+  readonly restarted: (upstream: Upstream) => void
+}
 
 /** Upstreams by id. */
 export class Membership {
@@ -23,7 +35,12 @@
   private _regainedAt: Ms = -Infinity
   private _known = false
 
-  constructor (private readonly _clock: Clock, private readonly _log: Log, private readonly _share: ConnectionShare, private readonly _adapterFreed: (upstream: Upstream) => void = () => {}) {}
+  /** Latest start heard of each upstream, gone ones too. */
+  private readonly _starts = new Map<string, number>()
+  /** Revisions of keys whose values can't be read, so that each is told of once. */
+  private readonly _unreadable = new Map<string, number>()
+
+  constructor (private readonly _clock: Clock, private readonly _log: Log, private readonly _listener: MembershipListener) {}
 
   /** Whether a whole list was seen. */
   get known (): boolean { return this._known }
@@ -45,7 +62,7 @@
 
   /** Takes the list of a peer that hears the store; what it has dropped is gone. */
   follow (records: readonly UpstreamRecord[]): void {
-    for (const upstream of this._putAll(records)) this._drop(upstream)
+    for (const upstream of this._putAll(records)) this._drop(upstream, 'not known to a peer')
   }
 
   /** Takes all records of a list and gives the upstreams that it lacks. */
@@ -55,16 +72,59 @@
     return [...this._upstreams.values()].filter(({ id }) => !listed.has(id))
   }
 
+  /**
+   * Takes a record.
+   *
+   * An upstream may start again under its id. Taken for the one before, it would be sent requests for adapters that it lost,
+   * on connections that are broken, and stay out for a failure or a farewell of its earlier life. A late word of
+   * that life, from a peer or a slow read, would undo the new one.
+   */
   put (record: UpstreamRecord): void {
-    this._lapsed.delete(record.id)
     const known = this._upstreams.get(record.id)
-    if (known !== undefined) {
-      if (known.record.state !== record.state) this._log.info('membership', `upstream ${record.state}.`, { upstream: record.id, service: record.service, leavesIn: record.leavesIn })
-      known.update(record)
+    const order = compareStarts(record.startedAt, this._starts.get(record.id))
+    if (order === 'earlier') {
+      this._log.info('membership', 'record of an earlier life dropped.', { upstream: record.id, startedAt: record.startedAt, known: this._starts.get(record.id) })
       return
     }
-    this._upstreams.set(record.id, new Upstream(record, this._clock, this._share(record.service), this._adapterFreed))
-    this._log.info('membership', 'upstream seen.', { upstream: record.id, service: record.service, address: `${record.host}:${record.port}`, zone: record.zone, state: record.state })
+    this._lapsed.delete(record.id)
+    this._unreadable.delete(record.id)
+    if (known !== undefined && order === 'same') return this._update(known, record)
+    if (record.startedAt !== undefined) this._noteStart(record.id, record.startedAt)
+    if (known !== undefined) this._drop(known, 'started again')
+    const upstream = new Upstream(record, this._clock, this._listener.connections(record.service), this._listener.adapterFreed)
+    this._upstreams.set(record.id, upstream)
+    this._log.info('membership', 'upstream seen.', { upstream: record.id, startedAt: record.startedAt, service: record.service, address: `${record.host}:${record.port}`, zone: record.zone, state: record.state })
+    if (known !== undefined) this._listener.restarted(upstream)
+  }
+
+  private _update (known: Upstream, record: UpstreamRecord): void {
+    if (known.record.state !== record.state) this._log.info('membership', `upstream ${record.state}.`, { upstream: record.id, service: record.service, leavesIn: record.leavesIn })
+    known.update(record)
+  }
+
+  private _noteStart (id: string, startedAt: number): void {
+    this._starts.delete(id)
+    this._starts.set(id, startedAt)
+    this._forgetOldest(this._starts)
+  }
+
+  private _forgetOldest (kept: Map<string, number>): void {
+    for (const oldest of kept.keys()) {
+      if (kept.size <= goneKept) break
+      if (!this._upstreams.has(oldest)) kept.delete(oldest)
+    }
+  }
+
+  /**
+   * Takes a record that can't be read. Somebody else has written it, or the upstream is of a version that this one can't
+   * serve: there is nothing to send requests to.
+   */
+  unreadable (id: string, revision: number, problem: string): void {
+    if (this._unreadable.get(id) !== revision) this._log.warn('membership', 'record can not be read.', { upstream: id, revision, problem })
+    this._unreadable.set(id, revision)
+    this._forgetOldest(this._unreadable)
+    const known = this._upstreams.get(id)
+    if (known !== undefined) this._drop(known, 'record can not be read')
   }
 
   /**
@@ -74,6 +134,7 @@
    * them. Dropping these at its return would leave callers without upstreams that serve.
    */
   remove (id: string): void {
+    this._unreadable.delete(id)
     const upstream = this._upstreams.get(id)
     if (upstream === undefined) return
     const now = this._clock.now()
@@ -83,7 +144,7 @@
       if (goneAt !== Infinity) this._clock.after(goneAt - now, () => this._expire())
       return
     }
-    this._drop(upstream)
+    this._drop(upstream, 'record removed')
   }
 
   storeLost (): void { this._storeLost = true }
@@ -101,16 +162,17 @@
     for (const [id, goneAt] of this._lapsed) {
       const upstream = this._upstreams.get(id)
       if (goneAt > now) next = Math.min(next, goneAt)
-      else if (upstream !== undefined) this._drop(upstream)
+      else if (upstream !== undefined) this._drop(upstream, 'lapsed')
     }
     // Timers may fire a little early; what is left then would otherwise stay for good.
     if (next !== Infinity) this._clock.after(Math.max(1, next - now), () => this._expire())
   }
 
-  private _drop (upstream: Upstream): void {
+  private _drop (upstream: Upstream, cause: string): void {
     this._upstreams.delete(upstream.id)
     this._lapsed.delete(upstream.id)
     upstream.pool.close()
-    this._log.info('membership', 'upstream gone.', { upstream: upstream.id, service: upstream.record.service, outstanding: upstream.outstanding })
+    this._log.info('membership', 'upstream gone.', { upstream: upstream.id, cause, service: upstream.record.service, outstanding: upstream.outstanding })
+    this._listener.gone(upstream)
   }
 }
--- a/packages/direct/src/lib/peer-table.ts
+++ b/packages/direct/src/lib/peer-table.ts
@@ -1,6 +1,7 @@
 /**
  * The other entries, and which of them orders which engine, from their keys in the store.
  */
+import { isIPv4 } from 'node:net'
 import type { StoreEvent, StoreItem } from '@hazelford/ports'
 
 /** Keys of the system's own. */
@@ -30,7 +31,8 @@
 function decodeAddress (value: string): PeerAddress | undefined {
   try {
     const { node, host, port } = JSON.parse(value) as Partial<PeerAddress>
-    return typeof node === 'string' && typeof host === 'string' && typeof port === 'number' ? { node, host, port } : undefined
+    const isAddress = typeof node === 'string' && node !== '' && typeof host === 'string' && isIPv4(host) && Number.isInteger(port) && port! > 0 && port! < 65_536
+    return isAddress ? { node, host, port: port! } : undefined
   } catch {
     // Not written by this version of the program: such a record names nobody we can ask.
     return undefined
@@ -43,6 +45,8 @@
   private readonly _holders = new Map<string, HolderRecord>()
   /** Who held an engine before its key went, for as long as nobody else is known to. */
   private readonly _former = new Map<string, HolderRecord>()
+  /** Revisions of holders' keys that can't be read. */
+  private readonly _unreadable = new Map<string, number>()
 
   /** @param _changed - hears of each change */
   constructor (private readonly _changed: () => void) {}
@@ -59,12 +63,21 @@
 
   holder (upstream: string): HolderRecord | undefined { return this._holders.get(upstream) }
 
+  /**
+   * Revision on which a claim of an engine must be based; 0 when the key does not exist.
+   *
+   * A key that can't be read names no holder. Claimed as if it were absent, the engine would be without orders for
+   * as long as the key stands.
+   */
+  holderRevision (upstream: string): number { return this._holders.get(upstream)?.fence ?? this._unreadable.get(upstream) ?? 0 }
+
   get holders (): readonly HolderListing[] { return [...this._holders].map(([upstream, record]) => ({ ...record, upstream })) }
 
   heldUpstreams (): readonly string[] { return [...this._holders.keys()] }
 
   reset (items: readonly StoreItem[]): void {
     this._entries.clear()
+    this._unreadable.clear()
     for (const upstream of [...this._holders.keys()]) this._dropHolder(upstream)
     for (const item of items) this._put(item)
     this._changed()
@@ -95,11 +108,17 @@
 
   private _put ({ key, value, revision }: StoreItem): void {
     const address = decodeAddress(value)
-    if (address === undefined) return
+    if (address === undefined) return this._putUnreadable(key, revision)
     if (key.startsWith(entriesPrefix)) this._entries.set(key.slice(entriesPrefix.length), address)
     else if (key.startsWith(holdersPrefix)) this._setHolder(key.slice(holdersPrefix.length), { ...address, fence: revision })
   }
 
+  /** Such a record names nobody who can be asked. */
+  private _putUnreadable (key: string, revision: number): void {
+    this._remove(key)
+    if (key.startsWith(holdersPrefix)) this._unreadable.set(key.slice(holdersPrefix.length), revision)
+  }
+
   private _remove (key: string): void {
     if (key.startsWith(entriesPrefix)) this._entries.delete(key.slice(entriesPrefix.length))
     else if (key.startsWith(holdersPrefix)) this._dropHolder(key.slice(holdersPrefix.length))
@@ -107,6 +126,7 @@
 
   private _setHolder (upstream: string, record: HolderRecord): void {
     this._holders.set(upstream, record)
+    this._unreadable.delete(upstream)
     this._former.delete(upstream)
   }
 
@@ -114,5 +134,6 @@
     const record = this._holders.get(upstream)
     if (record !== undefined) this._former.set(upstream, record)
     this._holders.delete(upstream)
+    this._unreadable.delete(upstream)
   }
 }
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -128,7 +128,7 @@
   get leavesAt (): Ms { return this._leavesAt }
 
   update (record: UpstreamRecord): void {
-    // An upstream that leaves never comes back under the same id; a late word must not undo it.
+    // An incarnation that leaves never comes back; a late word must not undo it.
     this._record = this._record.state === 'draining' ? { ...record, state: 'draining' } : record
     this._noteLeaving()
     this._noteAdapters()
--- a/packages/ports/src/lib/engine-control.ts
+++ b/packages/ports/src/lib/engine-control.ts
@@ -33,6 +33,8 @@
 
 /** What an engine holds, some hundred ms ago. */
 export interface EngineReport {
+  /** Start of the incarnation that reports, as in its record. */
+  readonly startedAt?: number
   readonly models: readonly HeldModel[]
   /** Adapters on their way from the weight store. */
   readonly coming: readonly (HeldAdapter & { readonly model: string })[]
--- a/packages/ports/src/lib/upstream-record.ts
+++ b/packages/ports/src/lib/upstream-record.ts
@@ -16,9 +16,11 @@
   readonly adapters: readonly HeldAdapter[]
 }
 
-/** One incarnation of an upstream. A restart has a new id. */
+/** One incarnation of an upstream: a restart has a new id, or a later start under the same one. */
 export interface UpstreamRecord {
   readonly id: string
+  /** When it started, in Unix ms of its own clock; undefined where upstreams don't say. */
+  readonly startedAt?: number
   readonly service: string
   readonly host: string
   readonly port: number
@@ -39,3 +41,20 @@
   readonly adapter: string
   readonly version: number
 }
+
+/** How a word on an upstream stands to the incarnation that is known. */
+export type IncarnationOrder = 'same' | 'later' | 'earlier'
+
+/**
+ * Compares incarnations of one upstream.
+ *
+ * A word without a start is earlier than any with one: its writer is of a version that didn't say, and once a start is
+ * known nothing shows that the word is not about a life that has ended.
+ *
+ * @param heard - start that a word names
+ * @param known - start of the incarnation that is known
+ */
+export function compareStarts (heard: number | undefined, known: number | undefined): IncarnationOrder {
+  if (heard === known) return 'same'
+  return (heard ?? -Infinity) > (known ?? -Infinity) ? 'later' : 'earlier'
+}
