Ask the store less often where changes may take longer

Cause: every entry watches the store and pauses for 0.7 s at most between two watches, whatever the time is in which a change must be in force.

Change: the pause grows with the entries up to a third of that time, which is a setting now (apply_within_ms). A peer is followed once the store is older than the longest turn of a store that does well.

--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -137,6 +137,7 @@
       client: this._client,
       peers: () => this.peers.entries.filter(({ node }) => node !== settings.name),
       age: () => this._mirror.age(clock.now()),
+      turn: () => this._mirror.turn,
       take: state => this._follow(state)
     })
     this._callers = new CallerServer({
@@ -168,7 +169,7 @@
       },
       lost: () => this.members.storeLost(),
       regained: () => this.members.storeRegained()
-    }, () => this.peers.entryCount)
+    }, () => this.peers.entryCount, () => this._settings.apply_within_ms)
   }
 
   private _decodeUpstream ({ key, value, revision }: StoreItem): readonly UpstreamRecord[] {
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -38,6 +38,8 @@
   /** Repeats to a service on top, in each window, over all entries. */
   retry_budget_slack: z._default(atLeast(0), 10),
   budget_window_s: z._default(atLeast(0.1), 10),
+  /** Ms after its acceptance in which a change of the configuration must be in force; also bounds how often the store is asked. */
+  apply_within_ms: z._default(atLeast(100), 2_000),
   /** Ms within which two holders of an engine must not order it in turn. */
   holder_turn_ms: z._default(atLeast(0), 3_000)
 })
--- a/packages/direct/src/lib/peer-follower.ts
+++ b/packages/direct/src/lib/peer-follower.ts
@@ -15,11 +15,13 @@
   readonly peers: () => readonly PeerAddress[]
   /** Ms since the store was last heard here. */
   readonly age: () => Ms
+  /** Longest ms between two answers of a store that does well. */
+  readonly turn: () => Ms
   readonly take: (state: PeerState) => void
 }
 
-/** A watch answers within 1.2 s and pauses for 0.7 s at most; what is older has missed its turn. */
-const staleAfter: Ms = 2_200
+/** Beyond the longest turn of a store that does well, what is older has missed its turn. */
+const staleMargin: Ms = 300
 /** A change must be in force 2 s after it was accepted; one question in this time keeps within it. */
 const followEvery: Ms = 600
 
@@ -43,10 +45,12 @@
 
   stop (): void { this._stopped = true }
 
+  private get _staleAfter (): Ms { return this._options.turn() + staleMargin }
+
   private async _run (): Promise<void> {
     while (!this._stopped) {
       await sleep(this._options.clock, followEvery)
-      if (this._options.age() < staleAfter) this._following = false
+      if (this._options.age() < this._staleAfter) this._following = false
       else await this._follow()
     }
   }
@@ -61,7 +65,7 @@
       return undefined
     })
     // A peer that has not heard the store either knows nothing better; its view could even be older.
-    if (this._stopped || state === undefined || state.age >= Math.min(staleAfter, age())) return
+    if (this._stopped || state === undefined || state.age >= Math.min(this._staleAfter, age())) return
     if (!this._following) log.info('peers', 'followed.', { peer: peer.node, age: Math.round(state.age), ownAge: Math.round(age()), version: state.config.version })
     this._following = true
     take(state)
--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -27,13 +27,14 @@
 const watchWait: Ms = 1_200
 /**
  * Pause between two watches, so that changes that come together cost one call: with one entry,
- * for each further one, and at most. The store's rate grows more slowly than the fleet, so the
+ * and for each further one. The store's rate grows more slowly than the fleet, so the
  * pause grows with it. With five entries it made 574 calls of 746 on a quiet day of a small site
- * (pause 250 ms before). The longest pause is a third of the time in which a change must be in force.
+ * (pause 250 ms before).
  */
 const gatherBase: Ms = 300
 const gatherEach: Ms = 15
-const gatherMost: Ms = 700
+/** The longest pause, as a part of the time in which a change must be in force. */
+const gatherShare = 1 / 3
 const backoff = { base: 60, cap: 600 }
 /** Failed calls in a row after which the store counts as lost. */
 const lostAfter = 2
@@ -54,7 +55,9 @@
     private readonly _log: Log,
     private readonly _listener: MirrorListener,
     /** Entries that share the store's rate. */
-    private readonly _entries: () => number
+    private readonly _entries: () => number,
+    /** Time after its acceptance in which a change must be in force. */
+    private readonly _applyWithin: () => Ms
   ) {}
 
   get revision (): number { return this._revision }
@@ -83,10 +86,15 @@
       const heard = this._known && !this._anew ? await this._watch() : await this._list()
       if (heard) this._heard()
       else await this._pause(this._failed())
-      if (this._known && heard) await this._pause(Math.min(gatherMost, gatherBase + gatherEach * this._entries()))
+      if (this._known && heard) await this._pause(this._gatherPause)
     }
   }
 
+  /** Longest ms between two answers of a store that does well. */
+  get turn (): Ms { return watchWait + this._gatherPause }
+
+  private get _gatherPause (): Ms { return Math.min(this._applyWithin() * gatherShare, gatherBase + gatherEach * this._entries()) }
+
   private _pause (delay: Ms): Promise<void> {
     return new Promise(resolve => { this._clock.after(delay, resolve) })
   }
