--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -4,26 +4,23 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { type AdapterWant, type ExchangeOutcome, pickService, type RelayFailure, type RouteTable, type SharedBudgetLimits, SharedRetryBudget, type StoreDuty, storeDuty } from '@hazelford/decisions'
-import type { Route, StoreEvent, StoreItem, UpstreamRecord } from '@hazelford/ports'
+import { type AdapterWant, type ExchangeOutcome, pickService, type RelayFailure, type RouteTable, type SharedBudgetLimits, SharedRetryBudget } from '@hazelford/decisions'
+import type { Route } from '@hazelford/ports'
 import { AdapterDirectory } from './adapter-directory.js'
 import { CallerServer, createReadyServer, type Incoming } from './caller-server.js'
-import { ConfigHolder } from './config-holder.js'
+import type { ConfigHolder } from './config-holder.js'
 import { EngineDesk } from './engine-desk.js'
 import type { AskOutcome } from './engine-holder.js'
 import { addressSettings, type DirectSettings, pickAddresses, splitAddress } from './entry-settings.js'
 import { LeaseKeeper } from './lease-keeper.js'
-import { Membership } from './membership.js'
+import type { Membership } from './membership.js'
 import type { EntryMetrics } from './metrics.js'
 import { type AskMessage, type PeerAskOutcome, PeerClient, type PeerService, servePeers } from './peer-calls.js'
-import { PeerFollower } from './peer-follower.js'
-import { learnFromPeers, type PeerState } from './peer-state.js'
-import { entryKey, ownPrefix, PeerTable } from './peer-table.js'
+import { entryKey, type PeerTable } from './peer-table.js'
 import { Placer } from './placer.js'
 import type { PlatformPort } from './platform-port.js'
 import { RelayTask } from './relay-task.js'
-import { StoreFollower } from './store-follower.js'
-import { StoreMirror } from './store-mirror.js'
+import { StoreView } from './store-view.js'
 import type { Upstream } from './upstream.js'
 
 /** What an entry is built from. */
@@ -56,8 +53,6 @@
 const balancerNotice: Ms = 2_600
 /** Left of the grace period for the process itself to end. */
 const graceMargin: Ms = 700
-/** Age told to peers when the store was never heard: JSON has no infinity. */
-const neverHeard: Ms = 1e9
 const defaultMaxBody = 4 << 20
 
 function budgetLimits (settings: DirectSettings): SharedBudgetLimits {
@@ -75,16 +70,12 @@
 
 /** One entry. */
 export class DirectEntry {
-  readonly config: ConfigHolder
-  readonly members: Membership
-  readonly peers: PeerTable
   readonly desk: EngineDesk
+  private readonly _view: StoreView
   private readonly _directory: AdapterDirectory
   private readonly _placer: Placer
   private readonly _lease: LeaseKeeper
-  private readonly _mirror: StoreMirror
   private readonly _client = new PeerClient()
-  private readonly _follower: PeerFollower
   private readonly _callers: CallerServer
   private readonly _budgets = new Map<string, SharedRetryBudget>()
   private readonly _servers: Server[] = []
@@ -100,17 +91,22 @@
     const { settings, platform, clock, log } = _options
     this._settings = settings
     this._self = { node: settings.name, host: settings.host, port: settings.peer_port, zone: settings.zone }
-    this.config = new ConfigHolder(platform, log, {
+    this._view = new StoreView({
+      node: settings.name,
+      platform,
+      clock,
+      log,
+      client: this._client,
+      applyWithin: () => this._settings.apply_within_ms
+    }, {
       configured: table => this._configured(table),
-      declared: version => this.desk.prefetch(version)
-    })
-    this.members = new Membership(clock, log, {
+      declared: version => this.desk.prefetch(version),
       connections: service => this._connections(service),
       requestEnded: upstream => this._requestEnded(upstream),
       gone: upstream => this._directory.forget(upstream.id),
-      restarted: upstream => this.desk.restarted(upstream)
+      restarted: upstream => this.desk.restarted(upstream),
+      changed: () => this.desk.review()
     })
-    this.peers = new PeerTable(() => this.desk.review())
     this.desk = new EngineDesk({
       self: this._self,
       store: platform.store,
@@ -132,16 +128,6 @@
     })
     this._directory = new AdapterDirectory(settings.name, clock, log, this.peers, this._client, this.desk, this.members)
     this._placer = new Placer(clock, log, settings.zone, this.members, this._directory, () => this.peers.entryCount, service => this.config.table?.service(service)?.engine?.adapterSlots ?? 1)
-    this._mirror = this._createMirror()
-    this._follower = new PeerFollower({
-      clock,
-      log,
-      client: this._client,
-      peers: () => this.peers.entries.filter(({ node }) => node !== settings.name),
-      age: () => this._mirror.age(clock.now()),
-      turn: () => this._mirror.turn,
-      take: state => this._follow(state)
-    })
     this._callers = new CallerServer({
       clock,
       maxBodyBytes: () => this.config.table?.config.limits.maxBodyBytes ?? defaultMaxBody,
@@ -151,64 +137,12 @@
   }
 
   get name (): string { return this._self.node }
+  get config (): ConfigHolder { return this._view.config }
+  get members (): Membership { return this._view.members }
+  get peers (): PeerTable { return this._view.peers }
 
   /** Whether new connections are wanted. */
-  get ready (): boolean { return !this._closing && this.config.table !== undefined && this.members.known }
-
-  private _createMirror (): StoreMirror {
-    const { platform, clock, log } = this._options
-    const { operators, upstreams } = platform.layout
-    const follower = new StoreFollower({
-      clock,
-      log,
-      duty: () => this._storeDuty,
-      peer: node => this.peers.entry(node),
-      ask: (peer, after, wait) => this._client.changes(peer, after, wait),
-      bound: () => this._mirror.servedTurn
-    })
-    return new StoreMirror({
-      store: platform.store,
-      clock,
-      log,
-      duty: () => this._storeDuty,
-      follow: after => follower.changes(after),
-      applyWithin: () => this._settings.apply_within_ms
-    }, {
-      reset: items => {
-        const under = (prefix: string): readonly StoreItem[] => items.filter(({ key }) => key.startsWith(prefix))
-        this.config.reset(under(operators))
-        this.members.reset(under(upstreams).flatMap(item => this._decodeUpstream(item)))
-        this.peers.reset(under(ownPrefix))
-      },
-      changed: event => {
-        const key = event.kind === 'put' ? event.item.key : event.key
-        if (key.startsWith(operators)) this.config.apply(event)
-        else if (key.startsWith(upstreams)) this._upstreamChanged(event)
-        else if (key.startsWith(ownPrefix)) this.peers.apply(event)
-      },
-      lost: () => this.members.storeLost(),
-      regained: () => this.members.storeRegained()
-    })
-  }
-
-  private get _storeDuty (): StoreDuty { return storeDuty(this._self.node, this.peers.entries) }
-
-  private _decodeUpstream ({ key, value, revision }: StoreItem): readonly UpstreamRecord[] {
-    const { decodeUpstream, layout } = this._options.platform
-    const decoded = decodeUpstream(key, value)
-    if (decoded.isOk()) return [decoded.value]
-    this.members.unreadable(key.slice(layout.upstreams.length), revision, decoded.error.message)
-    return []
-  }
-
-  private _upstreamChanged (event: StoreEvent): void {
-    if (event.kind === 'put') {
-      for (const record of this._decodeUpstream(event.item)) this.members.put(record)
-    } else {
-      this.members.remove(event.key.slice(this._options.platform.layout.upstreams.length))
-    }
-    this.desk.review()
-  }
+  get ready (): boolean { return !this._closing && this._view.known }
 
   private _connections (service: string): number {
     const spec = this.config.table?.service(service)
@@ -246,7 +180,7 @@
 
   /** Starts; returns once it listens. */
   async start (): Promise<void> {
-    const { settings, platform, clock, metrics } = this._options
+    const { settings, platform, metrics } = this._options
     const callers = splitAddress(settings.listen_callers)
     await this._callers.listen(callers.host, callers.port)
     const ready = splitAddress(settings.listen_ready)
@@ -257,16 +191,12 @@
     this._servers.push(peers)
     await this._serveSeeds()
     this._servers.push(await listen(metrics.createServer('/metrics'), settings.host, settings.metrics_port))
-    this._mirror.start()
     this._lease.start()
-    this._follower.start()
-    const seeds = settings.seeds.filter(seed => seed !== settings.listen_control).map(splitAddress)
-    learnFromPeers(seeds, this._client, clock, this._options.log, () => this._mirror.known, state => this._takeState(state))
-      .catch((error: Error) => this._options.log.warn('peers', 'not asked.', { error: error.message }))
+    this._view.start(settings.seeds.filter(seed => seed !== settings.listen_control).map(splitAddress))
   }
 
   /** Whether the store has stopped answering. */
-  get storeLost (): boolean { return this._mirror.lost }
+  get storeLost (): boolean { return this._view.storeLost }
 
   /** Ports it listens on, as chosen by the kernel where the settings say 0. */
   get ports (): { readonly callers: number, readonly ready: number, readonly peers: number } {
@@ -287,44 +217,11 @@
       noteUse: ({ upstream, entry, uses, outstanding }) => this.desk.holder(upstream)?.noteUse(entry, uses, outstanding),
       taken: msg => this.desk.taken(msg),
       now: () => this._options.clock.now(),
-      changes: (after, wait) => this._mirror.feed.since(after, wait),
-      state: () => this._state()
-    }
-  }
-
-  private _state (): PeerState | undefined {
-    const { table } = this.config
-    if (table === undefined || !this.members.known) return undefined
-    return {
-      age: Math.min(neverHeard, this._mirror.age(this._options.clock.now())),
-      config: table.config,
-      versions: this.config.versions,
-      upstreams: [...this.members.all()].map(({ record }) => record),
-      entries: this.peers.entries,
-      holders: this.peers.holders
+      changes: (after, wait) => this._view.changes(after, wait),
+      state: () => this._view.state
     }
   }
 
-  /** Takes what a peer knows, where nothing is known yet. */
-  private _takeState (state: PeerState): void {
-    this._takeConfig(state)
-    this.members.reset(state.upstreams)
-    this.peers.follow(state.entries, state.holders)
-  }
-
-  /** Takes what a peer has heard from the store, which does not answer here. */
-  private _follow (state: PeerState): void {
-    this._takeConfig(state)
-    this.members.follow(state.upstreams)
-    this.peers.follow(state.entries, state.holders)
-    this._mirror.readAnew()
-  }
-
-  private _takeConfig ({ config, versions }: PeerState): void {
-    this.config.offer(config)
-    for (const version of versions) this.config.declare(version)
-  }
-
   /** Tells the holder of an engine, soon, that a request of this entry there has ended. */
   private _requestEnded (upstream: Upstream): void {
     this._options.clock.after(tellFreedAfter, () => {
@@ -356,8 +253,7 @@
     log.info('entry', 'drained.', { open: this._callers.open })
     this._callers.close()
     this._stopped = true
-    this._mirror.stop()
-    this._follower.stop()
+    this._view.stop()
     for (const server of this._servers) {
       server.close()
       server.closeAllConnections()
@@ -368,8 +264,7 @@
   /** Ends at once, as a crash does: nothing is given back and callers are cut. */
   kill (): void {
     this._stopped = true
-    this._mirror.stop()
-    this._follower.stop()
+    this._view.stop()
     this._lease.abandon()
     this.desk.dropAll()
     this._callers.server.closeAllConnections()
@@ -384,7 +279,7 @@
   private _handle (incoming: Incoming): void {
     const { log, metrics } = this._options
     const { table } = this.config
-    if (table === undefined || !this.members.known) return incoming.answer.fail({ kind: 'no-config', retryAfter: noConfigRetryAfter })
+    if (table === undefined || !this._view.known) return incoming.answer.fail({ kind: 'no-config', retryAfter: noConfigRetryAfter })
     if (this._refusing) {
       metrics.requests.inc({ kind: 'none', end: 'shutting-down' })
       return incoming.answer.fail({ kind: 'relay', failure: 'shutting-down', notRun: true, retryAfter: shutdownRetryAfter })
