Keep a silent stream at its engine until another one can take it

Change: silence is told, not taken for the end. Another upstream is looked for meanwhile; only once one can take the stream is the first left. A stream that goes on, or finds no other place, stays.

Plain answers are as before.

--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -21,6 +21,10 @@
   | { readonly kind: 'unreachable' }
   /** The connection broke or the upstream fell silent after bytes were sent. */
   | { readonly kind: 'lost' }
+  /** The upstream has been silent for long, but may go on. */
+  | { readonly kind: 'stalled' }
+  /** It went on while another one was looked for. */
+  | { readonly kind: 'moves-again' }
   /** A whole answer is at hand; `failed` when it is the upstream's own error. */
   | { readonly kind: 'whole', readonly failed: boolean }
   /** The first bytes of a stream are at hand. */
@@ -84,6 +88,8 @@
   current: string | undefined
   /** An upstream that only lacked the adapter for a moment. */
   again: string | undefined
+  /** Whether another upstream is looked for while the current one is silent. */
+  stalled = false
   /** Whether an upstream may have worked on the request. */
   mayHaveRun = false
   /** Whether part of an answer has gone to the caller. */
@@ -119,7 +125,36 @@
 function goOn (effects: Effects): Turn { return { effects, over: false } }
 function end (effects: Effects): Turn { return { effects, over: true } }
 
+/**
+ * Looks for another upstream while the current one is silent.
+ *
+ * A full engine lets streams stand still and goes on with them. Cut off at once, one that found no place elsewhere was lost:
+ * its caller got half an answer and a closed connection, though the engine would have gone on.
+ */
+function stalled (request: RelayRequest, progress: Progress): Turn {
+  if (progress.stalled || progress.current === undefined || !isIdempotent(request) || progress.tried.size >= request.maxAttempts) return goOn([])
+  progress.stalled = true
+  return goOn([{ kind: 'place', avoid: progress.avoid }])
+}
+
+/** Leaves a silent upstream for one that can take the request now. */
+function move (upstream: string, progress: Progress, deps: RelayDeps): Turn {
+  progress.stalled = false
+  if (!deps.takeRepeat()) return goOn([])
+  progress.mayHaveRun = true
+  progress.tried.add(upstream)
+  progress.sends++
+  progress.current = upstream
+  return goOn([{ kind: 'abandon' }, { kind: 'send', upstream }])
+}
+
+/** What is to be done next, where another upstream is being looked for already. */
+function withoutPlacing (next: Turn): Turn {
+  return next.over ? next : goOn(next.effects.filter(({ kind }) => kind !== 'place' && kind !== 'wait'))
+}
+
 function placed (upstream: string, request: RelayRequest, progress: Progress, deps: RelayDeps): Turn {
+  if (progress.stalled) return move(upstream, progress, deps)
   if (progress.sends > 0) {
     if (!progress.tried.has(upstream) && progress.tried.size >= request.maxAttempts) return end(giveUp(progress, 'attempts-spent'))
     if (!deps.takeRepeat()) return end(giveUp(progress, 'budget-spent'))
@@ -182,7 +217,14 @@
   const { current } = progress
   switch (msg.kind) {
     case 'placed': return placed(msg.upstream, request, progress, deps)
-    case 'unplaced': return end(giveUp(progress, msg.cause))
+    case 'unplaced':
+      if (!progress.stalled) return end(giveUp(progress, msg.cause))
+      progress.stalled = false
+      return goOn([])
+    case 'stalled': return stalled(request, progress)
+    case 'moves-again':
+      progress.stalled = false
+      return goOn([])
     case 'waited': return goOn([{ kind: 'place', avoid: progress.avoid, ...(progress.again === undefined ? {} : { again: progress.again }) }])
     case 'timeout':
     case 'caller-gone': return interrupted(msg.kind, request, progress)
@@ -192,11 +234,19 @@
     case 'stream-ended': return end([{ kind: 'finish' }])
   }
   // The exchange is over; from here on the upstream has nothing of this request.
+  const isPlacing = progress.stalled
+  progress.stalled = false
   progress.current = undefined
   progress.again = undefined
+  const next = ended(msg, current!, request, progress)
+  return isPlacing ? withoutPlacing(next) : next
+}
+
+/** What the end of an exchange leads to. */
+function ended (msg: RelayMessage & { readonly kind: 'refused' | 'unreachable' | 'lost' | 'whole' }, upstream: string, request: RelayRequest, progress: Progress): Turn {
   switch (msg.kind) {
-    case 'refused': return refused(current!, msg.refusal, request, progress)
-    case 'unreachable': return unreachable(current!, progress)
+    case 'refused': return refused(upstream, msg.refusal, request, progress)
+    case 'unreachable': return unreachable(upstream, progress)
     case 'lost': return lost(request, progress)
     case 'whole': return whole(msg.failed, request, progress)
     default: return assertNever(msg)
--- a/packages/decisions/src/test/relay-flow.feature
+++ b/packages/decisions/src/test/relay-flow.feature
@@ -40,3 +40,21 @@
     Given a direct stock check that may be sent to 2 upstreams
     When its answer has begun and the rest is lost
     Then the direct answer is broken
+
+  Scenario: a full engine lets a stream stand still
+    Symptom: a caller's draft ends in the middle, beside a change of the configuration that has nothing to do with it.
+    Events: an engine puts a stream back for a second; no other engine has a place; the first one goes on.
+    Cause: the stream was cut off at its engine before another one was found.
+    Given a resumable stream that may be sent to 2 upstreams
+    When its upstream stalls and no other can be had
+    Then it stays where it is, and ends whole when the upstream goes on
+
+  Scenario: a stream moves from a silent engine
+    Given a resumable stream that may be sent to 2 upstreams
+    When its upstream stalls and another can take it
+    Then it is taken from the first and goes on at the other
+
+  Scenario: a silent engine breaks off
+    Given a resumable stream that may be sent to 2 upstreams
+    When its upstream stalls and breaks off while another is looked for
+    Then nothing else is looked for, and it goes on where it is placed
--- a/packages/decisions/src/test/relay-flow.steps.ts
+++ b/packages/decisions/src/test/relay-flow.steps.ts
@@ -25,6 +25,7 @@
     { kind: 'unreachable' }, { kind: 'lost' },
     { kind: 'whole', failed: true }, { kind: 'whole', failed: false },
     { kind: 'streaming' }, { kind: 'stream-ended' },
+    { kind: 'stalled' }, { kind: 'stalled' }, { kind: 'moves-again' },
     { kind: 'waited' }, { kind: 'timeout' }, { kind: 'caller-gone' }
   )
 )
@@ -40,8 +41,10 @@
   readonly upstreams = new Set<string>()
   open = false
   mayHaveRun = false
-  waitsFor: 'placed' | 'waited' | 'exchange' | undefined
   final: RelayEffect | undefined
+  /** Whether a place is looked for, and whether a pause runs. */
+  private _placing = false
+  private _pausing = false
   private _current = ''
   private _streams = false
 
@@ -52,11 +55,16 @@
     if (msg.kind === 'timeout' || msg.kind === 'caller-gone') return true
     // An exchange whose answer has begun can't be refused, nor turn out unreachable.
     if (this._streams && (msg.kind === 'refused' || msg.kind === 'unreachable' || msg.kind === 'whole')) return false
-    if (ofExchange.has(msg.kind)) return this.open
-    return msg.kind === 'waited' ? this.waitsFor === 'waited' : this.waitsFor === 'placed'
+    if (ofExchange.has(msg.kind) || msg.kind === 'stalled') return this.open
+    if (msg.kind === 'moves-again') return this.open && this._placing
+    return msg.kind === 'waited' ? this._pausing : this._placing
   }
 
   heard (msg: RelayMessage): void {
+    if (msg.kind === 'waited') this._pausing = false
+    if (msg.kind === 'placed' || msg.kind === 'unplaced' || msg.kind === 'moves-again') this._placing = false
+    // Left for another one, the silent upstream may have run it.
+    if (msg.kind === 'placed' && this.open) this.mayHaveRun = true
     if (msg.kind === 'streaming') this._streams = true
     if (msg.kind === 'unreachable') this.upstreams.delete(this._current)
     if (msg.kind === 'lost' || msg.kind === 'whole' || msg.kind === 'streaming') this.mayHaveRun = true
@@ -67,14 +75,19 @@
   saw (effect: RelayEffect): void {
     if (this.final !== undefined) this.violations.push(`${effect.kind} after ${this.final.kind}`)
     if (finals.has(effect.kind)) this.final = effect
-    if (effect.kind === 'place') this.waitsFor = 'placed'
-    if (effect.kind === 'wait') this.waitsFor = 'waited'
+    if (effect.kind === 'place') this._looks()
+    if (effect.kind === 'wait') this._pausing = true
+    if (effect.kind === 'abandon') this.open = false
     if (effect.kind === 'send') this._sent(effect.upstream)
     if (effect.kind === 'fail' && effect.notRun && this.mayHaveRun) this.violations.push('told "not run" of what may have run')
   }
 
+  private _looks (): void {
+    if (this._placing || this._pausing) this.violations.push('two searches at once')
+    this._placing = true
+  }
+
   private _sent (upstream: string): void {
-    this.waitsFor = 'exchange'
     this._streams = false
     if (this.open) this.violations.push('two upstreams at once')
     const once = this._request.kind === 'non-idempotent' || (this._request.kind === 'stream' && !this._request.resumable)
@@ -110,6 +123,7 @@
 
 Then('for any direct request at most one upstream has it at any time and nothing follows its final answer', () => {
   holds('two upstreams')
+  holds('two searches')
   holds(' after ')
 })
 
@@ -179,3 +193,41 @@
 Then('the direct answer is broken', function (this: FlowWorld) {
   assert.deepEqual(this.effects.map(({ kind }) => kind), ['break'])
 })
+
+Given('a resumable stream that may be sent to {int} upstreams', function (this: FlowWorld, maxAttempts: number) {
+  start(this, { kind: 'stream', resumable: true, maxAttempts })
+  tell(this, { kind: 'streaming' })
+})
+
+When('its upstream stalls and no other can be had', function (this: FlowWorld) {
+  tell(this, { kind: 'stalled' })
+  assert.deepEqual(this.effects.map(({ kind }) => kind), ['place'])
+  tell(this, { kind: 'unplaced', cause: 'adapter-unavailable' })
+})
+
+Then('it stays where it is, and ends whole when the upstream goes on', function (this: FlowWorld) {
+  assert.deepEqual(this.effects, [])
+  tell(this, { kind: 'stream-ended' })
+  assert.deepEqual(this.effects.map(({ kind }) => kind), ['finish'])
+})
+
+When('its upstream stalls and another can take it', function (this: FlowWorld) {
+  tell(this, { kind: 'stalled' })
+  tell(this, { kind: 'placed', upstream: 'u2' })
+})
+
+Then('it is taken from the first and goes on at the other', function (this: FlowWorld) {
+  assert.deepEqual(this.effects, [{ kind: 'abandon' }, { kind: 'send', upstream: 'u2' }])
+  assert.equal(this.repeats, 1)
+})
+
+When('its upstream stalls and breaks off while another is looked for', function (this: FlowWorld) {
+  tell(this, { kind: 'stalled' })
+  tell(this, { kind: 'lost' })
+})
+
+Then('nothing else is looked for, and it goes on where it is placed', function (this: FlowWorld) {
+  assert.ok(this.effects.every(({ kind }) => kind === 'abandon'))
+  tell(this, { kind: 'placed', upstream: 'u2' })
+  assert.deepEqual(this.effects, [{ kind: 'send', upstream: 'u2' }])
+})
--- a/packages/direct/src/lib/exchange.ts
+++ b/packages/direct/src/lib/exchange.ts
@@ -30,6 +30,8 @@
   readonly refused: (refusal: UpstreamRefusal) => void
   readonly unreachable: (cause: string) => void
   readonly lost: (cause: string) => void
+  /** The upstream is silent for longer than it should be; the exchange goes on. */
+  readonly stalled: (cause: string) => void
   readonly whole: (answer: WholeAnswer) => void
   /** The first bytes of an answer that is passed on as it comes. */
   readonly begin: (head: AnswerHead) => void
@@ -49,10 +51,12 @@
   readonly body: Buffer | undefined
   /** Whether it may be sent again after a reset. */
   readonly repeatable: boolean
-  /** Time for the first byte of the answer, or the first event; undefined waits for the caller's limits. */
+  /** Time for the first byte of a plain answer; undefined waits for the caller's limits. */
   readonly firstByteTimeout: Ms | undefined
-  /** Longest silence between events. */
-  readonly gapTimeout: Ms | undefined
+  /** Silence before the first event of a stream after which it counts as stalled; undefined for other answers. */
+  readonly firstEventSilence: Ms | undefined
+  /** Silence between events after which a stream counts as stalled. */
+  readonly gapSilence: Ms | undefined
   readonly lastEventId: number | undefined
 }
 
@@ -94,7 +98,8 @@
     this._req.on('error', error => this._failed(error.message))
     this._req.on('close', () => this._failed('The connection closed without an answer.'))
     this._req.end(body)
-    this._await(_call.firstByteTimeout, 'No first byte')
+    this._await(_call.firstByteTimeout)
+    this._watch(_call.firstEventSilence, 'No first event')
   }
 
   /** Closes the connection; the sink hears nothing more. */
@@ -119,10 +124,20 @@
     this._timer?.()
   }
 
-  private _await (limit: Ms | undefined, what: string): void {
+  private _await (limit: Ms | undefined): void {
     this._timer?.()
     if (limit === undefined) return
-    this._timer = this._clock.after(limit, () => this._broken(`${what} within ${Math.round(limit)} ms.`))
+    this._timer = this._clock.after(limit, () => this._broken(`No first byte within ${Math.round(limit)} ms.`))
+  }
+
+  /** Tells of silence, again and again for as long as it lasts. */
+  private _watch (limit: Ms | undefined, what: string): void {
+    if (limit === undefined) return
+    this._timer?.()
+    this._timer = this._clock.after(limit, () => {
+      this._watch(limit, what)
+      this._sink.stalled(`${what} within ${Math.round(limit)} ms.`)
+    })
   }
 
   /** The answer can't be had any more. */
@@ -183,7 +198,7 @@
     let chunks: Buffer[] = []
     let size = 0
     const release = (): void => {
-      this._await(undefined, '')
+      this._await(undefined)
       this._begin(res)
       for (const chunk of chunks) this._sink.data(chunk, undefined)
       chunks = []
@@ -209,7 +224,8 @@
       const events = framer.push(chunk)
       if (events === undefined) return
       if (!events.inOrder) return this._broken('The event ids are out of order.')
-      this._await(this._call.gapTimeout, 'No further event')
+      this._await(undefined)
+      this._watch(this._call.gapSilence, 'No further event')
       this._begin(res)
       this._sink.data(events.bytes, events.lastId)
     })
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -91,6 +91,12 @@
   private _dataAt: Ms | undefined
   private _longestGap: Ms = 0
   private _sends = 0
+  /**
+   * - `placing`: the upstream is silent, and another one is looked for.
+   * - `over`: it has gone on meanwhile.
+   * - `unplaced`: it is silent still, and no other one can take the request.
+   */
+  private _stall: 'none' | 'placing' | 'over' | 'unplaced' = 'none'
 
   constructor (
     private readonly _call: ReadCall,
@@ -198,6 +204,10 @@
 
   private _placed (placed: Placed): void {
     if (this._remaining <= 0) return this._post({ kind: 'timeout' })
+    const stall = this._stall
+    this._stall = stall === 'placing' && placed.kind === 'unplaced' ? 'unplaced' : 'none'
+    // It goes on where it is: moved now, it would be read anew for nothing.
+    if (stall === 'over') return this._post({ kind: 'moves-again' })
     if (placed.kind === 'unplaced') return this._post(placed)
     this._upstream = placed.upstream
     this._version = placed.version
@@ -240,7 +250,8 @@
       body,
       repeatable: this._repeatable,
       firstByteTimeout: this._firstByteTimeout(),
-      gapTimeout: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
+      firstEventSilence: this._isStream && this._repeatable ? Math.max(streamSilence, 2 * this._route.latencyTarget) : undefined,
+      gapSilence: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
       lastEventId: this._lastEventId
     }, {
       refused: refusal => {
@@ -254,7 +265,9 @@
         log.info('request', 'upstream unreachable.', { request: facts.id, upstream: upstream.id, cause })
         this._post({ kind: 'unreachable' })
       },
+      stalled: cause => this._noteStall(upstream, cause, clock.now() - sentAt),
       lost: cause => {
+        this._stall = 'none'
         close('lost')
         log.info('request', 'answer lost.', { request: facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(clock.now() - sentAt) })
         this._post({ kind: 'lost' })
@@ -287,20 +300,31 @@
 
   private _closeExchange: () => void = () => {}
 
+  private get _isStream (): boolean { return this._route.kind === 'stream' }
+
   private get _repeatable (): boolean {
-    return this._route.kind === 'read-only' || (this._route.kind === 'stream' && this._route.resumable)
+    return this._route.kind === 'read-only' || (this._isStream && this._route.resumable)
+  }
+
+  private _noteStall (upstream: Upstream, cause: string, after: Ms): void {
+    if (this._over || this._stall === 'placing') return
+    this._deps.log.info('request', 'stalled.', { request: this._call.facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(after) })
+    if (this._stall === 'none') this._deps.exchanged(upstream, 'lost', undefined, after)
+    this._stall = 'placing'
+    this._post({ kind: 'stalled' })
   }
 
   /** Giving up an answer early helps only where another upstream may be asked. */
   private _firstByteTimeout (): Ms | undefined {
-    if (!this._repeatable || this._sends >= this._route.maxAttempts) return undefined
-    if (this._route.kind === 'stream') return Math.max(streamSilence, 2 * this._route.latencyTarget)
+    if (this._isStream || !this._repeatable || this._sends >= this._route.maxAttempts) return undefined
     return Math.max(slowFloor, slowFactor * this._route.latencyTarget)
   }
 
   private _data (bytes: Buffer, lastEventId: number | undefined): void {
     if (this._over) return
     if (lastEventId !== undefined) this._lastEventId = lastEventId
+    if (this._stall === 'placing') this._stall = 'over'
+    if (this._stall === 'unplaced') this._stall = 'none'
     this._noteData()
     if (!this._answer.begun) {
       this._pending = bytes
