Let an engine's holder notice that it answers no more

Change: a holder asks an engine that it has not heard for 400 ms for a report; two in a row without an answer make it silent, and whoever asks for it is sent on at once.

--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -5,6 +5,7 @@
 import { AdapterPlan, type AdapterWant, type PlanAction, type Readiness, wantKey } from '@hazelford/decisions'
 import { compareStarts, type EngineControl, type EngineSpec, type LoadTarget, type OrderOutcome } from '@hazelford/ports'
 import { EngineDoor, type EngineLoad } from './engine-door.js'
+import { EngineLife } from './engine-life.js'
 import { LoadNews, type News } from './load-news.js'
 
 /** Why an adapter can't be had at an engine now. */
@@ -13,6 +14,8 @@
   | 'every slot is in use'
   /** Its batch is full and others wait before it. */
   | 'every place is in use'
+  /** The engine itself gives no answers. */
+  | 'the engine does not answer'
   /** Who was asked does not order this engine, or not any more. */
   | 'not held here'
   | 'its holder does not answer'
@@ -100,6 +103,7 @@
   private _plan: AdapterPlan
   private _news = new LoadNews()
   private _control: EngineControl
+  private readonly _life: EngineLife
   private _startedAt: number | undefined
   private _waiters: Waiter[] = []
   private _door: EngineDoor
@@ -113,6 +117,7 @@
     this._door = this._createDoor()
     this._control = _options.control
     this._startedAt = _options.startedAt
+    this._life = new EngineLife({ ..._options, probe: async () => (await this._control.report()).isOk() })
     this._pump()
   }
 
@@ -129,6 +134,7 @@
   private async _answer (ask: Ask): Promise<AskAnswer> {
     const { clock } = this._options
     const { want, entry, prompt } = ask
+    if (this._life.silent) return { kind: 'unavailable', cause: 'the engine does not answer' }
     this._door.note(entry, ask.outstanding)
     this._door.learn(ask.streams, ask.paused)
     const startedAt = clock.now()
@@ -212,6 +218,7 @@
   /** Orders nothing more. */
   release (): void {
     this._released = true
+    this._life.stop()
     this._wake?.()
     for (const waiter of [...this._waiters]) this._settle(waiter, { kind: 'unavailable', cause: 'not held here' })
   }
@@ -296,6 +303,7 @@
       await sleep(clock, doubtPause)
       return
     }
+    this._life.heard()
     const { orders, models, coming, startedAt } = report.value
     const life = compareStarts(startedAt, this._startedAt)
     if (life === 'later') return this.restart(startedAt, this._control)
@@ -317,6 +325,7 @@
     const answer = await (action.kind === 'load' ? control.load(action.target, order) : control.unload(action.target, order))
     // The answer belongs to an earlier life of the engine.
     if (plan !== this._plan) return
+    if (answer.isOk()) this._life.heard()
     const outcome = answer.isOk() ? answer.value : undefined
     plan.ordered(action, outcome, clock.now())
     const { model, adapter, version } = action.target
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -63,6 +63,9 @@
   /** `cause`: what its holder said; undefined when the request has no time left or the upstream leaves. */
   | { readonly kind: 'not-there', readonly cause?: UnavailableCause, readonly line: number }
 
+/** Whether a request that waits there has its turn one day. */
+function isLine (cause: UnavailableCause | undefined): boolean { return cause !== undefined && cause !== 'the engine does not answer' }
+
 /** Places requests of one entry. */
 export class Placer {
   private readonly _seen = new DecayedCounter(popularityHalfLife, 20_000)
@@ -123,7 +126,7 @@
       const attempt = await this._await(upstream, query, { want, urgency: query.urgency, missing: query.again === upstream.id, mayWait: false, repeated: query.again === upstream.id }, until)
       if (attempt.kind === 'placed') return attempt
       if (attempt.cause !== undefined) causes[attempt.cause] = (causes[attempt.cause] ?? 0) + 1
-      if (attempt.cause !== undefined && this._directory.canOrder(upstream.id)) lines.push({ upstream, length: attempt.line })
+      if (isLine(attempt.cause) && this._directory.canOrder(upstream.id)) lines.push({ upstream, length: attempt.line })
     }
     lines.sort((a, b) => a.length - b.length)
     this._log.info('request', 'adapter not to be had.', { request: query.prompt.request, ...want, causes, standsAt: lines[0]?.upstream.id, ahead: lines[0]?.length, left: Math.round(until - this._clock.now()) })
