--- a/packages/direct/src/lib/engine-door.ts
+++ b/packages/direct/src/lib/engine-admission.ts
@@ -1,5 +1,5 @@
 /**
- * Lets requests into one engine: when it has a place in its batch and can read their prompts.
+ * Admission control of one engine: a request is let in when there is a place in the batch and its prompt can be read.
  */
 import type { CancelTimer, Clock, Ms } from '@hazelford/core'
 import { EnginePlaces, PromptPacer } from '@hazelford/decisions'
@@ -13,7 +13,7 @@
 }
 
 /** A request that wants to be let in. */
-export interface DoorTicket {
+export interface AdmissionTicket {
   readonly entry: string
   readonly request: string
   readonly tokens: number
@@ -23,16 +23,16 @@
   readonly dueIn: Ms
 }
 
-/** How long a line of prompts stands before it is looked at again. */
+/** How long the queue stands before it is looked at again. */
 const longestWait: Ms = 20
 /** The same while no place is free: ends are told, and only a lost word shows by time alone. */
 const longestFullWait: Ms = 100
 
-/** The line before one engine. */
-export class EngineDoor {
+/** Queue of one engine, by due time and urgency. */
+export class EngineAdmission {
   private readonly _pacer = new PromptPacer()
   private readonly _places: EnginePlaces
-  /** Opens the door for a request in the line, by its id there. */
+  /** Lets a request of the queue in, by its id there. */
   private readonly _waiting = new Map<string, () => void>()
   private _timer: CancelTimer | undefined
 
@@ -49,8 +49,8 @@
     return { running: this._places.running(now) + this._pacer.waiting, promptBacklog: this._pacer.backlog(now) }
   }
 
-  /** Requests in the line. */
-  get line (): number { return this._pacer.waiting }
+  /** Requests in the queue. */
+  get queued (): number { return this._pacer.waiting }
 
   /** Expected wait of one more request for a place in the batch. */
   get placeWait (): Ms { return this._places.expectedWait(this._pacer.waiting, this._stay(), this._clock.now()) }
@@ -70,7 +70,7 @@
    * @param answerIn - ms after which the wait is given up
    * @returns whether it was let in
    */
-  letIn ({ entry, request, tokens, urgency, dueIn }: DoorTicket, answerIn: Ms): Promise<boolean> {
+  admit ({ entry, request, tokens, urgency, dueIn }: AdmissionTicket, answerIn: Ms): Promise<boolean> {
     const id = `${entry} ${request}`
     const now = this._clock.now()
     this._pacer.offer({ id, tokens, urgency, dueAt: now + dueIn }, now)
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -4,8 +4,8 @@
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { AdapterPlan, type AdapterWant, type PlanAction, type Readiness, wantKey } from '@hazelford/decisions'
 import { compareStarts, type EngineControl, type EngineSpec, type LoadTarget, type OrderOutcome } from '@hazelford/ports'
-import { EngineDoor, type EngineLoad } from './engine-door.js'
-import { EngineLife } from './engine-life.js'
+import { EngineAdmission, type EngineLoad } from './engine-admission.js'
+import { LivenessProbe } from './liveness-probe.js'
 import { LoadNews, type News } from './load-news.js'
 
 /** Why an adapter can't be had at an engine now. */
@@ -103,10 +103,10 @@
   private _plan: AdapterPlan
   private _news = new LoadNews()
   private _control: EngineControl
-  private readonly _life: EngineLife
+  private readonly _liveness: LivenessProbe
   private _startedAt: number | undefined
   private _waiters: Waiter[] = []
-  private _door: EngineDoor
+  private _admission: EngineAdmission
   private _busy = false
   private _released = false
   private _wake: (() => void) | undefined
@@ -114,10 +114,10 @@
   constructor (private readonly _options: HolderOptions) {
     this.since = _options.clock.now()
     this._plan = new AdapterPlan(_options.spec)
-    this._door = this._createDoor()
+    this._admission = this._createAdmission()
     this._control = _options.control
     this._startedAt = _options.startedAt
-    this._life = new EngineLife({ ..._options, probe: async () => (await this._control.report()).isOk() })
+    this._liveness = new LivenessProbe({ ..._options, probe: async () => (await this._control.report()).isOk() })
     this._pump()
   }
 
@@ -134,30 +134,30 @@
   private async _answer (ask: Ask): Promise<AskAnswer> {
     const { clock } = this._options
     const { want, entry, prompt } = ask
-    if (this._life.silent) return { kind: 'unavailable', cause: 'the engine does not answer' }
-    this._door.note(entry, ask.outstanding)
-    this._door.learn(ask.streams, ask.paused)
+    if (this._liveness.silent) return { kind: 'unavailable', cause: 'the engine does not answer' }
+    this._admission.note(entry, ask.outstanding)
+    this._admission.learn(ask.streams, ask.paused)
     const startedAt = clock.now()
     const outcome = await this._await(ask)
     if (outcome.kind !== 'ready') return outcome
     const readyAt = clock.now()
     if (prompt === undefined) return { ...outcome, load: this.load }
-    if (!ask.mayWait && this._door.placeWait > longestPlaceWait) return { kind: 'unavailable', cause: 'every place is in use', line: this._door.line, load: this.load }
+    if (!ask.mayWait && this._admission.placeWait > longestPlaceWait) return { kind: 'unavailable', cause: 'every place is in use', line: this._admission.queued, load: this.load }
     const left = ask.answerIn - (readyAt - startedAt)
     if (want.adapter !== undefined) this._plan.keep(want.model, want.adapter, readyAt + left)
-    if (!await this._door.letIn({ entry, urgency: ask.urgency, ...prompt }, left)) return { kind: 'coming', atDoor: clock.now() - readyAt }
+    if (!await this._admission.admit({ entry, urgency: ask.urgency, ...prompt }, left)) return { kind: 'coming', atDoor: clock.now() - readyAt }
     const now = clock.now()
     if (want.adapter !== undefined) this._plan.addUse(entry, want.model, want.adapter, now)
     return { ...outcome, atDoor: now - readyAt, load: this.load }
   }
 
-  private _createDoor (): EngineDoor {
+  private _createAdmission (): EngineAdmission {
     const { clock, spec, stay } = this._options
-    return new EngineDoor(clock, spec.slots, stay)
+    return new EngineAdmission(clock, spec.slots, stay)
   }
 
   /** What is there now. */
-  get load (): EngineLoad { return this._door.load }
+  get load (): EngineLoad { return this._admission.load }
 
   private _await ({ want, urgency, patience, answerIn, missing, mayWait, repeated, entry, uses, prompt }: Ask): Promise<AskAnswer> {
     const { clock } = this._options
@@ -178,7 +178,7 @@
   noteUse (entry: string, uses: readonly string[], outstanding: number): void {
     const now = this._options.clock.now()
     this._plan.noteUse(entry, uses, now)
-    this._door.note(entry, outstanding)
+    this._admission.note(entry, outstanding)
     this._pump()
   }
 
@@ -196,11 +196,11 @@
   /**
    * The engine has started again.
    *
-   * Its plan says what the former life held: promised on, requests would be refused for adapters that are not there,
-   * and orders that count on the former life's would be turned down. What is under way there changes nothing here.
+   * Its plan says what the former incarnation held: promised on, requests would be refused for adapters that are not there,
+   * and orders based on the former one's count would be refused. What is under way there changes nothing here.
    *
-   * @param startedAt - of the new life
-   * @param control - of the new life
+   * @param startedAt - of the new incarnation
+   * @param control - of the new incarnation
    */
   restart (startedAt: number | undefined, control: EngineControl): void {
     if (this._released) return
@@ -210,7 +210,7 @@
     this._startedAt = startedAt
     this._plan = new AdapterPlan(this._options.spec)
     this._news = new LoadNews()
-    this._door = this._createDoor()
+    this._admission = this._createAdmission()
     for (const waiter of [...this._waiters]) this._settle(waiter, { kind: 'coming' })
     this._pump()
   }
@@ -218,7 +218,7 @@
   /** Orders nothing more. */
   release (): void {
     this._released = true
-    this._life.stop()
+    this._liveness.stop()
     this._wake?.()
     for (const waiter of [...this._waiters]) this._settle(waiter, { kind: 'unavailable', cause: 'not held here' })
   }
@@ -303,12 +303,12 @@
       await sleep(clock, doubtPause)
       return
     }
-    this._life.heard()
+    this._liveness.heard()
     const { orders, models, coming, startedAt } = report.value
-    const life = compareStarts(startedAt, this._startedAt)
-    if (life === 'later') return this.restart(startedAt, this._control)
-    if (life === 'earlier') {
-      log.info('loads', 'report of an earlier life dropped.', { upstream, startedAt, known: this._startedAt })
+    const incarnation = compareStarts(startedAt, this._startedAt)
+    if (incarnation === 'later') return this.restart(startedAt, this._control)
+    if (incarnation === 'earlier') {
+      log.info('loads', 'report of an earlier incarnation dropped.', { upstream, startedAt, known: this._startedAt })
       await sleep(clock, doubtPause)
       return
     }
@@ -323,9 +323,9 @@
     const control = this._control
     const order = { holder: node, fence, afterOrders: plan.orders }
     const answer = await (action.kind === 'load' ? control.load(action.target, order) : control.unload(action.target, order))
-    // The answer belongs to an earlier life of the engine.
+    // The answer belongs to an earlier incarnation of the engine.
     if (plan !== this._plan) return
-    if (answer.isOk()) this._life.heard()
+    if (answer.isOk()) this._liveness.heard()
     const outcome = answer.isOk() ? answer.value : undefined
     plan.ordered(action, outcome, clock.now())
     const { model, adapter, version } = action.target
--- a/packages/direct/src/lib/engine-life.ts
+++ b/packages/direct/src/lib/liveness-probe.ts
@@ -1,10 +1,10 @@
 /**
- * Notices that an engine answers no more.
+ * Liveness probe of one engine.
  */
 import type { CancelTimer, Clock, Log, Ms } from '@hazelford/core'
 
-/** What the watch needs. */
-export interface EngineLifeOptions {
+/** What a probe needs. */
+export interface LivenessProbeOptions {
   readonly upstream: string
   readonly clock: Clock
   readonly log: Log
@@ -14,6 +14,7 @@
 
 /** Silence after which an engine is asked. One that loads adapters is heard several times a second and is hardly ever asked. */
 const askAfter: Ms = 400
+/** How often the silence is measured; the time until it is noticed is longer by this at most. */
 const lookEvery: Ms = 200
 /**
  * Questions in a row without an answer that make an engine silent. One alone may be lost on the way; each takes 250 ms, so
@@ -27,13 +28,13 @@
  * An engine that is cut off or stands still takes requests and gives no answer. Streams can't be sent again, and each entry
  * of many would lose some before it knew by itself. The holder is asked for each request and can tell all.
  */
-export class EngineLife {
+export class LivenessProbe {
   private _heardAt: Ms
   private _missed = 0
   private _timer: CancelTimer | undefined
   private _stopped = false
 
-  constructor (private readonly _options: EngineLifeOptions) {
+  constructor (private readonly _options: LivenessProbeOptions) {
     this._heardAt = _options.clock.now()
     this._wait()
   }
--- a/packages/direct/src/lib/load-digest.ts
+++ b/packages/direct/src/lib/load-digest.ts
@@ -2,7 +2,7 @@
  * What entries tell each other of engines' loads, with the messages that they send anyhow.
  */
 import type { Ms } from '@hazelford/core'
-import type { EngineLoad } from './engine-door.js'
+import type { EngineLoad } from './engine-admission.js'
 
 /** The load of an engine some time ago. */
 export interface LoadDigest extends EngineLoad {
--- a/packages/direct/src/lib/membership.ts
+++ b/packages/direct/src/lib/membership.ts
@@ -76,14 +76,14 @@
    * Takes a record.
    *
    * An upstream may start again under its id. Taken for the one before, it would be sent requests for adapters that it lost,
-   * on connections that are broken, and stay out for a failure or a farewell of its earlier life. A late word of
-   * that life, from a peer or a slow read, would undo the new one.
+   * on connections that are broken, and stay out for a failure or a drain of its earlier incarnation. A late word of
+   * that one, from a peer or a slow read, would undo the new one.
    */
   put (record: UpstreamRecord): void {
     const known = this._upstreams.get(record.id)
     const order = compareStarts(record.startedAt, this._starts.get(record.id))
     if (order === 'earlier') {
-      this._log.info('membership', 'record of an earlier life dropped.', { upstream: record.id, startedAt: record.startedAt, known: this._starts.get(record.id) })
+      this._log.info('membership', 'record of an earlier incarnation dropped.', { upstream: record.id, startedAt: record.startedAt, known: this._starts.get(record.id) })
       return
     }
     this._lapsed.delete(record.id)
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -4,7 +4,7 @@
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Ms } from '@hazelford/core'
 import type { FeedAnswer } from './change-feed.js'
-import type { EngineLoad } from './engine-door.js'
+import type { EngineLoad } from './engine-admission.js'
 import type { Ask, AskOutcome, UnavailableCause } from './engine-holder.js'
 import { callJson, readJson } from './json-client.js'
 import type { DigestRow } from './load-digest.js'
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -5,7 +5,7 @@
 import { promptTokensPerMs, UpstreamHealth, wantKey } from '@hazelford/decisions'
 import type { UpstreamRecord } from '@hazelford/ports'
 import { ConnectionPool } from './connection-pool.js'
-import type { EngineLoad } from './engine-door.js'
+import type { EngineLoad } from './engine-admission.js'
 import type { News } from './load-news.js'
 
 /** Age at which a word on its load is no better than a guess: streams of some seconds then fill other places. */
--- a/packages/ports/src/lib/upstream-record.ts
+++ b/packages/ports/src/lib/upstream-record.ts
@@ -49,7 +49,7 @@
  * Compares incarnations of one upstream.
  *
  * A word without a start is earlier than any with one: its writer is of a version that didn't say, and once a start is
- * known nothing shows that the word is not about a life that has ended.
+ * known nothing shows that the word is not about an incarnation that has ended.
  *
  * @param heard - start that a word names
  * @param known - start of the incarnation that is known
