Give back places that were not used; read peers' answers before they are taken

Cause, found on reading the change again: a holder counted a place that it had given until the entry's next word, also when its caller had left meanwhile, or the stream had gone on where it was.

Change: the entry tells the holder, as after a request's end.

--- a/packages/direct/src/lib/change-feed.ts
+++ b/packages/direct/src/lib/change-feed.ts
@@ -2,13 +2,10 @@
  * Changes in the store as one entry has heard them, for those that follow it.
  */
 import type { Clock, Ms } from '@hazelford/core'
-import type { StoreEvent } from '@hazelford/ports'
+import type { StoreChanges, StoreEvent } from '@hazelford/ports'
 
 /** Changes after a revision. */
-export interface FeedChanges {
-  readonly events: readonly StoreEvent[]
-  /** From where the next question goes on. */
-  readonly revision: number
+export interface FeedChanges extends StoreChanges {
   /** Ms since the store was heard. */
   readonly age: Ms
 }
@@ -19,6 +16,28 @@
 /** Events kept: some 20 s of changes of a hundred upstreams. A follower asks several times a second. */
 const kept = 1_000
 
+function isEvent (value: unknown): value is StoreEvent {
+  const { kind, key, revision, item } = (value ?? {}) as Record<string, unknown>
+  if (kind === 'removed') return typeof key === 'string' && typeof revision === 'number'
+  const put = (item ?? {}) as Record<string, unknown>
+  return kind === 'put' && typeof put.key === 'string' && typeof put.value === 'string' && typeof put.revision === 'number'
+}
+
+/**
+ * Reads a peer's answer.
+ *
+ * One of another version may say something else. Taken as it came, it would end the loop that follows the store.
+ *
+ * @param value - decoded JSON
+ * @returns undefined when it is no answer
+ */
+export function readFeedAnswer (value: unknown): FeedAnswer | undefined {
+  const { kind, events, revision, age } = (value ?? {}) as Record<string, unknown>
+  if (kind === 'not-kept') return { kind }
+  if (kind !== 'changes' || !Array.isArray(events) || !events.every(isEvent)) return undefined
+  return typeof revision === 'number' && typeof age === 'number' ? { kind, events, revision, age } : undefined
+}
+
 function revisionOf (event: StoreEvent): number { return event.kind === 'put' ? event.item.revision : event.revision }
 
 /** The last changes. */
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -175,10 +175,9 @@
   }
 
   /** Takes an entry's word on what it uses, and on its open requests. */
-  noteUse (entry: string, uses: readonly string[], outstanding: number): void {
-    const now = this._options.clock.now()
-    this._plan.noteUse(entry, uses, now)
-    this._admission.note(entry, outstanding)
+  noteUse (entry: string, uses: readonly string[], outstanding: number | undefined): void {
+    this._plan.noteUse(entry, uses, this._options.clock.now())
+    if (outstanding !== undefined) this._admission.note(entry, outstanding)
     this._pump()
   }
 
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -3,7 +3,7 @@
  */
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Ms } from '@hazelford/core'
-import type { FeedAnswer } from './change-feed.js'
+import { type FeedAnswer, readFeedAnswer } from './change-feed.js'
 import type { EngineLoad } from './engine-admission.js'
 import type { Ask, AskOutcome, UnavailableCause } from './engine-holder.js'
 import { callJson, readJson } from './json-client.js'
@@ -27,8 +27,8 @@
   readonly upstream: string
   readonly entry: string
   readonly uses: readonly string[]
-  /** Its open requests there. */
-  readonly outstanding: number
+  /** Its open requests there; undefined from an entry of a version that does not say. */
+  readonly outstanding?: number
 }
 
 /** An engine that has a new holder. */
@@ -158,7 +158,9 @@
     const body: ChangesMessage = { after, wait }
     const answer = await callJson(this._agent, { host, port, method: 'POST', path: changesPath, body, timeout: wait + changesMargin })
     if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
-    return answer.body as FeedAnswer
+    const changes = readFeedAnswer(answer.body)
+    if (changes === undefined) throw new Error('The peer\'s answer can not be read.')
+    return changes
   }
 
   /** Asks for configuration and upstreams. */
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -202,7 +202,20 @@
     })
   }
 
+  /**
+   * Takes what came of looking for a place.
+   *
+   * The engine's holder counts a place that it gave until it hears otherwise. Nothing is sent for a caller who has left
+   * meanwhile, or for a stream that has gone on where it was: unsaid, the place stood empty for seconds, and
+   * callers were refused beside an idle engine.
+   */
   private _placed (placed: Placed): void {
+    const sends = this._sends
+    this._takePlace(placed)
+    if (placed.kind === 'placed' && this._sends === sends) placed.upstream.placeUnused()
+  }
+
+  private _takePlace (placed: Placed): void {
     if (this._remaining <= 0) return this._post({ kind: 'timeout' })
     const stall = this._stall
     this._stall = stall === 'placing' && placed.kind === 'unplaced' ? 'unplaced' : 'none'
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -37,7 +37,7 @@
    * @param _record - what it says of itself
    * @param _clock - for ages
    * @param maxConnections - of this entry
-   * @param _requestEnded - hears when a request of this entry there has ended
+   * @param _requestEnded - hears when a request of this entry there has ended, or a place was not used
    */
   constructor (private _record: UpstreamRecord, private readonly _clock: Clock, maxConnections: number, private readonly _requestEnded: (upstream: Upstream) => void = () => {}) {
     this.pool = new ConnectionPool(_clock, { host: _record.host, port: _record.port, maxConnections })
@@ -120,8 +120,7 @@
       if (!isOpen) return
       isOpen = false
       this.outstanding--
-      this._changedAt = this._clock.now()
-      this._requestEnded(this)
+      this._oweWord()
       if (adapter === undefined) return
       const left = (this._uses.get(adapter) ?? 1) - 1
       if (left > 0) this._uses.set(adapter, left)
@@ -129,6 +128,14 @@
     }
   }
 
+  /** Notes that a place which its holder gave to a request of this entry was not used. */
+  placeUnused (): void { this._oweWord() }
+
+  private _oweWord (): void {
+    this._changedAt = this._clock.now()
+    this._requestEnded(this)
+  }
+
   /** Whether a request ended since its holder was last told what is in use. */
   get owesWord (): boolean { return this._changedAt > this._toldAt }
 
