--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -10,6 +10,8 @@
 export type RelayFailure =
   | 'no-upstream' | 'adapter-unavailable' | 'refused' | 'attempts-spent' | 'budget-spent'
   | 'lost' | 'timeout-unsent' | 'timeout-sent' | 'shutting-down' | 'quarantined'
+  /** The key was withdrawn while the request waited. */
+  | 'key-withdrawn'
 
 /** What happens to a request. */
 export type RelayMessage =
@@ -67,6 +69,8 @@
 export interface RelayDeps {
   /** Takes a repeat from the service's budget. */
   readonly takeRepeat: () => boolean
+  /** Whether the request's caller may still send it. */
+  readonly isAllowed: () => boolean
   /** Whether the request is held back, since upstreams end under it. */
   readonly isHeld: () => boolean
 }
@@ -161,6 +165,8 @@
 
 function placed (upstream: string, request: RelayRequest, progress: Progress, deps: RelayDeps): Turn {
   if (progress.stalled) return move(upstream, progress, deps)
+  // What has begun to run is finished, also elsewhere.
+  if (progress.sends === 0 && !deps.isAllowed()) return end(giveUp(progress, 'key-withdrawn'))
   if (progress.sends > 0) {
     if (!progress.tried.has(upstream) && progress.tried.size >= request.maxAttempts) return end(giveUp(progress, 'attempts-spent'))
     if (!deps.takeRepeat()) return end(giveUp(progress, 'budget-spent'))
--- a/packages/decisions/src/lib/route-table.ts
+++ b/packages/decisions/src/lib/route-table.ts
@@ -1,7 +1,8 @@
 /**
  * Finds the route of a request.
  */
-import type { Route, RouteConfig, ServiceSpec } from '@hazelford/ports'
+import type { KeyDigest } from '@hazelford/core'
+import type { Organisation, Route, RouteConfig, ServiceSpec } from '@hazelford/ports'
 import { rendezvousWeight } from './rendezvous.js'
 
 /** The host without its port, in lower case. */
@@ -16,6 +17,7 @@
 export class RouteTable {
   private readonly _byHost = new Map<string, Route[]>()
   private readonly _services = new Map<string, ServiceSpec>()
+  private readonly _byKey = new Map<KeyDigest, Organisation>()
 
   constructor (readonly config: RouteConfig) {
     for (const route of config.routes) {
@@ -27,6 +29,7 @@
     // The longest prefix wins, so the first match in this order is the route.
     for (const routes of this._byHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
     for (const service of config.services) this._services.set(service.name, service)
+    for (const organisation of this.organisations) for (const key of organisation.keys) this._byKey.set(key, organisation)
   }
 
   get version (): number { return this.config.version }
@@ -44,6 +47,15 @@
   }
 
   service (name: string): ServiceSpec | undefined { return this._services.get(name) }
+
+  /** Those whose keys are asked for; none where anyone may send. */
+  get organisations (): readonly Organisation[] {
+    const { access } = this.config
+    return access.kind === 'by-key' ? access.organisations : []
+  }
+
+  /** The organisation that has a key. */
+  organisationOf (key: KeyDigest): Organisation | undefined { return this._byKey.get(key) }
 }
 
 /**
--- a/packages/decisions/src/test/direct-decisions.steps.ts
+++ b/packages/decisions/src/test/direct-decisions.steps.ts
@@ -14,7 +14,7 @@
 const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeout: 1, idleTimeout: 1 }
 
 function route (host: string, pathPrefix: string, targets = [{ service: 's', weight: 1 }]): Route {
-  return { name: `${host}${pathPrefix}`, host, pathPrefix, kind: 'read-only', targets, timeout: 1, latencyTarget: 1, priority: 1, maxAttempts: 1, resumable: false, gapTarget: 0 }
+  return { name: `${host}${pathPrefix}`, host, pathPrefix, kind: 'read-only', targets, timeout: 1, latencyTarget: 1, priority: 1, maxAttempts: 1, resumable: false, public: false, gapTarget: 0 }
 }
 
 const segment = fc.constantFrom('a', 'b', 'ab')
@@ -23,7 +23,7 @@
 Then('for any set of routes the longest matching prefix of the host is chosen', () => {
   fc.assert(fc.property(fc.uniqueArray(prefix, { maxLength: 8 }), prefix, fc.constantFrom('x', 'y'), (prefixes, path, host) => {
     const routes = prefixes.map(one => route('x', one))
-    const config: RouteConfig = { version: 1, routes, services: [], limits }
+    const config: RouteConfig = { version: 1, routes, services: [], limits, access: { kind: 'anyone' } }
     const naive = host === 'x' ? [...prefixes].filter(one => path.startsWith(one)).sort((a, b) => b.length - a.length)[0] : undefined
     assert.equal(new RouteTable(config).match(`${host.toUpperCase()}:80`, `${path}?q=/a/`)?.pathPrefix, naive)
   }), propertyOptions)
--- a/packages/decisions/src/test/relay-flow.feature
+++ b/packages/decisions/src/test/relay-flow.feature
@@ -76,3 +76,10 @@
     Given a direct booking that may be sent to 2 upstreams
     When it is held back while its upstream has it
     Then it stays there, and is not sent on when its upstream refuses it
+
+  Scenario: a key is withdrawn while its request waits
+    Symptom: a key that was withdrawn seconds ago still gets answers.
+    Events: a request waits for an adapter; its key is withdrawn; the adapter comes.
+    Cause: whose request it is was looked at once only, when it came in.
+    Given a direct stock check whose key is withdrawn before it is placed
+    Then it is refused as not run, since its key was withdrawn
--- a/packages/decisions/src/test/relay-flow.steps.ts
+++ b/packages/decisions/src/test/relay-flow.steps.ts
@@ -110,7 +110,7 @@
 
 function observe ({ request, messages: list }: Input): Observer {
   const observer = new Observer(request)
-  const flow = relayFlow(request, { takeRepeat: () => true, isHeld: () => false })
+  const flow = relayFlow(request, { takeRepeat: () => true, isAllowed: () => true, isHeld: () => false })
   let step = flow.next()
   for (const effect of step.value ?? []) observer.saw(effect)
   for (const msg of list) {
@@ -153,6 +153,7 @@
       world.repeats++
       return true
     },
+    isAllowed: () => true,
     isHeld: () => false
   })
   world.flow.next()
@@ -212,7 +213,7 @@
 })
 
 Given('a direct stock check that is held back', function (this: FlowWorld) {
-  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRepeat: () => true, isHeld: () => true })
+  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRepeat: () => true, isAllowed: () => true, isHeld: () => true })
   this.effects = this.flow.next().value ?? []
 })
 
@@ -264,3 +265,13 @@
   tell(this, { kind: 'placed', upstream: 'u2' })
   assert.deepEqual(this.effects, [{ kind: 'send', upstream: 'u2' }])
 })
+
+Given('a direct stock check whose key is withdrawn before it is placed', function (this: FlowWorld) {
+  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRepeat: () => true, isAllowed: () => false, isHeld: () => false })
+  this.flow.next()
+  tell(this, { kind: 'placed', upstream: 'u1' })
+})
+
+Then('it is refused as not run, since its key was withdrawn', function (this: FlowWorld) {
+  assert.deepEqual(this.effects, [{ kind: 'fail', failure: 'key-withdrawn', notRun: true }])
+})
--- a/packages/direct/src/lib/caller-answer.ts
+++ b/packages/direct/src/lib/caller-answer.ts
@@ -3,7 +3,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { Ms } from '@hazelford/core'
-import type { RelayFailure } from '@hazelford/decisions'
+import type { RelayFailure, UnauthorisedCause } from '@hazelford/decisions'
 import type { AnswerHead, WholeAnswer } from './exchange.js'
 
 /** Errors of the entry's own, with the status that says whether the request ran. */
@@ -13,6 +13,9 @@
   | { readonly kind: 'no-route' }
   | { readonly kind: 'body-too-large' }
   | { readonly kind: 'no-config', readonly retryAfter: Ms }
+  | { readonly kind: 'unauthorised', readonly cause: UnauthorisedCause }
+  /** The configuration may have changed unheard, and the request's key with it. */
+  | { readonly kind: 'config-unproven', readonly retryAfter: Ms }
 
 /** Whether the failure is that time ran out. */
 function isTimeout (failure: RelayFailure): boolean { return failure === 'timeout-sent' || failure === 'timeout-unsent' }
@@ -30,9 +33,11 @@
     case 'bad-request': return 400
     case 'no-route': return 404
     case 'body-too-large': return 413
-    case 'no-config': return 503
+    case 'unauthorised': return 401
+    case 'no-config':
+    case 'config-unproven': return 503
     case 'relay':
-      if (error.notRun) return 503
+      if (error.notRun) return error.failure === 'key-withdrawn' ? 401 : 503
       return isTimeout(error.failure) ? 504 : 502
   }
 }
@@ -43,6 +48,8 @@
     case 'no-route': return 'No route matches this host and path.'
     case 'body-too-large': return 'The body is larger than the configuration allows.'
     case 'no-config': return 'No configuration is known yet. Send the request again later.'
+    case 'unauthorised': return `The request shows no key that opens this route (${error.cause}). Send the key of your organisation as "Authorization: Bearer KEY".`
+    case 'config-unproven': return 'It can not be told now whether the key is still good. The request did not run; send it again later.'
     case 'relay': return error.notRun
       ? `The request did not run (${error.failure}). Send it again later.`
       : `The request may have run (${error.failure}). Repeat it only if that does no harm.`
@@ -104,8 +111,10 @@
     this._ended = true
     const body = JSON.stringify({ error: { message: messageOf(error), code: error.kind === 'relay' ? error.failure : error.kind } })
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...this._connection()]
-    if ('retryAfter' in error) headers.push('Retry-After', (error.retryAfter / 1_000).toFixed(3))
-    this._res.writeHead(statusOf(error), headers)
+    const status = statusOf(error)
+    if (status === 401) headers.push('WWW-Authenticate', 'Bearer')
+    else if ('retryAfter' in error) headers.push('Retry-After', (error.retryAfter / 1_000).toFixed(3))
+    this._res.writeHead(status, headers)
     this._res.end(body)
   }
 
--- a/packages/direct/src/lib/caller-server.ts
+++ b/packages/direct/src/lib/caller-server.ts
@@ -15,6 +15,8 @@
   readonly body: Buffer | undefined
   readonly arrivedAt: Ms
   readonly answer: CallerAnswer
+  /** Whether the caller has closed its connection. */
+  readonly isGone: () => boolean
   /** Hears when the caller has closed its connection before the answer was whole. */
   readonly onGone: (run: () => void) => void
 }
@@ -123,6 +125,7 @@
       body,
       arrivedAt,
       answer,
+      isGone: () => req.socket.destroyed || req.socket.readableEnded,
       onGone: run => {
         const { socket } = req
         const gone = (): void => { if (!res.writableFinished) run() }
--- a/packages/direct/src/lib/change-feed.ts
+++ b/packages/direct/src/lib/change-feed.ts
@@ -8,6 +8,8 @@
 export interface FeedChanges extends StoreChanges {
   /** Ms since the store was heard. */
   readonly age: Ms
+  /** Ms since which the view of whoever tells may have missed something. */
+  readonly viewAge: Ms
 }
 
 /** What a follower gets: changes, or word that they are not kept here. */
@@ -23,6 +25,9 @@
   return kind === 'put' && typeof put.key === 'string' && typeof put.value === 'string' && typeof put.revision === 'number'
 }
 
+/** Age told when nothing proves a view: JSON has no infinity. */
+export const longestAge: Ms = 1e9
+
 /**
  * Reads a peer's answer.
  *
@@ -32,10 +37,12 @@
  * @returns undefined when it is no answer
  */
 export function readFeedAnswer (value: unknown): FeedAnswer | undefined {
-  const { kind, events, revision, age } = (value ?? {}) as Record<string, unknown>
+  const { kind, events, revision, age, viewAge } = (value ?? {}) as Record<string, unknown>
   if (kind === 'not-kept') return { kind }
   if (kind !== 'changes' || !Array.isArray(events) || !events.every(isEvent)) return undefined
-  return typeof revision === 'number' && typeof age === 'number' ? { kind, events, revision, age } : undefined
+  if (typeof revision !== 'number' || typeof age !== 'number') return undefined
+  // One of a version that does not say proves nothing.
+  return { kind, events, revision, age, viewAge: typeof viewAge === 'number' ? viewAge : longestAge }
 }
 
 function revisionOf (event: StoreEvent): number { return event.kind === 'put' ? event.item.revision : event.revision }
@@ -48,8 +55,11 @@
   private _revision = 0
   private _waiting = new Set<() => void>()
 
-  /** @param _age - ms since the store was heard */
-  constructor (private readonly _clock: Clock, private readonly _age: () => Ms) {}
+  /**
+   * @param _age - ms since the store was heard
+   * @param _viewAge - ms since which the view may have missed something
+   */
+  constructor (private readonly _clock: Clock, private readonly _age: () => Ms, private readonly _viewAge: () => Ms) {}
 
   /** Everything was read: what changed before is not known. */
   reset (revision: number): void {
@@ -79,7 +89,7 @@
     if (after >= this._revision) await this._changed(wait)
     if (after < this._from) return { kind: 'not-kept' }
     const events = this._events.filter(event => revisionOf(event) > after)
-    return { kind: 'changes', events, revision: Math.max(after, this._revision), age: Math.round(this._age()) }
+    return { kind: 'changes', events, revision: Math.max(after, this._revision), age: Math.min(longestAge, Math.round(this._age())), viewAge: Math.min(longestAge, Math.ceil(this._viewAge())) }
   }
 
   private _changed (wait: Ms): Promise<void> {
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -4,11 +4,12 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { type AdapterWant, type ExchangeOutcome, pickService, type QuarantineLimits, type RelayFailure, type RouteTable, type SharedBudgetLimits, SharedRetryBudget } from '@hazelford/decisions'
+import { type AdapterWant, type ExchangeOutcome, type QuarantineLimits, type RelayFailure, type RouteTable, type SharedBudgetLimits, SharedRetryBudget } from '@hazelford/decisions'
 import type { Route } from '@hazelford/ports'
 import { AdapterDirectory } from './adapter-directory.js'
-import { CallerServer, createReadyServer, type Incoming } from './caller-server.js'
+import { CallerServer, createReadyServer } from './caller-server.js'
 import type { ConfigHolder } from './config-holder.js'
+import { ConfigProver } from './config-prover.js'
 import { probeConnection } from './connection-probe.js'
 import { EngineDesk } from './engine-desk.js'
 import type { AskOutcome } from './engine-holder.js'
@@ -22,6 +23,7 @@
 import type { PlatformPort } from './platform-port.js'
 import { QuarantineDesk } from './quarantine-desk.js'
 import { RelayTask } from './relay-task.js'
+import { type AdmittedCall, RequestIntake } from './request-intake.js'
 import { StoreView } from './store-view.js'
 import type { Upstream } from './upstream.js'
 
@@ -42,9 +44,6 @@
 /** Retry-After: long enough for an ejection or a load to be over, short against any caller's patience. */
 const retryAfterBase: Ms = 150
 const retryAfterSpread: Ms = 250
-const noConfigRetryAfter: Ms = 500
-/** Another entry can have the request at once. */
-const shutdownRetryAfter: Ms = 20
 /**
  * Time after the end of an adapter's last request here until its holder is told, if no ask tells it before: what ends
  * together is told together. A slot stays taken that long for nobody. In a play of six slots at twice their load,
@@ -84,6 +83,7 @@
   private readonly _placer: Placer
   private readonly _lease: LeaseKeeper
   private readonly _client = new PeerClient()
+  private readonly _intake: RequestIntake
   private readonly _callers: CallerServer
   private readonly _budgets = new Map<string, SharedRetryBudget>()
   private readonly _quarantine: QuarantineDesk
@@ -153,11 +153,29 @@
     })
     this._directory = new AdapterDirectory(settings.name, clock, log, this.peers, this._client, this.desk, this.members)
     this._placer = new Placer(clock, log, settings.zone, this.members, this._directory, () => this.peers.entryCount, service => this.config.table?.service(service)?.engine?.adapterSlots ?? 1)
+    this._intake = this._createIntake()
     this._callers = new CallerServer({
       clock,
       maxBodyBytes: () => this.config.table?.config.limits.maxBodyBytes ?? defaultMaxBody,
       closing: () => this._lastAnswer,
-      handle: incoming => this._handle(incoming)
+      handle: incoming => this._intake.take(incoming)
+    })
+  }
+
+  private _createIntake (): RequestIntake {
+    const { clock, log, metrics, platform } = this._options
+    const viewAge = (): Ms => this._view.viewAge
+    return new RequestIntake({
+      clock,
+      log,
+      metrics,
+      codec: platform.codec,
+      table: () => this._view.known ? this.config.table : undefined,
+      refusing: () => this._refusing,
+      prover: new ConfigProver({ clock, log, withdrawWithin: () => this._settings.withdraw_within_ms, viewAge, ask: () => this._view.askConfig() }),
+      viewAge,
+      applyWithin: () => this._settings.apply_within_ms,
+      relay: admitted => this._relay(admitted)
     })
   }
 
@@ -247,7 +265,8 @@
       answered: query => this._quarantine.answeredOf(query),
       now: () => this._options.clock.now(),
       changes: (after, wait) => this._view.changes(after, wait),
-      state: () => this._view.state
+      state: () => this._view.state,
+      configAge: () => this._view.configAge
     }
   }
 
@@ -318,30 +337,6 @@
     this._client.close()
   }
 
-  private _handle (incoming: Incoming): void {
-    const { log, metrics } = this._options
-    const { table } = this.config
-    if (table === undefined || !this._view.known) return incoming.answer.fail({ kind: 'no-config', retryAfter: noConfigRetryAfter })
-    if (this._refusing) {
-      metrics.requests.inc({ kind: 'none', end: 'shutting-down' })
-      return incoming.answer.fail({ kind: 'relay', failure: 'shutting-down', notRun: true, retryAfter: shutdownRetryAfter })
-    }
-    const route = table.match(incoming.host, incoming.target)
-    if (route === undefined) {
-      log.info('request', 'no route.', { host: incoming.host, target: incoming.target, version: table.version })
-      metrics.requests.inc({ kind: 'none', end: 'no-route' })
-      return incoming.answer.fail({ kind: 'no-route' })
-    }
-    const facts = this._options.platform.codec.readCall(incoming.headers)
-    if (facts.isErr()) {
-      log.info('request', 'bad request.', { host: incoming.host, target: incoming.target, problem: facts.error })
-      return incoming.answer.fail({ kind: 'bad-request', message: facts.error })
-    }
-    const service = pickService(route, facts.value.id)
-    if (service === undefined) return incoming.answer.fail({ kind: 'no-route' })
-    this._relay(incoming, route, service, table, { ...incoming, facts: facts.value, path: incoming.target })
-  }
-
   private _wanted (table: RouteTable, service: string, model: string | undefined, adapter: string | undefined): AdapterWant | undefined {
     if (model === undefined || table.service(service)?.engine === undefined) return undefined
     if (adapter === undefined) return { model }
@@ -349,7 +344,7 @@
     return { model, adapter, ...(version === undefined ? {} : { version }) }
   }
 
-  private _relay (incoming: Incoming, route: Route, service: string, table: RouteTable, call: ConstructorParameters<typeof RelayTask>[0]): void {
+  private _relay ({ incoming, call, route, service, table, isAllowed }: AdmittedCall): void {
     const { clock, log, metrics, platform } = this._options
     const { id, model, adapter, patience } = call.facts
     const wanted = (): AdapterWant | undefined => this._wanted(table, service, model, adapter)
@@ -358,7 +353,7 @@
     budget.request(clock.now())
     this._placer.count(service, want)
     metrics.open.inc()
-    log.info('request', 'taken.', { request: id, route: route.name, service, kind: route.kind, patience, want, config: table.version })
+    log.info('request', 'taken.', { request: id, route: route.name, service, kind: route.kind, organisation: call.organisation, patience, want, config: table.version })
     const task = new RelayTask(call, route, service, incoming.answer, {
       clock,
       log,
@@ -366,6 +361,7 @@
       want: wanted,
       place: query => this._placer.place(query),
       takeRepeat: () => this._takeRepeat(budget, id),
+      isAllowed,
       isHeld: fingerprint => this._quarantine.holds(fingerprint),
       answerLost: (upstream, fingerprint, broke) => this._quarantine.lost(upstream, fingerprint, broke),
       retryAfter: failure => this._retryAfter(failure),
--- a/packages/direct/src/lib/lease-keeper.ts
+++ b/packages/direct/src/lib/lease-keeper.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps this process's one lease at the store, and knows when it may have ended.
  */
-import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
+import { type Clock, type Instant, instantOf, type Log, type Ms, sameCourse, sleep } from '@hazelford/core'
 import type { Store } from '@hazelford/ports'
 
 /**
@@ -13,11 +13,6 @@
 const retryAfter: Ms = 300
 /** The holder stops this long before the store may end its lease: for orders under way. */
 const safety: Ms = 1_000
-/**
- * Difference between the wall clock and the monotonic clock that tells of a pause. The
- * monotonic clock stands still while the machine is suspended, the lease doesn't.
- */
-const pauseSign: Ms = 250
 
 /** Hears of the lease. */
 export interface LeaseListener {
@@ -29,11 +24,12 @@
 export class LeaseKeeper {
   private _lease: number | undefined
   private _validUntil: Ms = -Infinity
-  private _drift: Ms
+  /** When the last renewal that was answered was sent. */
+  private _provedAt: Instant
   private _stopped = false
 
   constructor (private readonly _store: Store, private readonly _clock: Clock, private readonly _log: Log, private readonly _listener: LeaseListener) {
-    this._drift = this._currentDrift()
+    this._provedAt = instantOf(_clock)
   }
 
   get lease (): number | undefined { return this._lease }
@@ -46,11 +42,9 @@
    * of it says that only a renewal can tell.
    */
   get valid (): boolean {
-    return this._lease !== undefined && this._clock.now() < this._validUntil && Math.abs(this._currentDrift() - this._drift) < pauseSign
+    return this._lease !== undefined && this._clock.now() < this._validUntil && sameCourse(this._provedAt, instantOf(this._clock))
   }
 
-  private _currentDrift (): Ms { return this._clock.wall() - this._clock.now() }
-
   start (): void { this._run().catch((error: Error) => this._log.warn('lease', 'keeper stopped.', { error: error.message })) }
 
   /** Renews no more and leaves the lease to lapse. */
@@ -75,21 +69,21 @@
   }
 
   private async _grant (): Promise<boolean> {
-    const [sentAt, drift] = [this._clock.now(), this._currentDrift()]
+    const sentAt = instantOf(this._clock)
     const granted = await this._store.grantLease(ttl)
     if (granted.isErr() || this._stopped) return false
     this._lease = granted.value.lease
-    this._extend(sentAt, drift, granted.value.ttl)
+    this._extend(sentAt, granted.value.ttl)
     this._log.info('lease', 'granted.', { lease: this._lease, ttl: granted.value.ttl })
     this._listener.granted(this._lease)
     return true
   }
 
   private async _renew (lease: number): Promise<boolean> {
-    const [sentAt, drift] = [this._clock.now(), this._currentDrift()]
+    const sentAt = instantOf(this._clock)
     const renewed = await this._store.renewLease(lease)
     if (renewed.isOk()) {
-      this._extend(sentAt, drift, ttl)
+      this._extend(sentAt, ttl)
       return true
     }
     if (renewed.error.kind === 'no-lease') this._lose('ended at the store')
@@ -97,10 +91,10 @@
   }
 
   /** The store counts from the call's arrival, so counting from its sending is safe. */
-  private _extend (sentAt: Ms, drift: Ms, granted: Ms): void {
-    this._validUntil = sentAt + granted - safety
-    // A pause between sending and reply leaves the old drift, and the lease unproved.
-    this._drift = drift
+  private _extend (sentAt: Instant, granted: Ms): void {
+    this._validUntil = sentAt.now + granted - safety
+    // After a pause between sending and reply the lease stays unproved.
+    this._provedAt = sentAt
   }
 
   private _lose (cause: string): void {
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -9,7 +9,7 @@
 import { callJson, readJson } from './json-client.js'
 import type { DigestRow } from './load-digest.js'
 import type { News } from './load-news.js'
-import type { PeerState } from './peer-state.js'
+import type { ConfigAge, PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
 
 /** An adapter asked of another entry. */
@@ -67,6 +67,7 @@
 const answeredPath = '/requests/answered'
 const changesPath = '/store/changes'
 const statePath = '/state'
+const configAgePath = '/config/age'
 const pingPath = '/ping'
 /** An entry may have requests open on some hundred adapters of an engine. */
 const maxBody = 64 * 1024
@@ -91,6 +92,8 @@
   readonly changes: (after: number, wait: Ms) => Promise<FeedAnswer>
   /** Configuration and upstreams, for a peer that starts while the store is away. */
   readonly state: () => PeerState | undefined
+  /** As of when the configuration is known, for a peer that can't tell. */
+  readonly configAge: () => ConfigAge | undefined
 }
 
 function sendJson (res: ServerResponse, status: number, value: object): void {
@@ -105,6 +108,10 @@
     sendJson(res, state === undefined ? 503 : 200, state ?? { error: 'Nothing is known here yet.' })
     return
   }
+  if (req.method === 'GET' && req.url === configAgePath) {
+    const age = service.configAge()
+    return sendJson(res, age === undefined ? 503 : 200, age ?? {})
+  }
   if (req.method === 'GET' && req.url === pingPath) return sendJson(res, 200, {})
   if (req.method === 'POST' && req.url === usePath) {
     service.noteUse(await readJson(req, maxBody) as UseMessage)
@@ -200,6 +207,13 @@
     return answer.body as PeerState
   }
 
+  /** Asks as of when a peer knows the configuration; undefined when it does not say. */
+  async configAge ({ host, port }: PeerAddress): Promise<ConfigAge | undefined> {
+    const { status, body } = await callJson(this._agent, { host, port, method: 'GET', path: configAgePath, timeout: answerMargin })
+    const { version, viewAge } = (body ?? {}) as Partial<ConfigAge>
+    return status === 200 && typeof version === 'number' && typeof viewAge === 'number' ? { version, viewAge } : undefined
+  }
+
   /** Tells whether a peer answers; rejects when it does not. */
   async ping ({ host, port }: PeerAddress): Promise<void> {
     await callJson(this._agent, { host, port, method: 'GET', path: pingPath, timeout: answerMargin })
--- a/packages/direct/src/lib/peer-follower.ts
+++ b/packages/direct/src/lib/peer-follower.ts
@@ -1,7 +1,7 @@
 /**
  * Follows what peers know, while the store does not answer this entry.
  */
-import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
+import { type Clock, type Instant, instantOf, type Log, type Ms, sleep } from '@hazelford/core'
 import type { PeerClient } from './peer-calls.js'
 import type { PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
@@ -17,7 +17,8 @@
   readonly age: () => Ms
   /** Longest ms between two answers of a store that does well. */
   readonly turn: () => Ms
-  readonly take: (state: PeerState) => void
+  /** `asked`: when the peer was. */
+  readonly take: (state: PeerState, asked: Instant) => void
 }
 
 /** Beyond the longest turn of a store that does well, what is older has missed its turn. */
@@ -56,10 +57,11 @@
   }
 
   private async _follow (): Promise<void> {
-    const { peers, client, age, take, log } = this._options
+    const { peers, client, age, take, log, clock } = this._options
     const others = peers()
     const peer = others[this._turn++ % Math.max(1, others.length)]
     if (peer === undefined) return
+    const asked = instantOf(clock)
     const state = await client.state(peer).catch((error: Error) => {
       log.info('peers', 'no state.', { peer: peer.node, cause: error.message })
       return undefined
@@ -68,6 +70,6 @@
     if (this._stopped || state === undefined || state.age >= Math.min(this._staleAfter, age())) return
     if (!this._following) log.info('peers', 'followed.', { peer: peer.node, age: Math.round(state.age), ownAge: Math.round(age()), version: state.config.version })
     this._following = true
-    take(state)
+    take(state, asked)
   }
 }
--- a/packages/direct/src/lib/peer-state.ts
+++ b/packages/direct/src/lib/peer-state.ts
@@ -1,7 +1,7 @@
 /**
  * What an entry that starts while the store is away takes from another.
  */
-import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
+import { type Clock, type Instant, instantOf, type Log, type Ms, sleep } from '@hazelford/core'
 import type { AdapterVersion, RouteConfig, UpstreamRecord } from '@hazelford/ports'
 import type { PeerClient } from './peer-calls.js'
 import type { HolderListing, PeerAddress } from './peer-table.js'
@@ -10,6 +10,8 @@
 export interface PeerState {
   /** Ms since the peer heard the store. */
   readonly age: Ms
+  /** Ms since which the peer's view may have missed something; undefined from an entry of a version that does not say. */
+  readonly viewAge?: Ms
   readonly config: RouteConfig
   readonly versions: readonly AdapterVersion[]
   readonly upstreams: readonly UpstreamRecord[]
@@ -19,6 +21,13 @@
   readonly heldRequests?: readonly string[]
 }
 
+/** How well an entry knows the configuration. */
+export interface ConfigAge {
+  readonly version: number
+  /** Ms since which it may have changed unheard. */
+  readonly viewAge: Ms
+}
+
 /** Time in which the store answers an entry that starts, if it answers at all. */
 const storeFirst: Ms = 700
 const askAgain: Ms = 500
@@ -42,17 +51,18 @@
   clock: Clock,
   log: Log,
   known: () => boolean,
-  take: (state: PeerState) => void
+  take: (state: PeerState, asked: Instant) => void
 ): Promise<void> {
   await sleep(clock, storeFirst)
   while (!known() && seeds.length > 0) {
     for (const seed of seeds) {
+      const asked = instantOf(clock)
       const state = await client.state(seed).catch((error: Error) => {
         log.info('peers', 'no state.', { peer: `${seed.host}:${seed.port}`, cause: error.message })
         return undefined
       })
       if (state === undefined || known()) continue
-      take(state)
+      take(state, asked)
       log.info('peers', 'state taken.', { peer: `${seed.host}:${seed.port}`, version: state.config.version, upstreams: state.upstreams.length })
       return
     }
--- a/packages/direct/src/lib/platform-port.ts
+++ b/packages/direct/src/lib/platform-port.ts
@@ -8,6 +8,8 @@
 export interface StoreLayout {
   /** Prefix of what operators write. */
   readonly operators: string
+  /** Key of the configuration. */
+  readonly config: string
   /** Prefix of the upstreams' records. */
   readonly upstreams: string
 }
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -19,6 +19,12 @@
   readonly headers: readonly string[]
   readonly body: Buffer | undefined
   readonly arrivedAt: Ms
+  /** Whether keys say who may send requests. */
+  readonly byKey: boolean
+  /** Whose request it is; undefined when nobody's. */
+  readonly organisation: string | undefined
+  /** 0 is the most urgent. */
+  readonly priority: number
 }
 
 /** How a request ended, for logs and metrics. */
@@ -43,6 +49,8 @@
   readonly want: () => AdapterWant | undefined
   readonly place: (query: PlaceQuery) => Promise<Placed>
   readonly takeRepeat: () => boolean
+  /** Whether its caller may still send it. */
+  readonly isAllowed: () => boolean
   /** Whether a request is held back, since upstreams end under it. */
   readonly isHeld: (fingerprint: () => string) => boolean
   /** An upstream gave no answer, or no more of it, soon after it had the request; `broke`: its connection has ended. */
@@ -120,13 +128,13 @@
 
   /** Begins to look for an upstream. */
   start (): void {
-    const { clock, isHeld, takeRepeat } = this._deps
+    const { clock, isHeld, isAllowed, takeRepeat } = this._deps
     this._cancelTimeout = clock.after(this._deadline + timeoutMargin - clock.now(), () => this._post({ kind: 'timeout' }))
-    this._task = new Task(relayFlow(this._route, { takeRepeat, isHeld: () => isHeld(() => this.fingerprint) }), effect => this._perform(effect))
+    this._task = new Task(relayFlow(this._route, { takeRepeat, isAllowed, isHeld: () => isHeld(() => this.fingerprint) }), effect => this._perform(effect))
   }
 
   /** The same for each attempt at this request. */
-  get fingerprint (): string { return (this._fingerprint ??= requestFingerprint(this._call)) }
+  get fingerprint (): string { return (this._fingerprint ??= requestFingerprint({ ...this._call, ...this._call.facts })) }
 
   /** It is held back from now on. */
   hold (): void { this._post({ kind: 'held' }) }
@@ -203,7 +211,7 @@
     const query: PlaceQuery = {
       service: this._service,
       want: this._want,
-      urgency: this._route.priority,
+      urgency: this._call.priority,
       avoid,
       patience: this._patience,
       prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget },
@@ -268,8 +276,10 @@
     const forwarded = codec.forwardHeaders(headers, {
       instance: upstream.id,
       remaining: Math.max(1, Math.floor(this._remaining)),
-      priority: this._route.priority,
+      priority: this._call.priority,
+      byKey: this._call.byKey,
       ...(this._version === undefined ? {} : { adapterVersion: this._version }),
+      ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }),
       ...(resumed === undefined ? {} : { lastEventId: resumed })
     })
     this._exchange = new Exchange(clock, codec, upstream.pool, {
--- a/packages/direct/src/lib/request-fingerprint.ts
+++ b/packages/direct/src/lib/request-fingerprint.ts
@@ -9,6 +9,11 @@
   readonly host: string
   readonly path: string
   readonly body: Buffer | undefined
+  /** Whose request it is. Without it one organisation could have requests of another one held back. */
+  readonly organisation: string | undefined
+  readonly model: string | undefined
+  /** One body may end engines with one adapter and be harmless with all others. */
+  readonly adapter: string | undefined
 }
 
 /** 128 bits: no two of the requests of any day are taken for one. */
@@ -23,6 +28,7 @@
  *
  * @returns the same text for each attempt at the same request
  */
-export function requestFingerprint ({ method, host, path, body }: RequestContent): string {
-  return callDigest(method, `${host.toLowerCase()} ${path}`, body ?? noBody).slice(0, fingerprintHexDigits)
+export function requestFingerprint ({ method, host, path, body, ...rest }: RequestContent): string {
+  const of = [rest.organisation, rest.model, rest.adapter].map(part => part ?? '')
+  return callDigest(method, [host.toLowerCase(), path, ...of].map(encodeURIComponent).join(' '), body ?? noBody).slice(0, fingerprintHexDigits)
 }
--- /dev/null
+++ b/packages/direct/src/lib/request-intake.ts
@@ -0,0 +1,142 @@
+/**
+ * Lets requests in: finds their route, and whose they are.
+ */
+import { type Clock, type Log, type Ms, shownKey } from '@hazelford/core'
+import { type CallerIdentity, identifyCaller, pickService, type RouteTable } from '@hazelford/decisions'
+import type { CallCodec, Credential, Route } from '@hazelford/ports'
+import type { Incoming } from './caller-server.js'
+import type { ConfigProver } from './config-prover.js'
+import type { EntryMetrics } from './metrics.js'
+import type { ReadCall } from './relay-task.js'
+
+/** A request that may run. */
+export interface AdmittedCall {
+  readonly incoming: Incoming
+  readonly call: ReadCall
+  readonly route: Route
+  readonly service: string
+  /** The configuration by which it was let in. */
+  readonly table: RouteTable
+  /** Whether its caller may still send it. */
+  readonly isAllowed: () => boolean
+}
+
+/** What the intake needs of its entry. */
+export interface IntakeOptions {
+  readonly clock: Clock
+  readonly log: Log
+  readonly metrics: EntryMetrics
+  readonly codec: CallCodec
+  /** The configuration in force; undefined when none is known. */
+  readonly table: () => RouteTable | undefined
+  /** Whether nothing more is taken, since the entry ends soon. */
+  readonly refusing: () => boolean
+  readonly prover: ConfigProver
+  readonly viewAge: () => Ms
+  /** Ms after its acceptance in which a change must be in force. */
+  readonly applyWithin: () => Ms
+  readonly relay: (admitted: AdmittedCall) => void
+}
+
+const noConfigRetryAfter: Ms = 500
+/** Another entry can have the request at once. */
+const shutdownRetryAfter: Ms = 20
+/** Another entry may hear the store. */
+const unprovenRetryAfter: Ms = 300
+
+/** Takes requests of callers. */
+export class RequestIntake {
+  constructor (private readonly _options: IntakeOptions) {}
+
+  /** Takes a request that was read whole. */
+  take (incoming: Incoming): void {
+    const { metrics, refusing } = this._options
+    const table = this._options.table()
+    if (table === undefined) return incoming.answer.fail({ kind: 'no-config', retryAfter: noConfigRetryAfter })
+    if (refusing()) {
+      metrics.requests.inc({ kind: 'none', end: 'shutting-down' })
+      return incoming.answer.fail({ kind: 'relay', failure: 'shutting-down', notRun: true, retryAfter: shutdownRetryAfter })
+    }
+    if (table.config.access.kind === 'anyone') return this._identified(incoming, table, { kind: 'absent' })
+    const credential = this._options.codec.readCredential(incoming.headers)
+    if (!this._mustProve(incoming, table, credential)) {
+      this._options.prover.refresh()
+      return this._identified(incoming, table, credential)
+    }
+    this._options.prover.prove().then(
+      () => this._proved(incoming, credential),
+      (error: Error) => this._options.log.warn('config', 'not proved.', { error: error.message })
+    )
+  }
+
+  /** Whether the configuration at hand may be too old to decide by. */
+  private _mustProve (incoming: Incoming, table: RouteTable, credential: Credential): boolean {
+    const { prover, viewAge, applyWithin } = this._options
+    if (!prover.isProven) return !this._isPublic(incoming, table)
+    // A key that was added is refused for as long as the change is not heard here, and callers don't repeat what got 401.
+    const isUnknown = credential.kind === 'key' && table.organisationOf(credential.digest) === undefined
+    return isUnknown && viewAge() > applyWithin()
+  }
+
+  private _isPublic ({ host, target }: Incoming, table: RouteTable): boolean { return table.match(host, target)?.public === true }
+
+  private _proved (incoming: Incoming, credential: Credential): void {
+    const { prover, log, metrics, viewAge, codec } = this._options
+    const table = this._options.table()
+    // Its caller may have left while the question was under way.
+    if (table === undefined || incoming.answer.ended || incoming.isGone()) return
+    if (prover.isProven || this._isPublic(incoming, table)) return this._identified(incoming, table, credential)
+    metrics.requests.inc({ kind: 'none', end: 'config-unproven' })
+    log.info('request', 'configuration too old to let callers in.', { request: codec.readCall(incoming.headers).map(({ id }) => id).unwrapOr(undefined), age: Math.round(viewAge()), version: table.version })
+    incoming.answer.fail({ kind: 'config-unproven', retryAfter: unprovenRetryAfter })
+  }
+
+  private _identified (incoming: Incoming, table: RouteTable, credential: Credential): void {
+    const { log, metrics } = this._options
+    const route = table.match(incoming.host, incoming.target)
+    if (route === undefined) {
+      log.info('request', 'no route.', { host: incoming.host, target: incoming.target, version: table.version })
+      metrics.requests.inc({ kind: 'none', end: 'no-route' })
+      return incoming.answer.fail({ kind: 'no-route' })
+    }
+    const identity = identifyCaller(table, route, credential)
+    if (identity.kind === 'unauthorised') return this._unauthorised(incoming, table, route, credential, identity)
+    this._read(incoming, table, route, credential, identity)
+  }
+
+  private _unauthorised (incoming: Incoming, table: RouteTable, route: Route, credential: Credential, { cause }: CallerIdentity & { readonly kind: 'unauthorised' }): void {
+    const { log, metrics, viewAge } = this._options
+    log.info('request', 'unauthorised.', { route: route.name, cause, key: credential.kind === 'key' ? shownKey(credential.digest) : undefined, version: table.version, age: Math.round(viewAge()) })
+    metrics.requests.inc({ kind: route.kind, end: 'unauthorised' })
+    incoming.answer.fail({ kind: 'unauthorised', cause })
+  }
+
+  private _read (incoming: Incoming, table: RouteTable, route: Route, credential: Credential, identity: CallerIdentity & { readonly kind: 'anyone' | 'organisation' }): void {
+    const { log, codec, relay } = this._options
+    const facts = codec.readCall(incoming.headers)
+    if (facts.isErr()) {
+      log.info('request', 'bad request.', { host: incoming.host, target: incoming.target, problem: facts.error })
+      return incoming.answer.fail({ kind: 'bad-request', message: facts.error })
+    }
+    const service = pickService(route, facts.value.id)
+    if (service === undefined) return incoming.answer.fail({ kind: 'no-route' })
+    const organisation = identity.kind === 'organisation' ? identity.organisation : undefined
+    const call: ReadCall = {
+      ...incoming,
+      facts: facts.value,
+      path: incoming.target,
+      byKey: table.config.access.kind === 'by-key',
+      organisation: organisation?.name,
+      priority: organisation?.priority ?? route.priority
+    }
+    relay({ incoming, call, route, service, table, isAllowed: () => this._isAllowed(route, credential, organisation?.name) })
+  }
+
+  /** Whether the key of a request that was let in still opens its route. */
+  private _isAllowed (route: Route, credential: Credential, organisation: string | undefined): boolean {
+    const table = this._options.table()
+    if (organisation === undefined || table === undefined || credential.kind !== 'key') return true
+    const identity = identifyCaller(table, route, credential)
+    return identity.kind === 'anyone' || (identity.kind === 'organisation' && identity.organisation.name === organisation)
+  }
+}
--- a/packages/direct/src/lib/store-follower.ts
+++ b/packages/direct/src/lib/store-follower.ts
@@ -1,7 +1,7 @@
 /**
  * Hears of changes in the store from entries that watch it.
  */
-import type { Clock, Log, Ms } from '@hazelford/core'
+import { type Clock, type Instant, instantOf, type Log, type Ms } from '@hazelford/core'
 import type { StoreDuty } from '@hazelford/decisions'
 import type { FeedAnswer, FeedChanges } from './change-feed.js'
 import type { PeerAddress } from './peer-table.js'
@@ -24,6 +24,12 @@
 /** Watchers asked before the store itself is. */
 const maxAsked = 2
 
+/** Changes that a watcher told. */
+export interface FollowedChanges extends FeedChanges {
+  /** When it was asked. */
+  readonly asked: Instant
+}
+
 /** Follows watchers, while its entry does not watch by itself. */
 export class StoreFollower {
   /** Watchers to leave alone, and until when. */
@@ -37,7 +43,7 @@
    * @param after - revision that is known
    * @returns undefined when the store must be asked: this entry watches, or no watcher knows better
    */
-  async changes (after: number): Promise<FeedChanges | undefined> {
+  async changes (after: number): Promise<FollowedChanges | undefined> {
     const { clock, duty, peer } = this._options
     const own = duty()
     if (own.kind === 'watch') return undefined
@@ -51,13 +57,14 @@
     return undefined
   }
 
-  private async _ask (peer: PeerAddress, after: number): Promise<FeedChanges | undefined> {
-    const { ask, bound } = this._options
+  private async _ask (peer: PeerAddress, after: number): Promise<FollowedChanges | undefined> {
+    const { ask, bound, clock } = this._options
+    const asked = instantOf(clock)
     const answer = await ask(peer, after, longestWait).catch((error: Error) => this._avoid(peer, error.message))
     if (answer === undefined) return undefined
     if (answer.kind === 'not-kept') return this._avoid(peer, 'changes not kept')
     // A watcher that is cut off from the store answers as before; only the age of its news tells.
-    return answer.age > bound() ? this._avoid(peer, `news of ${answer.age} ms ago`) : answer
+    return answer.age > bound() ? this._avoid(peer, `news of ${answer.age} ms ago`) : { ...answer, asked }
   }
 
   private _avoid (peer: PeerAddress, cause: string): undefined {
--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -1,10 +1,11 @@
 /**
  * Follows what stands in the store.
  */
-import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { fullJitter, type StoreDuty } from '@hazelford/decisions'
+import { type Clock, type Instant, instantOf, type Log, type Ms, sleep } from '@hazelford/core'
+import { fullJitter, type StoreDuty, type ViewAge } from '@hazelford/decisions'
 import type { Store, StoreChanges, StoreEvent, StoreItem, StoreListing } from '@hazelford/ports'
-import { ChangeFeed, type FeedChanges } from './change-feed.js'
+import { ChangeFeed } from './change-feed.js'
+import type { FollowedChanges } from './store-follower.js'
 
 /** Hears of the store. */
 export interface MirrorListener {
@@ -39,8 +40,6 @@
 const backoff = { base: 60, cap: 600 }
 /** For the store's answer and a busy host. */
 const turnMargin: Ms = 150
-/** Age told when the store was never heard: JSON has no infinity. */
-const longestAge: Ms = 1e9
 /** Failed calls in a row after which the store counts as lost. */
 const lostAfter = 2
 
@@ -55,7 +54,9 @@
   /** What this entry and the others do at the store. */
   readonly duty: () => StoreDuty
   /** Changes after a revision as another entry has heard them; undefined when the store must be asked. */
-  readonly follow: (after: number) => Promise<FeedChanges | undefined>
+  readonly follow: (after: number) => Promise<FollowedChanges | undefined>
+  /** As of when the view is complete. */
+  readonly viewAge: ViewAge
   /** Time after its acceptance in which a change must be in force. */
   readonly applyWithin: () => Ms
 }
@@ -73,8 +74,8 @@
   readonly feed: ChangeFeed
 
   constructor (private readonly _options: MirrorOptions, private readonly _listener: MirrorListener) {
-    const { clock } = _options
-    this.feed = new ChangeFeed(clock, () => Math.min(longestAge, this.age(clock.now())))
+    const { clock, viewAge } = _options
+    this.feed = new ChangeFeed(clock, () => this.age(clock.now()), () => viewAge.at(instantOf(clock)))
   }
 
   get revision (): number { return this._revision }
@@ -129,9 +130,11 @@
   get servedTurn (): Ms { return servedWatchWait + this._gatherPause + turnMargin }
 
   private async _list (): Promise<'heard' | 'failed'> {
+    const asked = this._instant
     const listing = await this._options.store.list(everything)
     if (listing.isErr()) return 'failed'
     this._takeListing(listing.value)
+    this._proved(asked, 0)
     return 'heard'
   }
 
@@ -140,6 +143,7 @@
     const changes = await this._options.follow(this._revision)
     if (changes === undefined || this._anew) return undefined
     this._takeChanges(changes)
+    this._proved(changes.asked, changes.viewAge)
     this._heard(this._options.clock.now() - changes.age)
     return 'followed'
   }
@@ -159,9 +163,11 @@
   }
 
   private async _watch (): Promise<'heard' | 'failed'> {
+    const asked = this._instant
     const changes = await this._options.store.watch(everything, this._revision, this._watchWait)
     if (changes.isOk()) {
       this._takeChanges(changes.value)
+      this._proved(asked, 0)
       return 'heard'
     }
     // The store no longer has the changes since our revision. Only a read of everything
@@ -174,6 +180,11 @@
     return 'failed'
   }
 
+  private get _instant (): Instant { return instantOf(this._options.clock) }
+
+  /** Notes that the view holds all that an answer told. */
+  private _proved (asked: Instant, age: Ms): void { this._options.viewAge.answered(asked, age, this._instant) }
+
   private _heard (at: Ms): void {
     this._failures = 0
     this._heardAt = Math.max(this._heardAt, at)
--- a/packages/direct/src/lib/store-view.ts
+++ b/packages/direct/src/lib/store-view.ts
@@ -1,16 +1,16 @@
 /**
  * What one entry knows from the store, by whichever way it hears of it.
  */
-import type { Clock, Log, Ms } from '@hazelford/core'
-import { type RouteTable, storeDuty, type StoreDuty } from '@hazelford/decisions'
+import { type Clock, type Instant, instantOf, type Log, type Ms } from '@hazelford/core'
+import { type RouteTable, storeDuty, type StoreDuty, ViewAge } from '@hazelford/decisions'
 import type { AdapterVersion, StoreEvent, StoreItem, UpstreamRecord } from '@hazelford/ports'
-import type { FeedAnswer } from './change-feed.js'
+import { type FeedAnswer, longestAge } from './change-feed.js'
 import { ConfigHolder } from './config-holder.js'
 import { Membership, type MembershipListener } from './membership.js'
 import type { PeerClient } from './peer-calls.js'
 import { PeerFollower } from './peer-follower.js'
-import { learnFromPeers, type PeerState } from './peer-state.js'
-import { ownPrefix, PeerTable } from './peer-table.js'
+import { type ConfigAge, learnFromPeers, type PeerState } from './peer-state.js'
+import { ownPrefix, type PeerAddress, PeerTable } from './peer-table.js'
 import type { PlatformPort } from './platform-port.js'
 import { quarantinePrefix } from './quarantine-desk.js'
 import { StoreFollower } from './store-follower.js'
@@ -42,14 +42,15 @@
   readonly changed: () => void
 }
 
-/** Age told to peers when the store was never heard: JSON has no infinity. */
-const neverHeard: Ms = 1e9
+/** Peers asked at once about the configuration: one of them may be gone. */
+const peersAsked = 2
 
 /** Configuration, upstreams, entries and holders. */
 export class StoreView {
   readonly config: ConfigHolder
   readonly members: Membership
   readonly peers: PeerTable
+  private readonly _viewAge = new ViewAge()
   private readonly _mirror: StoreMirror
   private readonly _follower: PeerFollower
 
@@ -66,7 +67,7 @@
       peers: () => this.peers.entries.filter(entry => entry.node !== node),
       age: () => this._age,
       turn: () => this._mirror.turn,
-      take: state => this._follow(state)
+      take: (state, asked) => this._follow(state, asked)
     })
   }
 
@@ -76,6 +77,48 @@
   /** Whether the store has stopped answering. */
   get storeLost (): boolean { return this._mirror.lost }
 
+  /** Ms since which the configuration may have changed unheard; infinite when nothing proves it. */
+  get viewAge (): Ms { return this._viewAge.at(this._instant) }
+
+  /** As of when the configuration is known, for a peer that asks; undefined when none is. */
+  get configAge (): ConfigAge | undefined {
+    const { table } = this.config
+    return table === undefined ? undefined : { version: table.version, viewAge: Math.min(longestAge, this.viewAge) }
+  }
+
+  /**
+   * Asks the store and some peers whether the configuration is still the one in force.
+   *
+   * @returns ends, each, when an answer is in force or none came
+   */
+  askConfig (): readonly Promise<void>[] {
+    const others = this.peers.entries.filter(({ node }) => node !== this._options.node)
+    const from = Math.floor(Math.random() * others.length)
+    const asked = Array.from({ length: Math.min(peersAsked, others.length) }, (_, n) => others[(from + n) % others.length]!)
+    return [this._askStore(), ...asked.map(peer => this._askPeer(peer))]
+  }
+
+  private async _askStore (): Promise<void> {
+    const { store, layout } = this._options.platform
+    const asked = this._instant
+    const listing = await store.list(layout.config)
+    if (listing.isErr()) return
+    this.config.reset(listing.value.items)
+    this._viewAge.answered(asked, 0, this._instant)
+  }
+
+  private async _askPeer (peer: PeerAddress): Promise<void> {
+    const { client } = this._options
+    const asked = this._instant
+    const told = await client.configAge(peer)
+    if (told === undefined) return
+    // A whole state has hundreds of routes; it is asked for only when it is another one.
+    if (told.version === this.config.table?.version) this._viewAge.answered(asked, told.viewAge, this._instant)
+    else if (told.version > (this.config.table?.version ?? 0)) this._takeConfig(await client.state(peer), asked)
+  }
+
+  private get _instant (): Instant { return instantOf(this._options.clock) }
+
   private get _age (): Ms { return this._mirror.age(this._options.clock.now()) }
 
   private get _duty (): StoreDuty { return storeDuty(this._options.node, this.peers.entries) }
@@ -85,7 +128,7 @@
     const { client, clock, log } = this._options
     this._mirror.start()
     this._follower.start()
-    learnFromPeers(seeds, client, clock, log, () => this._mirror.known, state => this._takeState(state))
+    learnFromPeers(seeds, client, clock, log, () => this._mirror.known, (state, asked) => this._takeState(state, asked))
       .catch((error: Error) => log.warn('peers', 'not asked.', { error: error.message }))
   }
 
@@ -102,7 +145,8 @@
     const { table } = this.config
     if (table === undefined || !this.members.known) return undefined
     return {
-      age: Math.min(neverHeard, this._age),
+      age: Math.min(longestAge, this._age),
+      viewAge: Math.min(longestAge, this.viewAge),
       config: table.config,
       versions: this.config.versions,
       upstreams: [...this.members.all()].map(({ record }) => record),
@@ -128,7 +172,8 @@
       log,
       duty: () => this._duty,
       follow: after => follower.changes(after),
-      applyWithin
+      applyWithin,
+      viewAge: this._viewAge
     }, {
       reset: items => this._reset(items),
       changed: event => this._changed(event),
@@ -181,23 +226,27 @@
   }
 
   /** Takes what a peer knows, where nothing is known yet. */
-  private _takeState (state: PeerState): void {
-    this._takeConfig(state)
+  private _takeState (state: PeerState, asked: Instant): void {
+    this._takeConfig(state, asked)
     this.members.reset(state.upstreams)
     this.peers.follow(state.entries, state.holders)
   }
 
   /** Takes what a peer has heard from the store, which does not answer here. */
-  private _follow (state: PeerState): void {
-    this._takeConfig(state)
+  private _follow (state: PeerState, asked: Instant): void {
+    this._takeConfig(state, asked)
     this.members.follow(state.upstreams)
     this.peers.follow(state.entries, state.holders)
     this._mirror.readAnew()
   }
 
-  private _takeConfig ({ config, versions, heldRequests }: PeerState): void {
+  private _takeConfig ({ config, versions, heldRequests, viewAge }: PeerState, asked: Instant): void {
     this._listener.heldByPeer(heldRequests ?? [])
-    this.config.offer(config)
+    // A configuration of an entry that knows no keys does not say who may send requests. Taken, it would let anyone in.
+    if (config.access !== undefined) {
+      this.config.offer(config)
+      this._viewAge.answered(asked, viewAge ?? Infinity, this._instant)
+    }
     for (const version of versions) this.config.declare(version)
   }
 }
--- a/packages/ports/src/lib/call-codec.ts
+++ b/packages/ports/src/lib/call-codec.ts
@@ -1,9 +1,16 @@
 /**
  * How requests and answers are spoken on a platform.
  */
-import type { Ms } from '@hazelford/core'
+import type { KeyDigest, Ms } from '@hazelford/core'
 import type { Result } from 'neverthrow'
 
+/** What a request shows to say whose it is. */
+export type Credential =
+  | { readonly kind: 'absent' }
+  /** More than one, or of a scheme that is not understood. */
+  | { readonly kind: 'unreadable' }
+  | { readonly kind: 'key', readonly digest: KeyDigest }
+
 /** What a request says of itself. */
 export interface CallFacts {
   /** Unique to this attempt of the caller. */
@@ -14,6 +21,8 @@
   readonly adapter: string | undefined
   readonly promptTokens: number
   readonly maxOutputTokens: number
+  /** Whether the request names its tokens at all. */
+  readonly namesTokens: boolean
   /** Parts of the prompt in order, the last one the request's own. */
   readonly promptParts: readonly { readonly id: string, readonly tokens: number }[]
   /** Last event that the caller has of a stream it takes up again. */
@@ -27,6 +36,10 @@
   readonly priority: number
   readonly adapterVersion?: number
   readonly lastEventId?: number
+  /** Whether keys say who may send requests; the one of a request is then not passed on. */
+  readonly byKey: boolean
+  /** Whose request it is. */
+  readonly organisation?: string
 }
 
 /** Flat list of names and values, as Node reads and writes raw headers. */
@@ -52,6 +65,7 @@
    * @returns the facts, or a sentence for the caller on what is wrong
    */
   readonly readCall: (headers: RawHeaders) => Result<CallFacts, string>
+  readonly readCredential: (headers: RawHeaders) => Credential
   /** Headers to send to the upstream, without those of one connection. */
   readonly forwardHeaders: (headers: RawHeaders, context: ForwardContext) => string[]
   readonly readAnswer: (status: number, headers: RawHeaders) => AnswerFacts
--- a/packages/ports/src/lib/route-config.ts
+++ b/packages/ports/src/lib/route-config.ts
@@ -1,7 +1,7 @@
 /**
  * The operators' configuration as an entry uses it.
  */
-import type { Ms } from '@hazelford/core'
+import type { KeyDigest, Ms } from '@hazelford/core'
 
 /**
  * What may be repeated.
@@ -35,6 +35,8 @@
   /** Upstreams that one request may be sent to. */
   readonly maxAttempts: number
   readonly resumable: boolean
+  /** Whether callers need no key for it. */
+  readonly public: boolean
   /** Longest pause between events of an answer that is on time. */
   readonly gapTarget: Ms
 }
@@ -75,10 +77,41 @@
   readonly idleTimeout: Ms
 }
 
+/** What a usage limit counts. */
+export type UsageUnit = 'requests' | 'tokens'
+
+/** How much an organisation may ask for, over all entries. */
+export interface UsageLimit {
+  readonly unit: UsageUnit
+  /** Units a second. */
+  readonly rate: number
+  /** Units that may be used at once on top. */
+  readonly burst: number
+  /** Tokens that a request counts for which does not name its own. */
+  readonly plainTokens: number
+}
+
+/** Whose callers may send requests. */
+export interface Organisation {
+  readonly name: string
+  readonly keys: readonly KeyDigest[]
+  /** Goes before the priority of a route; undefined leaves it to the route. */
+  readonly priority?: number
+  /** Undefined when nothing limits it. */
+  readonly limit?: UsageLimit
+}
+
+/** Who may send requests. */
+export type Access =
+  | { readonly kind: 'anyone' }
+  /** Who has the key of an organisation, and anyone on public routes. */
+  | { readonly kind: 'by-key', readonly organisations: readonly Organisation[] }
+
 /** One version of the configuration. */
 export interface RouteConfig {
   readonly version: number
   readonly routes: readonly Route[]
   readonly services: readonly ServiceSpec[]
   readonly limits: CallerLimits
+  readonly access: Access
 }
