--- a/packages/core/src/lib/log.ts
+++ b/packages/core/src/lib/log.ts
@@ -6,7 +6,7 @@
 /** Parts of the system that write logs; each is the prefix of its lines. */
 export type LogPrefix =
   | 'entry' | 'sidecar' | 'channel' | 'config' | 'fence' | 'claims' | 'loads' | 'daemon' | 'operator'
-  | 'store' | 'membership' | 'lease' | 'request' | 'peers'
+  | 'store' | 'membership' | 'lease' | 'request' | 'peers' | 'usage'
 
 /** Writes short sentences with fields beside them. */
 export interface Log {
--- a/packages/decisions/src/lib/decayed-counter.ts
+++ b/packages/decisions/src/lib/decayed-counter.ts
@@ -17,9 +17,9 @@
    */
   constructor (private readonly _halfLife: Ms, private readonly _capacity = 100_000) {}
 
-  /** Counts one use. */
-  add (key: string, at: Ms): void {
-    this._counts.set(key, { value: this.read(key, at) + 1, at })
+  /** Counts a use, or several. */
+  add (key: string, at: Ms, uses = 1): void {
+    this._counts.set(key, { value: this.read(key, at) + uses, at })
     if (this._counts.size > this._capacity) this._prune(at)
   }
 
--- a/packages/direct/src/lib/caller-answer.ts
+++ b/packages/direct/src/lib/caller-answer.ts
@@ -14,6 +14,7 @@
   | { readonly kind: 'body-too-large' }
   | { readonly kind: 'no-config', readonly retryAfter: Ms }
   | { readonly kind: 'unauthorised', readonly cause: UnauthorisedCause }
+  | { readonly kind: 'over-limit', readonly organisation: string, readonly retryAfter: Ms }
   /** The configuration may have changed unheard, and the request's key with it. */
   | { readonly kind: 'config-unproven', readonly retryAfter: Ms }
 
@@ -34,6 +35,7 @@
     case 'no-route': return 404
     case 'body-too-large': return 413
     case 'unauthorised': return 401
+    case 'over-limit': return 429
     case 'no-config':
     case 'config-unproven': return 503
     case 'relay':
@@ -49,6 +51,7 @@
     case 'body-too-large': return 'The body is larger than the configuration allows.'
     case 'no-config': return 'No configuration is known yet. Send the request again later.'
     case 'unauthorised': return `The request shows no key that opens this route (${error.cause}). Send the key of your organisation as "Authorization: Bearer KEY".`
+    case 'over-limit': return `The usage limit of ${error.organisation} is used up for now. The request did not run; send it again later.`
     case 'config-unproven': return 'It can not be told now whether the key is still good. The request did not run; send it again later.'
     case 'relay': return error.notRun
       ? `The request did not run (${error.failure}). Send it again later.`
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -26,6 +26,7 @@
 import { type AdmittedCall, RequestIntake } from './request-intake.js'
 import { StoreView } from './store-view.js'
 import type { Upstream } from './upstream.js'
+import { UsageDesk } from './usage-desk.js'
 
 /** What an entry is built from. */
 export interface DirectEntryOptions {
@@ -87,6 +88,7 @@
   private readonly _callers: CallerServer
   private readonly _budgets = new Map<string, SharedRetryBudget>()
   private readonly _quarantine: QuarantineDesk
+  private readonly _usage: UsageDesk
   /** Requests without their whole answer. */
   private readonly _open = new Set<RelayTask>()
   private readonly _servers: Server[] = []
@@ -113,6 +115,7 @@
       probe: ({ record }) => probeConnection(record.host, record.port, probeTimeout),
       held: fingerprint => this._hold(fingerprint)
     })
+    this._usage = this._createUsageDesk()
     this._view = new StoreView({
       node: settings.name,
       platform,
@@ -162,6 +165,20 @@
     })
   }
 
+  private _createUsageDesk (): UsageDesk {
+    const { clock, log, settings } = this._options
+    return new UsageDesk({
+      node: settings.name,
+      clock,
+      log,
+      bounds: { window: settings.usage_window_s * 1_000, overage: settings.usage_overage },
+      entries: () => this.peers.entries,
+      organisations: () => this.config.table?.organisations ?? [],
+      report: (peer, msg) => this._client.reportUsage(peer, msg),
+      ping: peer => this._client.ping(peer)
+    })
+  }
+
   private _createIntake (): RequestIntake {
     const { clock, log, metrics, platform } = this._options
     const viewAge = (): Ms => this._view.viewAge
@@ -175,6 +192,7 @@
       prover: new ConfigProver({ clock, log, withdrawWithin: () => this._settings.withdraw_within_ms, viewAge, ask: () => this._view.askConfig() }),
       viewAge,
       applyWithin: () => this._settings.apply_within_ms,
+      admit: (organisation, tokens) => this._usage.admit(organisation, tokens),
       relay: admitted => this._relay(admitted)
     })
   }
@@ -194,6 +212,7 @@
 
   private _configured (table: RouteTable): void {
     this._options.metrics.configVersion.set(table.version)
+    this._usage.configured()
     this._callers.limit(table.config.limits)
     this.desk.review()
   }
@@ -266,7 +285,8 @@
       now: () => this._options.clock.now(),
       changes: (after, wait) => this._view.changes(after, wait),
       state: () => this._view.state,
-      configAge: () => this._view.configAge
+      configAge: () => this._view.configAge,
+      reportUsage: msg => this._usage.report(msg)
     }
   }
 
@@ -313,6 +333,7 @@
     this._callers.close()
     this._stopped = true
     this._quarantine.stop()
+    this._usage.stop()
     this._view.stop()
     for (const server of this._servers) {
       server.close()
@@ -325,6 +346,7 @@
   kill (): void {
     this._stopped = true
     this._quarantine.stop()
+    this._usage.stop()
     this._view.stop()
     this._lease.abandon()
     this.desk.dropAll()
@@ -344,7 +366,7 @@
     return { model, adapter, ...(version === undefined ? {} : { version }) }
   }
 
-  private _relay ({ incoming, call, route, service, table, isAllowed }: AdmittedCall): void {
+  private _relay ({ incoming, call, route, service, table, isAllowed, refund }: AdmittedCall): void {
     const { clock, log, metrics, platform } = this._options
     const { id, model, adapter, patience } = call.facts
     const wanted = (): AdapterWant | undefined => this._wanted(table, service, model, adapter)
@@ -370,9 +392,10 @@
         if (outcome === 'answered') this._placer.noteStay(service, stay)
         this._exchanged(upstream, outcome, latency, route)
       },
-      over: ({ end, sends, firstData, longestGap }) => {
+      over: ({ end, sends, firstData, longestGap, notRun }) => {
         const took = clock.now() - call.arrivedAt
         if (end === 'delivered') this._quarantine.answered(task.fingerprint)
+        if (notRun) refund()
         this._open.delete(task)
         metrics.open.dec()
         metrics.requests.inc({ kind: route.kind, end })
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -42,6 +42,10 @@
   apply_within_ms: z._default(atLeast(100), 2_000),
   /** Ms after its withdrawal within which a key opens nothing any more, at any entry, also one that is cut off; 0 lets such an entry go on by what it knows. */
   withdraw_within_ms: z._default(atLeast(0), 0),
+  /** Window over which usage limits are judged. */
+  usage_window_s: z._default(atLeast(0.1), 8),
+  /** Part of a window's usage by which a limit may be passed at most. */
+  usage_overage: z._default(atLeast(0), 0.1),
   /** Upstreams that may end under one request before it is held back, wherever it comes in. */
   quarantine_after: z._default(z.int().check(z.minimum(1)), 3),
   /** Seconds for which such a request is held back. */
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -3,6 +3,7 @@
  */
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Ms } from '@hazelford/core'
+import type { UsageGrant } from '@hazelford/decisions'
 import { type FeedAnswer, readFeedAnswer } from './change-feed.js'
 import type { EngineLoad } from './engine-admission.js'
 import type { Ask, AskOutcome, UnavailableCause } from './engine-holder.js'
@@ -11,6 +12,8 @@
 import type { News } from './load-news.js'
 import type { ConfigAge, PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
+import type { UsageMessage } from './usage-desk.js'
+import { readUsageGrants, readUsageMessage } from './usage-messages.js'
 
 /** An adapter asked of another entry. */
 export interface AskMessage extends Ask {
@@ -68,6 +71,7 @@
 const changesPath = '/store/changes'
 const statePath = '/state'
 const configAgePath = '/config/age'
+const usagePath = '/usage/report'
 const pingPath = '/ping'
 /** An entry may have requests open on some hundred adapters of an engine. */
 const maxBody = 64 * 1024
@@ -94,6 +98,8 @@
   readonly state: () => PeerState | undefined
   /** As of when the configuration is known, for a peer that can't tell. */
   readonly configAge: () => ConfigAge | undefined
+  /** Lends an entry credit of organisations that are counted here. */
+  readonly reportUsage: (msg: UsageMessage) => readonly UsageGrant[]
 }
 
 function sendJson (res: ServerResponse, status: number, value: object): void {
@@ -117,6 +123,10 @@
     service.noteUse(await readJson(req, maxBody) as UseMessage)
     return sendJson(res, 200, {})
   }
+  if (req.method === 'POST' && req.url === usagePath) {
+    const msg = readUsageMessage(await readJson(req, maxBody))
+    return msg === undefined ? sendJson(res, 400, { error: 'This is no report of usage.' }) : sendJson(res, 200, { grants: service.reportUsage(msg) })
+  }
   if (req.method === 'POST' && req.url === takenPath) {
     service.taken(await readJson(req, maxBody) as TakenMessage)
     return sendJson(res, 200, {})
@@ -207,6 +217,14 @@
     return answer.body as PeerState
   }
 
+  /** Reports usage to the entry that counts it; rejects when it does not answer. */
+  async reportUsage ({ host, port }: PeerAddress, msg: UsageMessage): Promise<readonly UsageGrant[]> {
+    const { status, body } = await callJson(this._agent, { host, port, method: 'POST', path: usagePath, body: msg, timeout: answerMargin })
+    const grants = readUsageGrants(body)
+    if (status !== 200 || grants === undefined) throw new Error(`The keeper answered ${status}.`)
+    return grants
+  }
+
   /** Asks as of when a peer knows the configuration; undefined when it does not say. */
   async configAge ({ host, port }: PeerAddress): Promise<ConfigAge | undefined> {
     const { status, body } = await callJson(this._agent, { host, port, method: 'GET', path: configAgePath, timeout: answerMargin })
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -38,6 +38,8 @@
   readonly firstData: Ms | undefined
   /** Longest ms between two events. */
   readonly longestGap: Ms
+  /** Whether no upstream can have begun to work on it. */
+  readonly notRun: boolean
 }
 
 /** What a request needs of its entry. */
@@ -179,12 +181,12 @@
       case 'finish': return this._end('delivered')
       case 'fail':
         this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._deps.retryAfter(effect.failure) })
-        return this._end(effect.failure)
+        return this._end(effect.failure, effect.notRun)
       case 'break':
         log.info('request', 'broken off.', { request: this._call.facts.id, cause: effect.failure, lastEventId: this._lastEventId })
         this._answer.break()
         return this._end('broken')
-      case 'forget': return this._end('caller-gone')
+      case 'forget': return this._end('caller-gone', this._sends === 0)
       default: return assertNever(effect)
     }
   }
@@ -416,13 +418,13 @@
     this._closeExchange()
   }
 
-  private _end (end: RelayEnd): void {
+  private _end (end: RelayEnd, notRun = false): void {
     this._over = true
     this._cancelTimeout()
     // A non-idempotent request goes on at its upstream; its answer has nobody to go to.
     this._exchange?.ignore()
     this._closeExchange()
     if (end === 'delivered' && !this._answer.ended) this._answer.end()
-    this._deps.over({ end, sends: this._sends, firstData: this._firstData, longestGap: this._longestGap })
+    this._deps.over({ end, sends: this._sends, firstData: this._firstData, longestGap: this._longestGap, notRun })
   }
 }
--- a/packages/direct/src/lib/request-intake.ts
+++ b/packages/direct/src/lib/request-intake.ts
@@ -3,11 +3,12 @@
  */
 import { type Clock, type Log, type Ms, shownKey } from '@hazelford/core'
 import { type CallerIdentity, identifyCaller, pickService, type RouteTable } from '@hazelford/decisions'
-import type { CallCodec, Credential, Route } from '@hazelford/ports'
+import type { CallCodec, CallFacts, Credential, Organisation, Route } from '@hazelford/ports'
 import type { Incoming } from './caller-server.js'
 import type { ConfigProver } from './config-prover.js'
 import type { EntryMetrics } from './metrics.js'
 import type { ReadCall } from './relay-task.js'
+import type { Admission } from './usage-line.js'
 
 /** A request that may run. */
 export interface AdmittedCall {
@@ -19,6 +20,8 @@
   readonly table: RouteTable
   /** Whether its caller may still send it. */
   readonly isAllowed: () => boolean
+  /** Gives its usage back, when it has not run. */
+  readonly refund: () => void
 }
 
 /** What the intake needs of its entry. */
@@ -35,6 +38,8 @@
   readonly viewAge: () => Ms
   /** Ms after its acceptance in which a change must be in force. */
   readonly applyWithin: () => Ms
+  /** Takes a request's usage; at once where it need not ask. */
+  readonly admit: (organisation: Organisation, tokens: number | undefined) => Admission | Promise<Admission>
   readonly relay: (admitted: AdmittedCall) => void
 }
 
@@ -112,7 +117,7 @@
   }
 
   private _read (incoming: Incoming, table: RouteTable, route: Route, credential: Credential, identity: CallerIdentity & { readonly kind: 'anyone' | 'organisation' }): void {
-    const { log, codec, relay } = this._options
+    const { log, codec } = this._options
     const facts = codec.readCall(incoming.headers)
     if (facts.isErr()) {
       log.info('request', 'bad request.', { host: incoming.host, target: incoming.target, problem: facts.error })
@@ -129,7 +134,31 @@
       organisation: organisation?.name,
       priority: organisation?.priority ?? route.priority
     }
-    relay({ incoming, call, route, service, table, isAllowed: () => this._isAllowed(route, credential, organisation?.name) })
+    const relay = (refund: () => void): void => {
+      this._options.relay({ incoming, call, route, service, table, isAllowed: () => this._isAllowed(route, credential, organisation?.name), refund })
+    }
+    if (organisation === undefined) relay(() => {})
+    else this._charge(incoming, route, organisation, facts.value, relay)
+  }
+
+  /** Takes the request's usage, and lets it in if it is within its organisation's limit. */
+  private _charge (incoming: Incoming, route: Route, organisation: Organisation, facts: CallFacts, relay: (refund: () => void) => void): void {
+    const { admit, log, metrics } = this._options
+    const decided = (admission: Admission): void => {
+      if (admission.kind === 'admitted') {
+        if (incoming.isGone()) admission.refund()
+        else relay(admission.refund)
+        return
+      }
+      const { retryAfter } = admission
+      log.info('request', 'over its usage limit.', { request: facts.id, organisation: organisation.name, tokens: facts.promptTokens + facts.maxOutputTokens, retryAfter: Math.round(retryAfter) })
+      metrics.requests.inc({ kind: route.kind, end: 'over-limit' })
+      incoming.answer.fail({ kind: 'over-limit', organisation: organisation.name, retryAfter })
+    }
+    const admission = admit(organisation, facts.namesTokens ? facts.promptTokens + facts.maxOutputTokens : undefined)
+    // In one turn with its reading, the end of its connection can't have been missed.
+    if (!(admission instanceof Promise)) decided(admission)
+    else admission.then(decided, (error: Error) => log.warn('request', 'not charged.', { request: facts.id, error: error.message }))
   }
 
   /** Whether the key of a request that was let in still opens its route. */
--- /dev/null
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -0,0 +1,127 @@
+/**
+ * Holds organisations to their usage limits, together with the other entries.
+ */
+import type { Clock, Log, Ms } from '@hazelford/core'
+import { rendezvousOrder, rendezvousWeight, type UsageBounds, type UsageGrant, UsageKeeper, type UsageReport } from '@hazelford/decisions'
+import type { Organisation, UsageLimit } from '@hazelford/ports'
+import type { PeerAddress } from './peer-table.js'
+import { type Admission, UsageLine } from './usage-line.js'
+
+/** A report to the entry that counts some organisations. */
+export interface UsageMessage extends UsageReport { readonly shard: number }
+
+/** What the desk needs of its entry. */
+export interface UsageDeskOptions {
+  readonly node: string
+  readonly clock: Clock
+  readonly log: Log
+  readonly bounds: UsageBounds
+  /** All entries that live. */
+  readonly entries: () => readonly PeerAddress[]
+  /** Those of the configuration in force. */
+  readonly organisations: () => readonly Organisation[]
+  readonly report: (peer: PeerAddress, msg: UsageMessage) => Promise<readonly UsageGrant[]>
+  readonly ping: (peer: PeerAddress) => Promise<void>
+}
+
+/**
+ * Organisations counted by one entry. Each entry reports to each keeper some times a second, so few keepers cost
+ * little; with more organisations than this, one keeper's host would be busy with nothing else.
+ */
+const organisationsEach = 500
+/** How often a keeper that did not answer is tried. */
+const tryAgainEvery: Ms = 400
+
+/** One entry's part: its credit, and what it lends to others. */
+export class UsageDesk {
+  private readonly _lines = new Map<number, UsageLine>()
+  private readonly _keepers = new Map<number, UsageKeeper>()
+  private readonly _suspects = new Set<string>()
+  private _limits: ReadonlyMap<string, UsageLimit> = new Map()
+  private _stopped = false
+
+  constructor (private readonly _options: UsageDeskOptions) {}
+
+  /** Takes the limits of a configuration that is in force now. */
+  configured (): void {
+    this._limits = new Map(this._options.organisations().flatMap(({ name, limit }) => limit === undefined ? [] : [[name, limit]]))
+    // An entry without requests reports too: its part of each rate is lent to the others by whoever hears it.
+    if (this._limits.size > 0) for (let shard = 0; shard < this._shards; shard++) this._line(shard)
+  }
+
+  stop (): void {
+    this._stopped = true
+    for (const line of this._lines.values()) line.stop()
+  }
+
+  /**
+   * Takes a request's usage.
+   *
+   * @param organisation - whose request it is
+   * @param tokens - that the request names; undefined when it names none
+   * @returns at once where credit is at hand, or lately was not to be had
+   */
+  admit ({ name, limit }: Organisation, tokens: number | undefined): Admission | Promise<Admission> {
+    if (limit === undefined) return { kind: 'admitted', refund: () => {} }
+    const cost = limit.unit === 'requests' ? 1 : tokens ?? limit.plainTokens
+    return this._line(this._shardOf(name)).admit(name, cost)
+  }
+
+  /** Another entry reports, or this one to itself. */
+  report ({ shard, ...report }: UsageMessage): readonly UsageGrant[] {
+    const { clock, bounds, entries } = this._options
+    const keeper = this._keepers.get(shard) ?? new UsageKeeper(bounds)
+    this._keepers.set(shard, keeper)
+    return keeper.report(report, { now: clock.now(), entries: entries().length, limitOf: name => this._limits.get(name) })
+  }
+
+  private get _shards (): number { return Math.max(1, Math.ceil(this._limits.size / organisationsEach)) }
+
+  private _shardOf (organisation: string): number {
+    return this._shards === 1 ? 0 : rendezvousWeight('usage', organisation) % this._shards
+  }
+
+  private _line (shard: number): UsageLine {
+    const known = this._lines.get(shard)
+    if (known !== undefined) return known
+    const { clock, log, node } = this._options
+    const line = new UsageLine({ clock, log, node, report: report => this._report(shard, report) })
+    this._lines.set(shard, line)
+    return line
+  }
+
+  /** Reports to the first keeper that answers; at last to this entry itself. */
+  private async _report (shard: number, report: UsageReport): Promise<readonly UsageGrant[]> {
+    const { node, entries, log } = this._options
+    let { covers } = report
+    const known = new Map(entries().map(entry => [entry.node, entry]))
+    for (const name of rendezvousOrder(`usage/${shard}`, [...known.keys()])) {
+      if (name === node) break
+      if (this._suspects.has(name)) continue
+      try {
+        return await this._options.report(known.get(name)!, { ...report, covers, shard })
+      } catch (error) {
+        // It may have counted the time before its answer was lost.
+        covers = 0
+        log.info('usage', 'keeper does not answer.', { keeper: name, shard, cause: (error as Error).message })
+        this._suspect(known.get(name)!)
+      }
+    }
+    return this.report({ ...report, covers, shard })
+  }
+
+  private _suspect (peer: PeerAddress): void {
+    if (this._suspects.has(peer.node)) return
+    this._suspects.add(peer.node)
+    this._tryAgain(peer)
+  }
+
+  private _tryAgain (peer: PeerAddress): void {
+    this._options.clock.after(tryAgainEvery, () => {
+      if (this._stopped) return
+      const isListed = this._options.entries().some(({ node }) => node === peer.node)
+      if (!isListed) this._suspects.delete(peer.node)
+      else this._options.ping(peer).then(() => { this._suspects.delete(peer.node) }, () => this._tryAgain(peer))
+    })
+  }
+}
--- /dev/null
+++ b/packages/direct/src/lib/usage-messages.ts
@@ -0,0 +1,37 @@
+/**
+ * Reads what entries tell each other of usage.
+ */
+import type { UsageGrant, UsageRow } from '@hazelford/decisions'
+import type { UsageMessage } from './usage-desk.js'
+
+function isAmount (value: unknown): value is number { return typeof value === 'number' && Number.isFinite(value) && value >= 0 }
+
+function isRow (value: unknown): value is UsageRow {
+  const { organisation, holding, first, want, returned } = (value ?? {}) as Record<string, unknown>
+  return typeof organisation === 'string' && [holding, first, want, returned].every(isAmount)
+}
+
+function isGrant (value: unknown): value is UsageGrant {
+  const { organisation, granted, wait } = (value ?? {}) as Record<string, unknown>
+  return typeof organisation === 'string' && isAmount(granted) && isAmount(wait)
+}
+
+/**
+ * Reads a report.
+ *
+ * A number that is none, taken into a bucket, would make every sum there none too, and each comparison with it false.
+ *
+ * @param value - decoded JSON
+ * @returns undefined when it is no report
+ */
+export function readUsageMessage (value: unknown): UsageMessage | undefined {
+  const { shard, entry, covers, rows } = (value ?? {}) as Record<string, unknown>
+  if (!isAmount(shard) || !isAmount(covers) || typeof entry !== 'string' || !Array.isArray(rows) || !rows.every(isRow)) return undefined
+  return { shard, entry, covers, rows }
+}
+
+/** Reads a keeper's answer; undefined when it is none. */
+export function readUsageGrants (value: unknown): readonly UsageGrant[] | undefined {
+  const { grants } = (value ?? {}) as Record<string, unknown>
+  return Array.isArray(grants) && grants.every(isGrant) ? grants : undefined
+}
--- a/packages/direct/src/test/support/places-play.ts
+++ b/packages/direct/src/test/support/places-play.ts
@@ -4,6 +4,7 @@
 import type { Ms } from '@hazelford/core'
 import { EnginePlaces, rankCandidates, rendezvousOrder } from '@hazelford/decisions'
 import { type LoadDigest, pickDigests } from '../../lib/load-digest.js'
+import { randoms } from './randoms.js'
 
 /** What is played. */
 export interface PlacesLoad {
@@ -43,14 +44,6 @@
 interface Engine { readonly id: string, readonly holder: number, readonly places: EnginePlaces, running: Stream[], waiting: Stream[] }
 type Known = Map<string, { readonly running: number, readonly at: Ms }>
 
-function randoms (seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (state * 1_664_525 + 1_013_904_223) % 2 ** 32
-    return state / 2 ** 32
-  }
-}
-
 class PlacesPlay {
   private readonly _random: () => number
   private readonly _engines: readonly Engine[]
--- /dev/null
+++ b/packages/direct/src/test/support/usage-play.ts
@@ -0,0 +1,212 @@
+/**
+ * Plays organisations with usage limits at many entries, in virtual time, against the real desks.
+ */
+import { FakeClock, type Ms, silentLog, sleep } from '@hazelford/core'
+import type { Organisation } from '@hazelford/ports'
+import type { PeerAddress } from '../../lib/peer-table.js'
+import { UsageDesk } from '../../lib/usage-desk.js'
+import type { Admission } from '../../lib/usage-line.js'
+import { randoms } from './randoms.js'
+
+/** How entries share a limit: each its equal part, or by what a keeper lends. */
+export type UsageWay = 'equal-parts' | 'keeper'
+
+/** What happens to entries, by number. */
+export type UsageFault =
+  /** Its messages and those to it are lost. */
+  | { readonly kind: 'cut', readonly entry: number, readonly at: Ms, readonly until: Ms }
+  /** Ends, and starts again knowing nothing. */
+  | { readonly kind: 'restart', readonly entry: number, readonly at: Ms }
+
+/** One organisation's callers. */
+export interface UsageDemand {
+  readonly organisation: string
+  /** Units a second that may be asked for. */
+  readonly limit: number
+  /** Units a second that are asked for in the mean. */
+  readonly asked: number
+  /** Entries that its callers' connections go to. */
+  readonly entries: number
+  /** Units of a request, in the mean. */
+  readonly cost: number
+}
+
+/** What is played. */
+export interface UsageLoad {
+  readonly way: UsageWay
+  readonly entries: number
+  readonly demands: readonly UsageDemand[]
+  readonly faults: readonly UsageFault[]
+  readonly length: Ms
+  readonly seed: number
+}
+
+/** What came of it. */
+export interface UsageResult {
+  /** Units refused though one bucket for all entries had had them, as a part of those that it had. */
+  readonly refusedBelow: number
+  /** Units used, as a part of those that one bucket for all entries had had. */
+  readonly used: number
+  /** Largest use in any window, as a part of what the limit allows in it with its overage and slack. */
+  readonly worstWindow: number
+  /** Messages between entries a second. */
+  readonly messages: number
+}
+
+/** Bounds of the window rule, as the deployment's sheet has them. */
+const window: Ms = 8_000
+const overage = 0.1
+const slack = 17_000
+const step: Ms = 5
+const latency: Ms = 2
+const lostAfter: Ms = 150
+/** Before this, entries start. */
+const settle: Ms = 3_000
+
+interface Use { readonly at: Ms, readonly units: number }
+
+/** One bucket that sees all requests in order. */
+class NaiveBucket {
+  private _level: number
+  private _at: Ms = 0
+
+  constructor (private readonly _rate: number, private readonly _burst: number) { this._level = _burst }
+
+  take (units: number, now: Ms): boolean {
+    this._level = Math.min(this._burst, this._level + this._rate * (now - this._at) / 1_000)
+    this._at = now
+    if (units > this._level) return false
+    this._level -= units
+    return true
+  }
+}
+
+function worstWindow (uses: readonly Use[]): number {
+  let most = 0
+  let sum = 0
+  let from = 0
+  for (const { at, units } of uses) {
+    sum += units
+    while (uses[from]!.at <= at - window) sum -= uses[from++]!.units
+    most = Math.max(most, sum)
+  }
+  return most
+}
+
+class UsagePlay {
+  private readonly _clock = new FakeClock()
+  private readonly _random: () => number
+  private readonly _peers: readonly PeerAddress[]
+  private readonly _organisations: readonly Organisation[]
+  private readonly _desks: UsageDesk[] = []
+  private readonly _parts: Map<string, NaiveBucket>[] = []
+  private readonly _uses = new Map<string, Use[]>()
+  private _messages = 0
+  private _owed = 0
+  private _used = 0
+  private _refused = 0
+
+  constructor (private readonly _load: UsageLoad) {
+    this._random = randoms(_load.seed)
+    this._peers = Array.from({ length: _load.entries }, (_, n) => ({ node: `entry-${n}`, host: '127.0.0.1', port: n + 1 }))
+    this._organisations = _load.demands.map(({ organisation, limit }) => ({ name: organisation, keys: [], limit: { unit: 'tokens', rate: limit, burst: limit, plainTokens: 200 } }))
+    for (let n = 0; n < _load.entries; n++) this._start(n)
+  }
+
+  async run (): Promise<UsageResult> {
+    await this._advance(settle)
+    const whole = new Map(this._load.demands.map(({ organisation, limit }) => [organisation, new NaiveBucket(limit, limit)]))
+    const end = settle + this._load.length
+    for (let now = this._clock.now(); now < end; now = this._clock.now()) {
+      for (const fault of this._load.faults) if (fault.kind === 'restart' && fault.at + settle >= now && fault.at + settle < now + step) this._start(fault.entry)
+      for (const demand of this._load.demands) this._arrivals(demand, whole.get(demand.organisation)!)
+      await this._advance(step)
+    }
+    await this._advance(1_000)
+    return { refusedBelow: this._refused / Math.max(1, this._owed), used: this._used / Math.max(1, this._owed), worstWindow: this._worst(), messages: this._messages / (end / 1_000) }
+  }
+
+  private async _advance (by: Ms): Promise<void> {
+    for (let moved = 0; moved < by; moved++) {
+      this._clock.advance(1)
+      await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+
+  private _start (n: number): void {
+    this._desks[n]?.stop()
+    const desk = new UsageDesk({
+      node: this._peers[n]!.node,
+      clock: this._clock,
+      log: silentLog,
+      bounds: { window, overage },
+      entries: () => this._peers,
+      organisations: () => this._organisations,
+      report: async ({ port }, msg) => await this._carry(n, port - 1, () => this._desks[port - 1]!.report(msg)),
+      ping: async ({ port }) => { await this._carry(n, port - 1, () => []) }
+    })
+    this._desks[n] = desk
+    desk.configured()
+    this._parts[n] = new Map(this._load.demands.map(({ organisation, limit }) => [organisation, new NaiveBucket(limit / this._load.entries, limit / this._load.entries)]))
+  }
+
+  private async _carry<T> (from: number, to: number, call: () => T): Promise<T> {
+    this._messages++
+    await sleep(this._clock, latency)
+    if (!this._isCut(from) && !this._isCut(to)) {
+      const answer = call()
+      await sleep(this._clock, latency)
+      if (!this._isCut(from) && !this._isCut(to)) return answer
+    }
+    await sleep(this._clock, lostAfter)
+    throw new Error('No answer.')
+  }
+
+  private _isCut (entry: number): boolean {
+    const now = this._clock.now() - settle
+    return this._load.faults.some(fault => fault.kind === 'cut' && fault.entry === entry && now >= fault.at && now < fault.until)
+  }
+
+  private _arrivals (demand: UsageDemand, whole: NaiveBucket): void {
+    const expected = demand.asked / demand.cost * step / 1_000
+    for (let left = expected; left > 0; left--) {
+      if (this._random() >= left) continue
+      // Callers keep their connections, and some have many more than others.
+      const entry = Math.floor(this._random() ** 2 * demand.entries)
+      const cost = Math.ceil(demand.cost * (0.4 + 1.2 * this._random()))
+      this._ask(demand, entry, cost, whole.take(cost, this._clock.now()))
+    }
+  }
+
+  private _ask ({ organisation }: UsageDemand, entry: number, cost: number, isOwed: boolean): void {
+    if (isOwed) this._owed += cost
+    const note = (admission: Admission): void => {
+      if (admission.kind === 'admitted') this._note(organisation, cost)
+      else if (isOwed) this._refused += cost
+    }
+    if (this._load.way === 'equal-parts') {
+      note(this._parts[entry]!.get(organisation)!.take(cost, this._clock.now()) ? { kind: 'admitted', refund: () => {} } : { kind: 'over-limit', retryAfter: 0 })
+      return
+    }
+    const admission = this._desks[entry]!.admit(this._organisations.find(({ name }) => name === organisation)!, cost)
+    if (admission instanceof Promise) admission.then(note, (error: Error) => { throw error })
+    else note(admission)
+  }
+
+  private _note (organisation: string, units: number): void {
+    const uses = this._uses.get(organisation) ?? []
+    this._used += units
+    uses.push({ at: this._clock.now(), units })
+    this._uses.set(organisation, uses)
+  }
+
+  private _worst (): number {
+    return Math.max(...this._load.demands.map(({ organisation, limit }) => {
+      const allowed = (limit * window / 1_000 + limit) * (1 + overage) + slack
+      return worstWindow(this._uses.get(organisation) ?? []) / allowed
+    }))
+  }
+}
+
+/** Plays a load. */
+export function playUsage (load: UsageLoad): Promise<UsageResult> { return new UsagePlay(load).run() }
--- /dev/null
+++ b/packages/direct/src/test/usage.feature
@@ -0,0 +1,20 @@
+Feature: usage limits over all entries
+
+  Scenario: organisations within their limits
+    Symptom: an organisation gets 429 below its limit.
+    Events: callers keep their connections, so that most requests of an organisation come to few of 22 entries.
+    Cause: each entry had an equal part of the limit, most of which lay unused.
+    Equal parts refuse 27 in 100 units that one bucket had had, credit lent by a keeper less than 1.
+    Then with a keeper at most 2 in 100 units are refused below the limit, with equal parts over 25
+
+  Scenario: an organisation that asks for several times its limit
+    Then in no window more is used than its limit allows, and over 90 in 100 units of what it allows are
+
+  Scenario: entries that are cut off or start again, keepers among them
+    Symptom: an organisation uses twice its limit.
+    Events: the entry that counts it is cut off, others go on; entries start again.
+    Cause: two entries counted the same organisation, and each lent all of it.
+    Then in no window more is used than its limit allows, whatever is cut off or starts again
+
+  Scenario: what another version tells
+    Then whatever a peer reports or lends is amounts that can be counted, or nothing
--- /dev/null
+++ b/packages/direct/src/test/usage.steps.ts
@@ -0,0 +1,60 @@
+/**
+ * Checks that limits hold over all entries, and that what they allow can be used.
+ */
+import assert from 'node:assert/strict'
+import { Then } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import { readUsageGrants, readUsageMessage } from '../lib/usage-messages.js'
+import { playUsage, type UsageDemand, type UsageFault, type UsageLoad } from './support/usage-play.js'
+
+const propertySeed = 20261203
+const entries = 22
+const length = 14_000
+/** A large organisation and a small one, as 16 organisations of 240 requests a second have them. */
+const large: UsageDemand = { organisation: 'large', limit: 146_000, asked: 81_000, entries: 14, cost: 1_100 }
+const small: UsageDemand = { organisation: 'small', limit: 9_000, asked: 5_000, entries: 4, cost: 900 }
+
+function load (over: Partial<UsageLoad>): UsageLoad { return { way: 'keeper', entries, demands: [large, small], faults: [], length, seed: 1, ...over } }
+
+Then('with a keeper at most {int} in {int} units are refused below the limit, with equal parts over {int}', async (most: number, of: number, equal: number) => {
+  for (const seed of [1, 2, 3]) {
+    const lent = await playUsage(load({ seed }))
+    const parts = await playUsage(load({ seed, way: 'equal-parts' }))
+    console.log(`usage within the limit, seed ${seed}: keeper ${JSON.stringify(lent)}, equal parts ${JSON.stringify(parts)}`)
+    assert.ok(lent.refusedBelow <= most / of, `keeper ${lent.refusedBelow}`)
+    assert.ok(parts.refusedBelow > equal / of, `equal parts ${parts.refusedBelow}`)
+  }
+})
+
+Then('in no window more is used than its limit allows, and over {int} in {int} units of what it allows are', async (least: number, of: number) => {
+  for (const demand of [{ ...large, asked: 600_000 }, { ...small, asked: 40_000 }]) {
+    const result = await playUsage(load({ demands: [demand] }))
+    console.log(`usage beyond the limit, ${demand.organisation}: ${JSON.stringify(result)}`)
+    assert.ok(result.worstWindow <= 1, `worst window ${result.worstWindow}`)
+    assert.ok(result.used > least / of, `used ${result.used}`)
+  }
+})
+
+const fault: fc.Arbitrary<UsageFault> = fc.oneof(
+  fc.record({ kind: fc.constant('cut' as const), entry: fc.integer({ min: 0, max: 5 }), at: fc.integer({ min: 0, max: 8_000 }), lasts: fc.integer({ min: 50, max: 6_000 }) })
+    .map(({ lasts, ...cut }) => ({ ...cut, until: cut.at + lasts })),
+  fc.record({ kind: fc.constant('restart' as const), entry: fc.integer({ min: 0, max: 5 }), at: fc.integer({ min: 0, max: 10_000 }) })
+)
+
+Then('in no window more is used than its limit allows, whatever is cut off or starts again', async () => {
+  const demands = [{ ...large, asked: 500_000, entries: 6 }]
+  await fc.assert(fc.asyncProperty(fc.array(fault, { minLength: 1, maxLength: 8 }), async faults => {
+    const result = await playUsage(load({ entries: 6, demands, faults, length: 10_000 }))
+    assert.ok(result.worstWindow <= 1, `worst window ${result.worstWindow}`)
+  }), { seed: propertySeed, numRuns: 60, endOnFailure: true })
+})
+
+Then('whatever a peer reports or lends is amounts that can be counted, or nothing', () => {
+  const anything = fc.oneof(fc.jsonValue(), fc.record({ shard: fc.jsonValue(), entry: fc.jsonValue(), covers: fc.jsonValue(), rows: fc.array(fc.record({ organisation: fc.string(), holding: fc.jsonValue(), first: fc.integer(), want: fc.integer(), returned: fc.integer() })) }))
+  fc.assert(fc.property(anything, value => {
+    for (const { holding, first, want, returned } of readUsageMessage(value)?.rows ?? []) assert.ok([holding, first, want, returned].every(amount => Number.isFinite(amount) && amount >= 0))
+    for (const { granted, wait } of readUsageGrants({ grants: value }) ?? []) assert.ok(granted >= 0 && wait >= 0)
+  }), { seed: propertySeed, numRuns: 1_000 })
+  const good = { shard: 0, entry: 'e', covers: 400, rows: [{ organisation: 'o', holding: 1, first: 0, want: 2.5, returned: 0 }] }
+  assert.deepEqual(readUsageMessage(good), good)
+})
