--- a/packages/cli/src/lib/queries/explain.ts
+++ b/packages/cli/src/lib/queries/explain.ts
@@ -34,9 +34,17 @@
   'timeout-unsent': 'Its time ran out before it was sent. It did not run.',
   'timeout-sent': 'Its time ran out while an upstream had it. It may have run.',
   quarantined: 'Upstreams had ended under it, at this entry or others, so it is held back: see "held back" and its fingerprint. A 503 says that this attempt did not run.',
+  'key-withdrawn': 'Its key was withdrawn while it waited. It did not run.',
   'shutting-down': 'The entry was stopping. It did not run.'
 }
 
+/** What the last line of a request means that was not taken. */
+const refusals: Readonly<Record<string, string>> = {
+  'request: unauthorised.': 'It showed no key that opens its route, by the configuration of the version and age below. It did not run.',
+  'request: over its usage limit.': 'Its organisation had used up its limit. It did not run.',
+  'request: configuration too old to let callers in.': 'Its entry could not tell whether the key was still good: neither the store nor another entry answered. It did not run.'
+}
+
 function wantOf (line: LogLine): { readonly model?: unknown, readonly adapter?: unknown } {
   return typeof line.want === 'object' && line.want !== null ? line.want : {}
 }
@@ -67,7 +75,7 @@
   const nodes = new Set(own.map(({ node }) => node))
   const changes = lines.filter(line => line.time >= first.time - around && line.time <= last.time + around && isAbout(line, first, upstreams, nodes))
   const outcome = end === undefined
-    ? 'It has no end in these logs: its entry was killed or cut off, or its log ends too soon.'
+    ? refusals[last.msg] ?? 'It has no end in these logs: its entry was killed or cut off, or its log ends too soon.'
     : meanings[String(end.end)] ?? `It ended as ${String(end.end)}.`
   const text = [
     `Request ${id}: ${outcome}`,
--- a/packages/cli/src/test/report.feature
+++ b/packages/cli/src/test/report.feature
@@ -19,3 +19,8 @@
     Given logs of two entries, in which 3 engines end under the attempts at one request, and each loses another one too
     When the load is reported
     Then it names that request alone, with its route, its adapter and the 3 engines
+
+  Scenario: what organisations got
+    Given logs in which "north" has one answer and two requests over its limit, and a withdrawn key is shown
+    When the load is reported
+    Then it gives each organisation's requests, and the digest of the key that opens nothing
--- a/packages/cli/src/test/report.steps.ts
+++ b/packages/cli/src/test/report.steps.ts
@@ -83,3 +83,18 @@
   assert.match(text, /<pre>route/)
   assert.doesNotMatch(text, /https?:|src=/)
 })
+
+Given('logs in which {string} has one answer and two requests over its limit, and a withdrawn key is shown', function (this: ReportWorld, organisation: string) {
+  this.recorded = [[
+    line(1_000, 'e1', 'request: taken.', { request: 'n1', route: 'stock', organisation }),
+    line(1_050, 'e1', 'request: over.', { request: 'n1', end: 'delivered' }),
+    line(1_100, 'e1', 'request: over its usage limit.', { request: 'n2', organisation, retryAfter: 200 }),
+    line(1_110, 'e1', 'request: over its usage limit.', { request: 'n3', organisation, retryAfter: 200 }),
+    line(1_200, 'e1', 'request: unauthorised.', { request: 'n4', cause: 'unknown-key', key: '0badcafe', version: 7, age: 900 })
+  ].join('\n')]
+})
+
+Then('it gives each organisation\'s requests, and the digest of the key that opens nothing', function (this: ReportWorld) {
+  assert.match(this.loadReport.text, /north +1 +1 +2/)
+  assert.match(this.loadReport.text, /unknown-key +0badcafe +1/)
+})
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -399,6 +399,7 @@
         this._open.delete(task)
         metrics.open.dec()
         metrics.requests.inc({ kind: route.kind, end })
+        if (call.organisation !== undefined) metrics.countOrganisation(call.organisation, end)
         metrics.latency.observe({ kind: route.kind }, took)
         log.info('request', 'over.', { request: id, end, took: Math.round(took), sends, firstData: firstData === undefined ? undefined : Math.round(firstData), longestGap: Math.round(longestGap) })
       }
--- a/packages/direct/src/lib/metrics.ts
+++ b/packages/direct/src/lib/metrics.ts
@@ -7,6 +7,10 @@
 /** Bounds in ms: fine around the latency targets of plain calls and of streams. */
 const latencyBuckets = [5, 10, 20, 40, 80, 120, 160, 240, 400, 800, 1_200, 2_000, 4_000, 8_000, 16_000]
 
+/** Organisations counted by name; all further ones are counted as one, so that a scrape stays small. */
+const organisationsNamed = 50
+const otherOrganisations = 'others'
+
 /** What an entry measures. */
 export class EntryMetrics {
   private readonly _registry = new Registry()
@@ -19,6 +23,8 @@
   readonly latency = this._histogram('hazelford_request_ms', 'From a request to the end of its answer.', ['kind'])
   readonly firstByte = this._histogram('hazelford_first_byte_ms', 'From a send to the first byte of its answer.', ['kind'])
   readonly loadStall = this._histogram('hazelford_load_stall_ms', 'Wait of requests for an adapter.', [])
+  private readonly _organisationRequests = this._counter('hazelford_organisation_requests_total', 'Requests by organisation and end.', ['organisation', 'end'])
+  private readonly _organisations = new Set<string>()
   readonly open = new Gauge({ name: 'hazelford_open_requests', help: 'Requests without their whole answer.', registers: [this._registry] })
   readonly configVersion = new Gauge({ name: 'hazelford_config_version', help: 'Version of the configuration in force.', registers: [this._registry] })
 
@@ -30,6 +36,12 @@
     return new Histogram({ name, help, labelNames, buckets: latencyBuckets, registers: [this._registry] })
   }
 
+  /** Counts a request of an organisation by its end. */
+  countOrganisation (name: string, end: string): void {
+    if (this._organisations.size < organisationsNamed) this._organisations.add(name)
+    this._organisationRequests.inc({ organisation: this._organisations.has(name) ? name : otherOrganisations, end })
+  }
+
   text (): Promise<string> { return this._registry.metrics() }
 
   /** A server that answers with the metrics at `path`. */
--- a/packages/direct/src/lib/request-intake.ts
+++ b/packages/direct/src/lib/request-intake.ts
@@ -86,16 +86,22 @@
   private _isPublic ({ host, target }: Incoming, table: RouteTable): boolean { return table.match(host, target)?.public === true }
 
   private _proved (incoming: Incoming, credential: Credential): void {
-    const { prover, log, metrics, viewAge, codec } = this._options
+    const { prover, log, metrics, viewAge } = this._options
     const table = this._options.table()
     // Its caller may have left while the question was under way.
     if (table === undefined || incoming.answer.ended || incoming.isGone()) return
     if (prover.isProven || this._isPublic(incoming, table)) return this._identified(incoming, table, credential)
     metrics.requests.inc({ kind: 'none', end: 'config-unproven' })
-    log.info('request', 'configuration too old to let callers in.', { request: codec.readCall(incoming.headers).map(({ id }) => id).unwrapOr(undefined), age: Math.round(viewAge()), version: table.version })
+    log.info('request', 'configuration too old to let callers in.', { request: this._idOf(incoming), age: Math.round(viewAge()), version: table.version })
     incoming.answer.fail({ kind: 'config-unproven', retryAfter: unprovenRetryAfter })
   }
 
+  /** Names a request in logs, where it can be read. */
+  private _idOf ({ headers }: Incoming): string | undefined {
+    const facts = this._options.codec.readCall(headers)
+    return facts.isOk() ? facts.value.id : undefined
+  }
+
   private _identified (incoming: Incoming, table: RouteTable, credential: Credential): void {
     const { log, metrics } = this._options
     const route = table.match(incoming.host, incoming.target)
@@ -111,7 +117,7 @@
 
   private _unauthorised (incoming: Incoming, table: RouteTable, route: Route, credential: Credential, { cause }: CallerIdentity & { readonly kind: 'unauthorised' }): void {
     const { log, metrics, viewAge } = this._options
-    log.info('request', 'unauthorised.', { route: route.name, cause, key: credential.kind === 'key' ? shownKey(credential.digest) : undefined, version: table.version, age: Math.round(viewAge()) })
+    log.info('request', 'unauthorised.', { request: this._idOf(incoming), route: route.name, cause, key: credential.kind === 'key' ? shownKey(credential.digest) : undefined, version: table.version, age: Math.round(viewAge()) })
     metrics.requests.inc({ kind: route.kind, end: 'unauthorised' })
     incoming.answer.fail({ kind: 'unauthorised', cause })
   }
@@ -153,6 +159,7 @@
       const { retryAfter } = admission
       log.info('request', 'over its usage limit.', { request: facts.id, organisation: organisation.name, tokens: facts.promptTokens + facts.maxOutputTokens, retryAfter: Math.round(retryAfter) })
       metrics.requests.inc({ kind: route.kind, end: 'over-limit' })
+      metrics.countOrganisation(organisation.name, 'over-limit')
       incoming.answer.fail({ kind: 'over-limit', organisation: organisation.name, retryAfter })
     }
     const admission = admit(organisation, facts.namesTokens ? facts.promptTokens + facts.maxOutputTokens : undefined)
