--- a/packages/decisions/src/lib/usage-keeper.ts
+++ b/packages/decisions/src/lib/usage-keeper.ts
@@ -46,6 +46,7 @@
 
 /** What a keeper must know besides the report. */
 export interface KeeperContext {
+  readonly bounds: UsageBounds
   readonly now: Ms
   /** Entries that are listed. */
   readonly entries: number
@@ -136,6 +137,19 @@
   }
 }
 
+/**
+ * How a limit is lent: at what rate, and how much at once.
+ *
+ * What may be used in a window is the rate for all of it, and the burst. Lent at once, the burst is gone in a moment, and
+ * who asks for a little more than the rate all the time is refused though the window's sum allows it. So it is
+ * spread over the window, as far as the allowed overage is large enough to stand for it.
+ */
+function lending ({ rate, burst }: UsageLimit, { window, overage, slack }: UsageBounds): { readonly rate: number, readonly most: number } {
+  const over = overageUsed * (overage * (rate * window / 1_000 + burst) + slack)
+  const atOnce = Math.max(0, burst * leastBurst - over)
+  return { rate: rate + (burst - atOnce) / window * 1_000, most: atOnce + over }
+}
+
 /**
  * Counts the usage of organisations for the entries that report to it.
  *
@@ -152,8 +166,6 @@
   /** Time for which entries have brought their parts of all rates. */
   private _covered: Ms = 0
 
-  constructor (private readonly _bounds: UsageBounds) {}
-
   /** Takes an entry's report and lends it what can be lent. */
   report ({ entry, covers, rows }: UsageReport, context: KeeperContext): readonly UsageGrant[] {
     this._hear(entry, context.now)
@@ -164,26 +176,12 @@
       const limit = context.limitOf(row.organisation)
       if (limit === undefined) return []
       const bucket = this._bucket(row.organisation)
-      const { rate, most } = this._lending(limit)
+      const { rate, most } = lending(limit, context.bounds)
       bucket.refill(rate, most * share, row.first, this._covered, context.now)
       return [{ organisation: row.organisation, ...bucket.lend(entry, row, rate * share, context.now) }]
     })
   }
 
-  /**
-   * How a limit is lent: at what rate, and how much at once.
-   *
-   * What may be used in a window is the rate for all of it, and the burst. Lent at once, the burst is gone in a moment, and
-   * who asks for a little more than the rate all the time is refused though the window's sum allows it. So it is
-   * spread over the window, as far as the allowed overage is large enough to stand for it.
-   */
-  private _lending ({ rate, burst }: UsageLimit): { readonly rate: number, readonly most: number } {
-    const { window, overage, slack } = this._bounds
-    const over = overageUsed * (overage * (rate * window / 1_000 + burst) + slack)
-    const atOnce = Math.max(0, burst * leastBurst - over)
-    return { rate: rate + (burst - atOnce) / window * 1_000, most: atOnce + over }
-  }
-
   private _hear (entry: string, now: Ms): void {
     for (const [other, at] of this._heard) if (now - at >= wordLasts) this._heard.delete(other)
     if (this._heard.size === 0) {
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -4,8 +4,7 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { type AdapterWant, type ExchangeOutcome, type QuarantineLimits, type RelayFailure, type RouteTable, type SharedBudgetLimits, SharedRetryBudget } from '@hazelford/decisions'
-import type { Route } from '@hazelford/ports'
+import type { QuarantineLimits, RouteTable, SharedBudgetLimits, UsageBounds } from '@hazelford/decisions'
 import { AdapterDirectory } from './adapter-directory.js'
 import { CallerServer, createReadyServer } from './caller-server.js'
 import type { ConfigHolder } from './config-holder.js'
@@ -22,8 +21,8 @@
 import { Placer } from './placer.js'
 import type { PlatformPort } from './platform-port.js'
 import { QuarantineDesk } from './quarantine-desk.js'
-import { RelayTask } from './relay-task.js'
-import { type AdmittedCall, RequestIntake } from './request-intake.js'
+import { RelayRunner } from './relay-runner.js'
+import { RequestIntake } from './request-intake.js'
 import { StoreView } from './store-view.js'
 import type { Upstream } from './upstream.js'
 import { UsageDesk } from './usage-desk.js'
@@ -42,9 +41,6 @@
 /** Part of an upstream's connections that one entry uses; the rest is for entries not seen yet. */
 const connectionShare = 0.9
 const defaultConnections = 100
-/** Retry-After: long enough for an ejection or a load to be over, short against any caller's patience. */
-const retryAfterBase: Ms = 150
-const retryAfterSpread: Ms = 250
 /**
  * Time after the end of an adapter's last request here until its holder is told, if no ask tells it before: what ends
  * together is told together. A slot stays taken that long for nobody. In a play of six slots at twice their load,
@@ -67,6 +63,10 @@
   return { after: settings.quarantine_after, holdTime: settings.quarantine_s * 1_000 }
 }
 
+function usageBounds (settings: DirectSettings): UsageBounds {
+  return { window: settings.usage_window_s * 1_000, overage: settings.usage_overage, slack: settings.usage_slack }
+}
+
 function portOf (server: Server): number { return (server.address() as AddressInfo).port }
 
 function listen (server: Server, host: string, port: number): Promise<Server> {
@@ -84,13 +84,11 @@
   private readonly _placer: Placer
   private readonly _lease: LeaseKeeper
   private readonly _client = new PeerClient()
+  private readonly _runner: RelayRunner
   private readonly _intake: RequestIntake
   private readonly _callers: CallerServer
-  private readonly _budgets = new Map<string, SharedRetryBudget>()
   private readonly _quarantine: QuarantineDesk
   private readonly _usage: UsageDesk
-  /** Requests without their whole answer. */
-  private readonly _open = new Set<RelayTask>()
   private readonly _servers: Server[] = []
   private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, port: number }
   private _settings: DirectSettings
@@ -156,6 +154,7 @@
     })
     this._directory = new AdapterDirectory(settings.name, clock, log, this.peers, this._client, this.desk, this.members)
     this._placer = new Placer(clock, log, settings.zone, this.members, this._directory, () => this.peers.entryCount, service => this.config.table?.service(service)?.engine?.adapterSlots ?? 1)
+    this._runner = this._createRunner()
     this._intake = this._createIntake()
     this._callers = new CallerServer({
       clock,
@@ -171,7 +170,7 @@
       node: settings.name,
       clock,
       log,
-      bounds: { window: settings.usage_window_s * 1_000, overage: settings.usage_overage, slack: settings.usage_slack },
+      bounds: () => usageBounds(this._settings),
       entries: () => this.peers.entries,
       organisations: () => this.config.table?.organisations ?? [],
       report: (peer, msg) => this._client.reportUsage(peer, msg),
@@ -179,6 +178,22 @@
     })
   }
 
+  private _createRunner (): RelayRunner {
+    const { clock, log, metrics, platform } = this._options
+    return new RelayRunner({
+      clock,
+      log,
+      metrics,
+      codec: platform.codec,
+      config: this.config,
+      placer: this._placer,
+      directory: this._directory,
+      quarantine: this._quarantine,
+      entries: () => this.peers.entryCount,
+      budgetLimits: () => budgetLimits(this._settings)
+    })
+  }
+
   private _createIntake (): RequestIntake {
     const { clock, log, metrics, platform } = this._options
     const viewAge = (): Ms => this._view.viewAge
@@ -193,7 +208,7 @@
       viewAge,
       applyWithin: () => this._settings.apply_within_ms,
       admit: (organisation, tokens) => this._usage.admit(organisation, tokens),
-      relay: admitted => this._relay(admitted)
+      relay: admitted => this._runner.run(admitted)
     })
   }
 
@@ -236,7 +251,7 @@
   reconfigure (settings: DirectSettings): readonly string[] {
     const before = this._settings
     this._settings = { ...settings, ...pickAddresses(before) }
-    for (const budget of this._budgets.values()) budget.limit(budgetLimits(settings))
+    this._runner.limitRepeats(budgetLimits(settings))
     this._quarantine.limit(quarantineLimits(settings))
     return addressSettings.filter(name => settings[name] !== before[name])
   }
@@ -308,7 +323,7 @@
   /** Ends what this entry has open of a request that is held back from now on. */
   private _hold (fingerprint: string): void {
     this._options.metrics.heldRequests.inc()
-    for (const task of [...this._open]) if (task.fingerprint === fingerprint) task.hold()
+    this._runner.hold(fingerprint)
   }
 
   private async _answerPeer ({ upstream, loads, ...ask }: AskMessage): Promise<PeerAskOutcome> {
@@ -358,83 +373,4 @@
     }
     this._client.close()
   }
-
-  private _wanted (table: RouteTable, service: string, model: string | undefined, adapter: string | undefined): AdapterWant | undefined {
-    if (model === undefined || table.service(service)?.engine === undefined) return undefined
-    if (adapter === undefined) return { model }
-    const version = this.config.versionOf(model, adapter)
-    return { model, adapter, ...(version === undefined ? {} : { version }) }
-  }
-
-  private _relay ({ incoming, call, route, service, table, isAllowed, refund }: AdmittedCall): void {
-    const { clock, log, metrics, platform } = this._options
-    const { id, model, adapter, patience } = call.facts
-    const wanted = (): AdapterWant | undefined => this._wanted(table, service, model, adapter)
-    const want = wanted()
-    const budget = this._budgetOf(service)
-    budget.request(clock.now())
-    this._placer.count(service, want)
-    metrics.open.inc()
-    log.info('request', 'taken.', { request: id, route: route.name, service, kind: route.kind, organisation: call.organisation, patience, want, config: table.version })
-    const task = new RelayTask(call, route, service, incoming.answer, {
-      clock,
-      log,
-      codec: platform.codec,
-      want: wanted,
-      place: query => this._placer.place(query),
-      takeRepeat: () => this._takeRepeat(budget, id),
-      isAllowed,
-      isHeld: fingerprint => this._quarantine.holds(fingerprint),
-      answerLost: (upstream, fingerprint, broke) => this._quarantine.lost(upstream, fingerprint, broke),
-      retryAfter: failure => this._retryAfter(failure),
-      adapterBroken: (upstream, broken) => this._directory.broken(upstream, broken),
-      exchanged: (upstream, outcome, latency, stay) => {
-        if (outcome === 'answered') this._placer.noteStay(service, stay)
-        this._exchanged(upstream, outcome, latency, route)
-      },
-      over: ({ end, sends, firstData, longestGap, notRun }) => {
-        const took = clock.now() - call.arrivedAt
-        if (end === 'delivered') this._quarantine.answered(task.fingerprint)
-        if (notRun) refund()
-        this._open.delete(task)
-        metrics.open.dec()
-        metrics.requests.inc({ kind: route.kind, end })
-        if (call.organisation !== undefined) metrics.countOrganisation(call.organisation, end)
-        metrics.latency.observe({ kind: route.kind }, took)
-        log.info('request', 'over.', { request: id, end, took: Math.round(took), sends, firstData: firstData === undefined ? undefined : Math.round(firstData), longestGap: Math.round(longestGap) })
-      }
-    })
-    this._open.add(task)
-    task.start()
-    incoming.onGone(() => task.callerGone())
-  }
-
-  private _budgetOf (service: string): SharedRetryBudget {
-    const known = this._budgets.get(service)
-    if (known !== undefined) return known
-    const budget = new SharedRetryBudget(budgetLimits(this._settings))
-    this._budgets.set(service, budget)
-    return budget
-  }
-
-  private _takeRepeat (budget: SharedRetryBudget, request: string): boolean {
-    const allowed = budget.takeRepeat(this._options.clock.now(), this.peers.entryCount)
-    this._options.metrics.repeats.inc({ allowed: String(allowed) })
-    if (!allowed) this._options.log.info('request', 'retry budget spent.', { request, entries: this.peers.entryCount })
-    return allowed
-  }
-
-  /** Jittered, so that callers who were refused together don't come back together. */
-  private _retryAfter (failure: RelayFailure): Ms {
-    if (failure === 'quarantined') return this._quarantine.holdTime
-    return retryAfterBase + Math.random() * retryAfterSpread
-  }
-
-  private _exchanged (upstream: Upstream, outcome: ExchangeOutcome, latency: Ms | undefined, route: Route): void {
-    const { clock, log, metrics } = this._options
-    metrics.sends.inc({ outcome })
-    if (latency !== undefined) metrics.firstByte.observe({ kind: route.kind }, latency)
-    if (!upstream.health.note(outcome, clock.now(), latency)) return
-    log.info('membership', 'upstream ejected.', { upstream: upstream.id, outcome, failureShare: upstream.health.failureShare })
-  }
 }
--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -15,7 +15,7 @@
   readonly node: string
   readonly clock: Clock
   readonly log: Log
-  readonly bounds: UsageBounds
+  readonly bounds: () => UsageBounds
   /** All entries that live. */
   readonly entries: () => readonly PeerAddress[]
   /** Those of the configuration in force. */
@@ -71,9 +71,9 @@
   /** Another entry reports, or this one to itself. */
   report ({ shard, ...report }: UsageMessage): readonly UsageGrant[] {
     const { clock, bounds, entries } = this._options
-    const keeper = this._keepers.get(shard) ?? new UsageKeeper(bounds)
+    const keeper = this._keepers.get(shard) ?? new UsageKeeper()
     this._keepers.set(shard, keeper)
-    return keeper.report(report, { now: clock.now(), entries: entries().length, limitOf: name => this._limits.get(name) })
+    return keeper.report(report, { bounds: bounds(), now: clock.now(), entries: entries().length, limitOf: name => this._limits.get(name) })
   }
 
   private get _shards (): number { return Math.max(1, Math.ceil(this._limits.size / organisationsEach)) }
--- a/packages/direct/src/test/support/usage-play.ts
+++ b/packages/direct/src/test/support/usage-play.ts
@@ -143,7 +143,7 @@
       node: this._peers[n]!.node,
       clock: this._clock,
       log: silentLog,
-      bounds: { window, overage, slack },
+      bounds: () => ({ window, overage, slack }),
       entries: () => this._peers,
       organisations: () => this._organisations,
       report: async ({ port }, msg) => await this._carry(n, port - 1, () => this._desks[port - 1]!.report(msg)),
