Let an organisation that floods use all of its limit, and keep its part when a keeper is surely gone

Change: a quarter of the allowed overage is spread over the window, less of it may be used at once; a report that was surely not received is sent on with its time.

--- a/packages/decisions/src/lib/usage-keeper.ts
+++ b/packages/decisions/src/lib/usage-keeper.ts
@@ -60,8 +60,11 @@
 export const wordLasts: Ms = 1_500
 /** Longest time that one report covers: after a long silence nobody has used what would have come meanwhile. */
 const longestCover: Ms = 1_000
-/** Part of the allowed overage that is lent; the rest is for what two keepers lend at one moment. */
-const overageUsed = 0.7
+/** Parts of the allowed overage and slack that may be used at once; what is left of them is for what two keepers lend at one moment. */
+const overageAtOnce = 0.45
+const slackAtOnce = 0.7
+/** Part of the overage that is spread over the window: an organisation that floods then uses all of its limit, not a little less. */
+const overageSpread = 0.25
 /** Part of a limit's burst that can be used at once, at least. */
 const leastBurst = 0.5
 /** Age up to which an entry's word tells how much waits until each has asked again. */
@@ -145,9 +148,10 @@
  * spread over the window, as far as the allowed overage is large enough to stand for it.
  */
 function lending ({ rate, burst }: UsageLimit, { window, overage, slack }: UsageBounds): { readonly rate: number, readonly most: number } {
-  const over = overageUsed * (overage * (rate * window / 1_000 + burst) + slack)
-  const atOnce = Math.max(0, burst * leastBurst - over)
-  return { rate: rate + (burst - atOnce) / window * 1_000, most: atOnce + over }
+  const over = overage * (rate * window / 1_000 + burst)
+  const allowed = over * overageAtOnce + slack * slackAtOnce
+  const ofBurst = Math.max(0, burst * leastBurst - allowed)
+  return { rate: rate + (burst - ofBurst + over * overageSpread) / window * 1_000, most: ofBurst + allowed }
 }
 
 /**
--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -4,6 +4,7 @@
 import type { Clock, Log, Ms } from '@hazelford/core'
 import { rendezvousOrder, rendezvousWeight, type UsageBounds, type UsageGrant, UsageKeeper, type UsageReport } from '@hazelford/decisions'
 import type { Organisation, UsageLimit } from '@hazelford/ports'
+import { NoAnswer } from './json-client.js'
 import type { PeerAddress } from './peer-table.js'
 import { type Admission, UsageLine } from './usage-line.js'
 
@@ -103,7 +104,7 @@
         return await this._options.report(known.get(name)!, { ...report, covers, shard })
       } catch (error) {
         // It may have counted the time before its answer was lost.
-        covers = 0
+        if (!(error instanceof NoAnswer && !error.sent)) covers = 0
         log.info('usage', 'keeper does not answer.', { keeper: name, shard, cause: (error as Error).message })
         this._suspect(known.get(name)!)
       }
