Let in what a counting entry does not know a limit of yet

Cause: a keeper with an older configuration said nothing of an organisation that had just got its limit.

Change: what a keeper says nothing of is granted as asked, for as long as the two configurations differ.

--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -33,6 +33,16 @@
 /** How often a keeper that did not answer is tried. */
 const tryAgainEvery: Ms = 400
 
+/**
+ * Adds what a keeper says nothing of. It has another configuration, in which these organisations have no limit: it hears of theirs, or
+ * this entry of their end, within the time in which a change is in force. Asked again meanwhile, it would say nothing again.
+ */
+function complete ({ rows }: UsageReport, grants: readonly UsageGrant[]): readonly UsageGrant[] {
+  const told = new Set(grants.map(({ organisation }) => organisation))
+  const untold = rows.filter(({ organisation }) => !told.has(organisation))
+  return [...grants, ...untold.map(({ organisation, waiting, ahead }) => ({ organisation, granted: waiting + ahead, wait: 0 }))]
+}
+
 /** One entry's part: its credit, and what it lends to others. */
 export class UsageDesk {
   private readonly _lines = new Map<number, UsageLine>()
@@ -101,7 +111,7 @@
       if (name === node) break
       if (this._suspects.has(name)) continue
       try {
-        return await this._options.report(known.get(name)!, { ...report, covers, shard })
+        return complete(report, await this._options.report(known.get(name)!, { ...report, covers, shard }))
       } catch (error) {
         // It may have counted the time before its answer was lost.
         if (!(error instanceof NoAnswer && !error.sent)) covers = 0
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -23,5 +23,12 @@
     Cause: two entries counted the same organisation, and each lent all of it.
     Then in no window more is used than its limit allows, whatever is cut off or starts again
 
+  Scenario: an organisation that the counting entry does not know yet
+    Symptom: callers of an organisation that was just added get 429 for a second, and entries ask each other in a loop.
+    Events: an organisation is added with a limit; the entry that counts hears of it a second after the others.
+    Cause: what the counting entry did not answer was asked again at once.
+    When an organisation is known to an entry, and not yet to the one that counts
+    Then its first 20 requests are let in, with 3 messages at most
+
   Scenario: what another version tells
     Then whatever a peer reports or lends is amounts that can be counted, or nothing
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -2,8 +2,13 @@
  * Checks that limits hold over all entries, and that what they allow can be used.
  */
 import assert from 'node:assert/strict'
-import { Then } from '@cucumber/cucumber'
+import { Then, When } from '@cucumber/cucumber'
+import { FakeClock, silentLog } from '@hazelford/core'
+import { rendezvousOrder } from '@hazelford/decisions'
+import type { Organisation } from '@hazelford/ports'
 import fc from 'fast-check'
+import { UsageDesk } from '../lib/usage-desk.js'
+import type { Admission } from '../lib/usage-line.js'
 import { readUsageGrants, readUsageMessage } from '../lib/usage-messages.js'
 import { playUsage, type UsageDemand, type UsageFault, type UsageLoad } from './support/usage-play.js'
 
@@ -59,6 +64,42 @@
   }), { seed: propertySeed, numRuns: 60, endOnFailure: true })
 })
 
+interface NewcomerWorld { desk: UsageDesk, messages: number }
+
+const newcomer: Organisation = { name: 'newcomer', keys: [], limit: { unit: 'requests', rate: 50, burst: 50, plainTokens: 0 } }
+
+When('an organisation is known to an entry, and not yet to the one that counts', function (this: NewcomerWorld) {
+  const names = rendezvousOrder('usage/0', ['entry-1', 'entry-2'])
+  const entries = names.map((node, n) => ({ node, host: '127.0.0.1', port: n + 1 }))
+  const clock = new FakeClock()
+  const bounds = { window: 8_000, overage: 0.1, slack: 0 }
+  this.messages = 0
+  const create = (node: string, organisations: readonly Organisation[], keeper?: UsageDesk): UsageDesk => {
+    const desk = new UsageDesk({
+      node,
+      clock,
+      log: silentLog,
+      bounds: () => bounds,
+      entries: () => entries,
+      organisations: () => organisations,
+      report: async (_, msg) => {
+        this.messages++
+        return keeper!.report(msg)
+      },
+      ping: async () => {}
+    })
+    desk.configured()
+    return desk
+  }
+  this.desk = create(names[1]!, [newcomer], create(names[0]!, []))
+})
+
+Then('its first {int} requests are let in, with {int} messages at most', async function (this: NewcomerWorld, requests: number, messages: number) {
+  const admissions: readonly Admission[] = await Promise.all(Array.from({ length: requests }, () => this.desk.admit(newcomer, undefined)))
+  assert.deepEqual(admissions.filter(({ kind }) => kind !== 'admitted'), [])
+  assert.ok(this.messages <= messages, `${this.messages} messages`)
+})
+
 Then('whatever a peer reports or lends is amounts that can be counted, or nothing', () => {
   const anything = fc.oneof(fc.jsonValue(), fc.record({ shard: fc.jsonValue(), entry: fc.jsonValue(), covers: fc.jsonValue(), rows: fc.array(fc.record({ organisation: fc.string(), holding: fc.jsonValue(), first: fc.integer(), waiting: fc.integer(), ahead: fc.jsonValue(), returned: fc.integer() })) }))
   fc.assert(fc.property(anything, value => {
