--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -397,8 +397,7 @@
    *
    * A load that is under way, asked after again, is accepted once more but changes nothing and is
    * not counted. Counted here, it made the engine refuse the next order as based on another
-   * view: 337 of 3,890 orders on a quiet day with six engines, each at the price of a report and 100 ms
-   * in which nothing could be loaded there.
+   * view, at the price of a report and of a time in which nothing could be loaded there.
    */
   private _isCounted (action: PlanAction & { readonly kind: 'load' | 'unload' }, outcome: 'accepted' | 'holds'): boolean {
     if (action.kind === 'unload') return true
--- a/packages/decisions/src/lib/engine-places.ts
+++ b/packages/decisions/src/lib/engine-places.ts
@@ -14,9 +14,9 @@
 /**
  * Requests at one engine, as its holder counts them: by the entries' words, and those let in since.
  *
- * Answers the load of many entries before many engines with few places each: an entry of 68 sends to an engine once in
- * 15 s and knows nothing of its batch. Sent by guess, 200 to 280 requests stood inside full engines of
- * 12 places while 400 to 1,000 places were free on others. The holder is asked for each request anyhow.
+ * Answers the load of many entries before many engines with few places each: an entry sends to an engine once in
+ * many seconds and knows nothing of its batch. Sent by guess, requests stood inside full engines while places were
+ * free on others. The holder is asked for each request anyhow.
  */
 export class EnginePlaces {
   private readonly _words = new Map<string, Word>()
--- a/packages/decisions/src/lib/prompt-pacer.ts
+++ b/packages/decisions/src/lib/prompt-pacer.ts
@@ -24,8 +24,7 @@
 const fullShare = 0.75
 /**
  * Prompt tokens that may be unread once a prompt is let in; a larger prompt waits until
- * nothing else is. Two prompts of usual size fit; with 3,500 a fifth of the streams paused for
- * too long at 22 requests a second, with 1,500 none did.
+ * nothing else is. Two prompts of usual size fit; with more, streams that run there pause for too long.
  */
 const unreadLimit = 1_500
 /** Left over when it is worked out how fast prompts must be let in: steps and messages take some of it. */
@@ -59,9 +58,8 @@
  * Answers bursts: requests come in clumps, an engine reads each prompt at once, and while it
  * reads, every stream that runs there stands still. A first event may come 800 ms after its
  * request, so a clump is spread over that time: as slowly as the due times of those who wait
- * allow, never so fast that streams pause for too long. In a played engine with 14, 22 and 34 requests a
- * second (prompts take 0.32, 0.48 and 0.74 of its time) 99, 98 and 72 in 100 streams are on time; at one
- * fixed rate, the largest that it can read, 92, 85 and 67.
+ * allow, never so fast that streams pause for too long. At one fixed rate,
+ * the largest that it can read, more of them are late at any load.
  *
  * While all can be on time, those that must start first go first. When they can't, urgent ones go
  * first, and those that will be late anyway go last: otherwise each is served in its turn and
--- a/packages/decisions/src/lib/request-quarantine.ts
+++ b/packages/decisions/src/lib/request-quarantine.ts
@@ -56,10 +56,9 @@
  * Counts the upstreams that ended under each request.
  *
  * A request can end every upstream that begins to run it. Its caller repeats it, and so do entries; each attempt takes an
- * upstream with it, and all that ran there. In a deployment of thirteen engines one such request ended an engine each 0.45 s,
- * for as long as its caller came back. What else had just begun at those upstreams is suspect too, but was there by chance: it is
- * nearly always answered before it is at a third end. In a play of 13 engines and 200 streams 3 engines end instead of 156 in
- * 60 s, and a sound stream is held back in 26 plays of 400.
+ * upstream with it, and all that ran there. That goes on for as long as its caller
+ * comes back. What else had just begun at those upstreams is suspect too, but was there by chance: it is
+ * nearly always answered before it is at a third end.
  *
  * Requests are named by what they ask, since each attempt has an id of its own.
  */
--- a/packages/decisions/src/lib/share-engines.ts
+++ b/packages/decisions/src/lib/share-engines.ts
@@ -28,8 +28,8 @@
  * Says in which order entries claim engines that nobody orders.
  *
  * Who holds least goes first, so that the loss of one entry leaves few engines without orders.
- * By rendezvous order alone the entry that outlives a rolling restart ends with every engine: it held 8 of 8
- * and was then frozen, and for 11 s 4 requests in 10 were refused.
+ * By rendezvous order alone the entry that outlives a rolling restart ends with every engine; frozen then,
+ * it leaves all of them without orders.
  *
  * @param free - engines without a holder
  * @param shares - entries and holders
--- a/packages/decisions/src/lib/store-duty.ts
+++ b/packages/decisions/src/lib/store-duty.ts
@@ -41,8 +41,8 @@
  * Decides an entry's part. All that list the same entries decide alike; those that don't differ for as long as their lists do,
  * and then more watch, or somebody is asked who follows and says how old its news is.
  *
- * Answers the load of many entries at the store, which counts each call: 28 entries made 2,350 to 4,500 calls in 50 s,
- * 68 made 5,600 to 10,600, nearly all of them watches of the same changes.
+ * Answers the load of many entries at the store, which counts each call: nearly all
+ * were watches of the same changes.
  *
  * @param self - the entry
  * @param entries - all of them
--- a/packages/direct/src/lib/config-prover.ts
+++ b/packages/direct/src/lib/config-prover.ts
@@ -19,7 +19,7 @@
 const safety: Ms = 200
 /** Part of the bound from which it is asked ahead of need, so that no request waits for it. */
 const aheadShare = 0.6
-/** Requests wait this long for an answer: a store that does badly takes some 250 ms. */
+/** Requests wait this long for an answer of a store that does badly. */
 const answerWithin: Ms = 400
 /** Pause after a question that proved nothing. */
 const againAfter: Ms = 250
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -43,8 +43,7 @@
 const defaultConnections = 100
 /**
  * Time after the end of an adapter's last request here until its holder is told, if no ask tells it before: what ends
- * together is told together. A slot stays taken that long for nobody. In a play of six slots at twice their load,
- * callers get 0.807 of what an idle engine gives with 20 ms, 0.792 with 200.
+ * together is told together. A slot stays taken that long for nobody.
  */
 const tellFreedAfter: Ms = 20
 /** The balancer asks once a second and takes an entry out after two misses. */
--- a/packages/direct/src/lib/load-news.ts
+++ b/packages/direct/src/lib/load-news.ts
@@ -23,8 +23,8 @@
  * The last loads of one engine.
  *
  * An engine's record in the store lists what it holds about once a second. What is loaded and unloaded in between shows in no
- * record, and a request for it would fetch it anew elsewhere: 309 of 884 fetches in half a minute of a loaded
- * deployment of 48 slots were of adapters that another engine had a copy of, at 280 ms each instead of 30.
+ * record, and a request for it would fetch it anew elsewhere, though a copy is at hand
+ * here.
  */
 export class LoadNews {
   private readonly _loads: LoadedAdapter[] = []
--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -30,8 +30,7 @@
 /**
  * Pause between two watches, so that changes that come together cost one call: with one entry,
  * and for each further one. The store's rate grows more slowly than the fleet, so the
- * pause grows with it. With five entries it made 574 calls of 746 on a quiet day of a small site
- * (pause 250 ms before).
+ * pause grows with it.
  */
 const gatherBase: Ms = 300
 const gatherEach: Ms = 15
