Show what upstreams say of themselves in answers

Each answer's head (of requests, orders and reports) is now read for a request limit, for leaving and for rest; changes are logged and counted, and 'sent.' names the limit in force. Nothing is decided by it yet.

An answer without a limit takes one back only if it was asked for after the limit was named: answers on other connections overtake each other. A 421 of another instance says nothing of the upstream that was meant.

--- /dev/null
+++ b/packages/decisions/src/lib/upstream-notices.ts
@@ -0,0 +1,69 @@
+/**
+ * What is known of an upstream's own word on the requests that it takes.
+ */
+import type { Ms } from '@hazelford/core'
+import type { UpstreamNotice } from '@hazelford/ports'
+
+/** A word on an upstream's request limit. */
+export interface LimitWord {
+  /** Requests a second from all entries together; undefined for none. */
+  readonly rate: number | undefined
+  /** Since when it is known to hold. */
+  readonly at: Ms
+}
+
+/** What changed by an answer. */
+export type NoticeChange =
+  | { readonly kind: 'limit', readonly rate: number | undefined, readonly before: number | undefined }
+  | { readonly kind: 'leaving' }
+  | { readonly kind: 'rest', readonly lasts: Ms }
+
+/** Notices of one incarnation of an upstream. */
+export class UpstreamNotices {
+  private _limit: LimitWord = { rate: undefined, at: -Infinity }
+  private _leaving = false
+  private _restsUntil: Ms = -Infinity
+
+  /** The latest word on its limit. */
+  get limit (): LimitWord { return this._limit }
+
+  /** Whether it has said that it leaves; nothing takes that back. */
+  get leaving (): boolean { return this._leaving }
+
+  /** Until when it wants nothing from this entry. */
+  get restsUntil (): Ms { return this._restsUntil }
+
+  /**
+   * Takes the notice of an answer.
+   *
+   * @param notice - as the answer says
+   * @param sentAt - when the answer was asked for
+   * @param now - time
+   * @returns what it changes
+   */
+  note ({ rateLimit, leaving, rest }: UpstreamNotice, sentAt: Ms, now: Ms): readonly NoticeChange[] {
+    const changes: NoticeChange[] = []
+    // An answer without a limit may have been on its way since before the limit was named.
+    const limit = this.noteLimit({ rate: rateLimit, at: rateLimit === undefined ? sentAt : now })
+    if (limit !== undefined) changes.push(limit)
+    if (leaving && !this._leaving) changes.push({ kind: 'leaving' })
+    this._leaving ||= leaving
+    if (rest !== undefined && now + rest > this._restsUntil) {
+      this._restsUntil = now + rest
+      changes.push({ kind: 'rest', lasts: rest })
+    }
+    return changes
+  }
+
+  /**
+   * Takes a word on its limit, unless a newer one is known.
+   *
+   * @returns what it changes, if anything
+   */
+  noteLimit (word: LimitWord): NoticeChange & { readonly kind: 'limit' } | undefined {
+    if (word.at <= this._limit.at) return undefined
+    const before = this._limit.rate
+    this._limit = word
+    return word.rate === before ? undefined : { kind: 'limit', rate: word.rate, before }
+  }
+}
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -16,6 +16,7 @@
 import { LeaseKeeper } from './lease-keeper.js'
 import type { Membership } from './membership.js'
 import type { EntryMetrics } from './metrics.js'
+import { NoticeDesk } from './notice-desk.js'
 import { type AskMessage, type PeerAskOutcome, PeerClient, type PeerService, servePeers } from './peer-calls.js'
 import { entryKey, type PeerTable } from './peer-table.js'
 import { Placer } from './placer.js'
@@ -88,6 +89,7 @@
   private readonly _callers: CallerServer
   private readonly _quarantine: QuarantineDesk
   private readonly _usage: UsageDesk
+  private readonly _notices: NoticeDesk
   private readonly _servers: Server[] = []
   private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, port: number }
   private _settings: DirectSettings
@@ -113,6 +115,7 @@
       held: fingerprint => this._hold(fingerprint)
     })
     this._usage = this._createUsageDesk()
+    this._notices = new NoticeDesk({ clock, log, metrics: _options.metrics })
     this._view = new StoreView({
       node: settings.name,
       platform,
@@ -140,7 +143,7 @@
       peers: this.peers,
       upstreams: () => this.members.all(),
       engineSpec: service => this.config.table?.service(service)?.engine,
-      control: upstream => platform.control(upstream.record),
+      control: upstream => platform.control(upstream.record, (notice, took) => this._notices.take(upstream, notice, took)),
       tellTaken: (former, msg) => this._client.tellTaken(former, msg),
       loaded: took => _options.metrics.loadStall.observe(took),
       stay: service => this._placer.stay(service),
@@ -188,6 +191,7 @@
       placer: this._placer,
       directory: this._directory,
       quarantine: this._quarantine,
+      notices: this._notices,
       entries: () => this.peers.entryCount,
       budgetLimits: () => budgetLimits(this._settings)
     })
--- a/packages/direct/src/lib/exchange.ts
+++ b/packages/direct/src/lib/exchange.ts
@@ -4,7 +4,7 @@
 import { type ClientRequest, type IncomingMessage, request } from 'node:http'
 import type { Clock, Ms } from '@hazelford/core'
 import type { UpstreamRefusal } from '@hazelford/decisions'
-import type { CallCodec } from '@hazelford/ports'
+import type { AnswerFacts, CallCodec, UpstreamNotice } from '@hazelford/ports'
 import type { ConnectionPool } from './connection-pool.js'
 import { EventFramer } from './event-framer.js'
 import { endToEndHeaders } from './hop-headers.js'
@@ -27,6 +27,8 @@
 
 /** What an exchange tells. After `refused`, `unreachable`, `lost`, `whole` and `end` nothing follows. */
 export interface ExchangeSink {
+  /** What the answer's head says of its upstream. */
+  readonly noticed: (notice: UpstreamNotice) => void
   readonly refused: (refusal: UpstreamRefusal) => void
   readonly unreachable: (cause: string) => void
   /** `broke`: the connection ended, by whichever side; else the answer was late or not what was asked for. */
@@ -171,13 +173,19 @@
     // caller would get another caller's answer; the id in it tells them apart.
     if (facts.requestId !== undefined && facts.requestId !== this._call.id) return this._broken(`The answer is to request ${facts.requestId}.`)
     this._noteIdle(res)
-    if (facts.notRun) return this._refused(res, res.statusCode === otherInstanceStatus && facts.instance !== this._call.instance)
+    if (!this._isOtherInstance(res, facts)) this._sink.noticed(facts.notice)
+    if (facts.notRun) return this._refused(res, this._isOtherInstance(res, facts))
     if (facts.requestId === undefined || !facts.sealed) return this._broken('The answer lacks its request id or its seal.')
     const ok = (res.statusCode ?? 0) < 300
     if (ok && String(res.headers['content-type']).startsWith(eventStream)) this._readEvents(res)
     else this._readBody(res)
   }
 
+  /** Whether another upstream answers at this address. */
+  private _isOtherInstance (res: IncomingMessage, { instance }: AnswerFacts): boolean {
+    return res.statusCode === otherInstanceStatus && instance !== this._call.instance
+  }
+
   private _noteIdle (res: IncomingMessage): void {
     const match = /timeout=(\d+)/.exec(String(res.headers['keep-alive']))
     if (match !== null) this._pool.announceIdle(Number(match[1]))
--- a/packages/direct/src/lib/json-client.ts
+++ b/packages/direct/src/lib/json-client.ts
@@ -22,6 +22,8 @@
   /** Undefined when the body is empty. */
   readonly body: unknown
   readonly headers: IncomingMessage['headers']
+  /** Ms since the call was made. */
+  readonly took: Ms
 }
 
 /** A call without an answer. */
@@ -73,6 +75,7 @@
   const { host, port, method, path, timeout } = call
   const body = call.body === undefined ? undefined : JSON.stringify(call.body)
   const framing = body === undefined ? {} : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }
+  const startedAt = performance.now()
   return new Promise((resolve, reject) => {
     let sent = false
     let answered = false
@@ -95,7 +98,7 @@
       readJson(res, maxAnswerBytes).then(value => {
         clearTimeout(timer)
         answered = true
-        resolve({ status: res.statusCode ?? 0, body: value, headers: res.headers })
+        resolve({ status: res.statusCode ?? 0, body: value, headers: res.headers, took: performance.now() - startedAt })
       }, fail)
     })
     req.end(body)
--- a/packages/direct/src/lib/platform-port.ts
+++ b/packages/direct/src/lib/platform-port.ts
@@ -1,7 +1,8 @@
 /**
  * What the adapter of a platform gives to an entry.
  */
-import type { AdapterVersion, CallCodec, EngineControl, RouteConfig, Store, UpstreamRecord } from '@hazelford/ports'
+import type { Ms } from '@hazelford/core'
+import type { AdapterVersion, CallCodec, EngineControl, RouteConfig, Store, UpstreamNotice, UpstreamRecord } from '@hazelford/ports'
 import type { Result } from 'neverthrow'
 
 /** Where the platform keeps what in the store. */
@@ -28,5 +29,6 @@
   readonly decodeConfig: (value: string) => Result<RouteConfig, DecodeProblem>
   readonly decodeVersion: (value: string) => Result<AdapterVersion, DecodeProblem>
   readonly decodeUpstream: (key: string, value: string) => Result<UpstreamRecord, DecodeProblem>
-  readonly control: (upstream: UpstreamRecord) => EngineControl
+  /** `noticed` hears what answers to orders say of the upstream, and how many ms they took. */
+  readonly control: (upstream: UpstreamRecord, noticed: (notice: UpstreamNotice, took: Ms) => void) => EngineControl
 }
--- a/packages/direct/src/lib/relay-runner.ts
+++ b/packages/direct/src/lib/relay-runner.ts
@@ -7,6 +7,7 @@
 import type { AdapterDirectory } from './adapter-directory.js'
 import type { ConfigHolder } from './config-holder.js'
 import type { EntryMetrics } from './metrics.js'
+import type { NoticeDesk } from './notice-desk.js'
 import type { Placer } from './placer.js'
 import type { QuarantineDesk } from './quarantine-desk.js'
 import { RelayTask } from './relay-task.js'
@@ -23,6 +24,7 @@
   readonly placer: Placer
   readonly directory: AdapterDirectory
   readonly quarantine: QuarantineDesk
+  readonly notices: NoticeDesk
   /** Entries that live. */
   readonly entries: () => number
   readonly budgetLimits: () => SharedBudgetLimits
@@ -57,7 +59,7 @@
 
   /** Runs a request that was let in, until its caller has its answer. */
   run ({ incoming, call, route, service, table, isAllowed, refund }: AdmittedCall): void {
-    const { clock, log, metrics, codec, placer, quarantine, directory } = this._options
+    const { clock, log, metrics, codec, placer, quarantine, notices, directory } = this._options
     const { id, model, adapter, patience } = call.facts
     const wanted = (): AdapterWant | undefined => this._wanted(table, service, model, adapter)
     const want = wanted()
@@ -76,6 +78,7 @@
       isAllowed,
       isHeld: fingerprint => quarantine.holds(fingerprint),
       answerLost: (upstream, fingerprint, broke) => quarantine.lost(upstream, fingerprint, broke),
+      noticed: (upstream, notice, took) => notices.take(upstream, notice, took),
       retryAfter: failure => this._retryAfter(failure),
       adapterBroken: (upstream, broken) => directory.broken(upstream, broken),
       exchanged: (upstream, outcome, latency, stay) => {
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -3,7 +3,7 @@
  */
 import { assertNever, type CancelTimer, type Clock, type Log, type Ms, Task } from '@hazelford/core'
 import { type AdapterWant, type ExchangeOutcome, isSuspect, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, wantKey } from '@hazelford/decisions'
-import type { CallCodec, CallFacts, Route } from '@hazelford/ports'
+import type { CallCodec, CallFacts, Route, UpstreamNotice } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
 import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
 import type { Placed, PlaceQuery, PlaceWaits } from './placer.js'
@@ -57,6 +57,8 @@
   readonly isHeld: (fingerprint: () => string) => boolean
   /** An upstream gave no answer, or no more of it, soon after it had the request; `broke`: its connection has ended. */
   readonly answerLost: (upstream: Upstream, fingerprint: string, broke: boolean) => void
+  /** What an answer says of its upstream; `took`: ms from the send to the answer's head. */
+  readonly noticed: (upstream: Upstream, notice: UpstreamNotice, took: Ms) => void
   readonly retryAfter: (failure: RelayFailure) => Ms
   readonly adapterBroken: (upstream: string, want: AdapterWant) => void
   /** `stay`: ms from the send to its end. */
@@ -265,7 +267,7 @@
     this._sends++
     this._dataHereSince = undefined
     const resumed = this._answer.begun ? this._lastEventId : undefined
-    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...this._waitFields(), outstanding: upstream.outstanding, version: this._version, resumedAfter: resumed })
+    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...this._waitFields(), outstanding: upstream.outstanding, rateLimit: upstream.notices.limit.rate, version: this._version, resumedAfter: resumed })
     const release = upstream.open(this._want?.adapter === undefined ? undefined : wantKey(this._want))
     if (this._want !== undefined) upstream.sentPrompt(facts.promptTokens)
     const close = (outcome: ExchangeOutcome, latency?: Ms): void => {
@@ -299,6 +301,7 @@
       gapSilence: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
       lastEventId: this._lastEventId
     }, {
+      noticed: notice => this._deps.noticed(upstream, notice, clock.now() - sentAt),
       refused: refusal => {
         close('refused')
         log.info('request', 'refused by upstream.', { request: facts.id, upstream: upstream.id, refusal })
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -2,7 +2,7 @@
  * One incarnation of an upstream, as this entry uses it.
  */
 import type { Clock, Ms } from '@hazelford/core'
-import { promptTokensPerMs, UpstreamHealth, wantKey } from '@hazelford/decisions'
+import { promptTokensPerMs, UpstreamHealth, UpstreamNotices, wantKey } from '@hazelford/decisions'
 import type { UpstreamRecord } from '@hazelford/ports'
 import { ConnectionPool } from './connection-pool.js'
 import type { EngineLoad } from './engine-admission.js'
@@ -17,6 +17,7 @@
 /** What is known of an upstream, and what this entry has there. */
 export class Upstream {
   readonly health = new UpstreamHealth()
+  readonly notices = new UpstreamNotices()
   readonly pool: ConnectionPool
   /** Requests of this entry there. */
   outstanding = 0
--- a/packages/ports/src/lib/call-codec.ts
+++ b/packages/ports/src/lib/call-codec.ts
@@ -3,6 +3,7 @@
  */
 import type { KeyDigest, Ms } from '@hazelford/core'
 import type { Result } from 'neverthrow'
+import type { UpstreamNotice } from './upstream-notice.js'
 
 /** What a request shows to say whose it is. */
 export type Credential =
@@ -55,6 +56,7 @@
   readonly requestId: string | undefined
   /** Incarnation that answered, when it says so. */
   readonly instance: string | undefined
+  readonly notice: UpstreamNotice
 }
 
 /** Reads and writes the platform's headers. */
