Let the usage desk hold any account, not organisations alone

What it does is the same: credit lent by a keeper over all entries. What is an organisation's own (its unit, what counts for a request, what an unknown limit means) moves to organisation-usage.ts. No change of behaviour; the usage scenarios pass as before.

--- a/packages/decisions/src/lib/usage-keeper.ts
+++ b/packages/decisions/src/lib/usage-keeper.ts
@@ -1,12 +1,15 @@
 /**
- * Lends an organisation's usage to the entries that ask for it.
+ * Lends an account's usage to the entries that ask for it.
  */
 import type { Ms } from '@hazelford/core'
 import type { UsageLimit } from '@hazelford/ports'
 
-/** What an entry says of one organisation. Amounts are in the limit's unit. */
+/** How much of something an account may use: units a second, and units at once on top. */
+export type CreditLimit = Pick<UsageLimit, 'rate' | 'burst'>
+
+/** What an entry says of one account. Amounts are in the limit's unit. */
 export interface UsageRow {
-  readonly organisation: string
+  readonly account: string
   /** Lent to it and not used. */
   readonly holding: number
   /** What the first request that waits there needs beyond its holding; 0 when none waits. */
@@ -19,7 +22,7 @@
   readonly returned: number
 }
 
-/** What an entry says of the organisations whose requests it takes. */
+/** What an entry says of the accounts whose requests it takes. */
 export interface UsageReport {
   readonly entry: string
   /** Ms since its last report, to whichever keeper, or since its process started. */
@@ -29,7 +32,7 @@
 
 /** What a keeper lends. */
 export interface UsageGrant {
-  readonly organisation: string
+  readonly account: string
   readonly granted: number
   /** Ms until all who wait anywhere could be lent what they need; 0 when they were here. */
   readonly wait: Ms
@@ -50,8 +53,8 @@
   readonly now: Ms
   /** Entries that are listed. */
   readonly entries: number
-  /** Undefined where nothing limits an organisation. */
-  readonly limitOf: (organisation: string) => UsageLimit | undefined
+  /** Undefined where nothing limits an account. */
+  readonly limitOf: (account: string) => CreditLimit | undefined
 }
 
 /**
@@ -63,7 +66,7 @@
 /** Parts of the allowed overage and slack that may be used at once; what is left of them is for what two keepers lend at one moment. */
 const overageAtOnce = 0.45
 const slackAtOnce = 0.7
-/** Part of the overage that is spread over the window: an organisation that floods then uses all of its limit, not a little less. */
+/** Part of the overage that is spread over the window: an account that floods then uses all of its limit, not a little less. */
 const overageSpread = 0.25
 /** Part of a limit's burst that can be used at once, at least. */
 const leastBurst = 0.5
@@ -76,7 +79,7 @@
 
 interface Word { readonly holding: number, readonly waiting: number, readonly at: Ms }
 
-/** Credit of one organisation. */
+/** Credit of one account. */
 class Bucket {
   private readonly _words = new Map<string, Word>()
   private _level = 0
@@ -114,7 +117,7 @@
   }
 
   /** Lends what waits first, then what is wanted ahead. */
-  lend (entry: string, row: UsageRow, rate: number, now: Ms): Omit<UsageGrant, 'organisation'> {
+  lend (entry: string, row: UsageRow, rate: number, now: Ms): Omit<UsageGrant, 'account'> {
     const { holding, waiting, ahead, returned } = row
     this._level += returned
     this._words.set(entry, { holding, waiting, at: now })
@@ -147,7 +150,7 @@
  * who asks for a little more than the rate all the time is refused though the window's sum allows it. So it is
  * spread over the window, as far as the allowed overage is large enough to stand for it.
  */
-function lending ({ rate, burst }: UsageLimit, { window, overage, slack }: UsageBounds): { readonly rate: number, readonly most: number } {
+function lending ({ rate, burst }: CreditLimit, { window, overage, slack }: UsageBounds): { readonly rate: number, readonly most: number } {
   const over = overage * (rate * window / 1_000 + burst)
   const allowed = over * overageAtOnce + slack * slackAtOnce
   const ofBurst = Math.max(0, burst * leastBurst - allowed)
@@ -155,7 +158,7 @@
 }
 
 /**
- * Counts the usage of organisations for the entries that report to it.
+ * Counts the usage of accounts for the entries that report to it.
  *
  * Each limit holds over all entries, and no entry sees all requests. One keeper lends credit ahead of need; an entry then
  * decides alone, with no message a request. Entries that can't reach the keeper ask the next one in an order that all
@@ -177,12 +180,12 @@
     const share = this._heard.size / entries
     this._covered += Math.min(covers, longestCover) / entries
     return rows.flatMap(row => {
-      const limit = context.limitOf(row.organisation)
+      const limit = context.limitOf(row.account)
       if (limit === undefined) return []
-      const bucket = this._bucket(row.organisation)
+      const bucket = this._bucket(row.account)
       const { rate, most } = lending(limit, context.bounds)
       bucket.refill(rate, most * share, row.first, this._covered, context.now)
-      return [{ organisation: row.organisation, ...bucket.lend(entry, row, rate * share, context.now) }]
+      return [{ account: row.account, ...bucket.lend(entry, row, rate * share, context.now) }]
     })
   }
 
@@ -195,11 +198,11 @@
     this._heard.set(entry, now)
   }
 
-  private _bucket (organisation: string): Bucket {
-    const known = this._buckets.get(organisation)
+  private _bucket (account: string): Bucket {
+    const known = this._buckets.get(account)
     if (known !== undefined) return known
     const bucket = new Bucket()
-    this._buckets.set(organisation, bucket)
+    this._buckets.set(account, bucket)
     return bucket
   }
 }
--- a/packages/decisions/src/lib/usage-pool.ts
+++ b/packages/decisions/src/lib/usage-pool.ts
@@ -1,5 +1,5 @@
 /**
- * Credit of one organisation that an entry was lent.
+ * Credit of one account that an entry was lent.
  */
 import { elapsed, type Instant, type Ms } from '@hazelford/core'
 import { DecayedCounter } from './decayed-counter.js'
@@ -35,7 +35,7 @@
 const startLasts: Ms = 3_000
 /**
  * Shortest time for which a keeper's word counts that it has none. Asked by each request anew, the keeper of an
- * organisation that is far over its limit would get a message a request.
+ * account that is far over its limit would get a message a request.
  */
 const wordAtLeast: Ms = 100
 /** What is lent lapses before its keeper stops counting it. */
@@ -43,7 +43,7 @@
 /** Key of the one counter: what is asked for here, granted or not. */
 const asked = 'asked'
 
-/** One organisation's credit at one entry. */
+/** One account's credit at one entry. */
 export class UsagePool {
   private _available = 0
   /** Of the last report that was answered, when it was sent. */
@@ -93,7 +93,7 @@
   /** Whether more should be asked for ahead of need. */
   isLow (at: Instant): boolean { return at.now >= this._noneUntil && this.available(at) < this._target(at.now) * lowShare }
 
-  /** Of an organisation with few requests here, none is expected soon; what was lent for them would lie unused. */
+  /** Of an account with few requests here, none is expected soon; what was lent for them would lie unused. */
   private _target (now: Ms): number {
     const expected = this._demand.read(asked, now) * Math.LN2 / demandHalfLife * ahead
     return expected < this._largest ? 0 : expected
@@ -106,7 +106,7 @@
    * @param waiting - what all cost that wait
    * @returns undefined when there is nothing to tell
    */
-  row (organisation: string, first: number, waiting: number, at: Instant): UsageRow | undefined {
+  row (account: string, first: number, waiting: number, at: Instant): UsageRow | undefined {
     this._available = this.available(at)
     const target = this._target(at.now)
     const returned = Math.floor(Math.max(0, this._available - waiting - surplusFactor * target))
@@ -114,7 +114,7 @@
     const missing = Math.max(0, waiting - this._available)
     const left = Math.max(0, this._available - waiting)
     const row = {
-      organisation,
+      account,
       holding: Math.ceil(this._available),
       first: Math.ceil(Math.max(0, first - this._available)),
       waiting: Math.ceil(missing),
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -17,6 +17,7 @@
 import type { Membership } from './membership.js'
 import type { EntryMetrics } from './metrics.js'
 import { NoticeDesk } from './notice-desk.js'
+import { grantUntold, usageLimits, usageOf } from './organisation-usage.js'
 import { type AskMessage, type PeerAskOutcome, PeerClient, type PeerService, servePeers } from './peer-calls.js'
 import { entryKey, type PeerTable } from './peer-table.js'
 import { Placer } from './placer.js'
@@ -170,11 +171,13 @@
     const { clock, log, settings } = this._options
     return new UsageDesk({
       node: settings.name,
+      kind: 'usage',
       clock,
       log,
       bounds: () => usageBounds(this._settings),
       entries: () => this.peers.entries,
-      organisations: () => this.config.table?.organisations ?? [],
+      limits: () => usageLimits(this.config.table?.organisations ?? []),
+      untold: grantUntold,
       report: (peer, msg) => this._client.reportUsage(peer, msg),
       ping: peer => this._client.ping(peer)
     })
@@ -210,7 +213,7 @@
       prover: new ConfigProver({ clock, log, withdrawWithin: () => this._settings.withdraw_within_ms, viewAge, ask: () => this._view.askConfig() }),
       viewAge,
       applyWithin: () => this._settings.apply_within_ms,
-      admit: (organisation, tokens) => this._usage.admit(organisation, tokens),
+      admit: ({ name, limit }, tokens) => limit === undefined ? { kind: 'admitted', refund: () => {} } : this._usage.admit(name, usageOf(limit, tokens)),
       relay: admitted => this._runner.run(admitted)
     })
   }
@@ -230,7 +233,7 @@
 
   private _configured (table: RouteTable): void {
     this._options.metrics.configVersion.set(table.version)
-    this._usage.configured()
+    this._usage.limitsChanged()
     this._callers.limit(table.config.limits)
     this.desk.review()
   }
--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -1,62 +1,56 @@
 /**
- * Holds organisations to their usage limits, together with the other entries.
+ * Holds accounts to their limits, together with the other entries. An account is whatever has a limit over all entries: an
+ * organisation's usage, or the requests that an upstream takes.
  */
 import type { Clock, Log, Ms } from '@hazelford/core'
-import { rendezvousOrder, rendezvousWeight, type UsageBounds, type UsageGrant, UsageKeeper, type UsageReport } from '@hazelford/decisions'
-import type { Organisation, UsageLimit } from '@hazelford/ports'
+import { type CreditLimit, rendezvousOrder, rendezvousWeight, type UsageBounds, type UsageGrant, UsageKeeper, type UsageReport, type UsageRow } from '@hazelford/decisions'
 import { NoAnswer } from './json-client.js'
 import type { PeerAddress } from './peer-table.js'
 import { type Admission, UsageLine } from './usage-line.js'
 
-/** A report to the entry that counts some organisations. */
+/** A report to the entry that counts some accounts. */
 export interface UsageMessage extends UsageReport { readonly shard: number }
 
 /** What the desk needs of its entry. */
 export interface UsageDeskOptions {
   readonly node: string
+  /** What is limited; each kind has keepers of its own. */
+  readonly kind: 'usage' | 'upstream-limits'
   readonly clock: Clock
   readonly log: Log
   readonly bounds: () => UsageBounds
   /** All entries that live. */
   readonly entries: () => readonly PeerAddress[]
-  /** Those of the configuration in force. */
-  readonly organisations: () => readonly Organisation[]
+  /** Those in force, by account. */
+  readonly limits: () => ReadonlyMap<string, CreditLimit>
+  /** What to take for a row of which the keeper says nothing. */
+  readonly untold: (row: UsageRow) => Omit<UsageGrant, 'account'>
   readonly report: (peer: PeerAddress, msg: UsageMessage) => Promise<readonly UsageGrant[]>
   readonly ping: (peer: PeerAddress) => Promise<void>
 }
 
 /**
- * Organisations counted by one entry. Each entry reports to each keeper some times a second, so few keepers cost
- * little; with more organisations than this, one keeper's host would be busy with nothing else.
+ * Accounts counted by one entry. Each entry reports to each keeper some times a second, so few keepers cost
+ * little; with more accounts than this, one keeper's host would be busy with nothing else.
  */
-const organisationsEach = 500
+const accountsEach = 500
 /** How often a keeper that did not answer is tried. */
 const tryAgainEvery: Ms = 400
 
-/**
- * Adds what a keeper says nothing of. It has another configuration, in which these organisations have no limit: it hears of theirs, or
- * this entry of their end, within the time in which a change is in force. Asked again meanwhile, it would say nothing again.
- */
-function complete ({ rows }: UsageReport, grants: readonly UsageGrant[]): readonly UsageGrant[] {
-  const told = new Set(grants.map(({ organisation }) => organisation))
-  const untold = rows.filter(({ organisation }) => !told.has(organisation))
-  return [...grants, ...untold.map(({ organisation, waiting, ahead }) => ({ organisation, granted: waiting + ahead, wait: 0 }))]
-}
-
 /** One entry's part: its credit, and what it lends to others. */
 export class UsageDesk {
   private readonly _lines = new Map<number, UsageLine>()
   private readonly _keepers = new Map<number, UsageKeeper>()
   private readonly _suspects = new Set<string>()
-  private _limits: ReadonlyMap<string, UsageLimit> = new Map()
+  private _limits: ReadonlyMap<string, CreditLimit> = new Map()
   private _stopped = false
   private readonly _startedAt: Ms
 
   constructor (private readonly _options: UsageDeskOptions) { this._startedAt = _options.clock.now() }
 
-  /** Takes the limits of a configuration that is in force now. */
-  configured (): void {
-    this._limits = new Map(this._options.organisations().flatMap(({ name, limit }) => limit === undefined ? [] : [[name, limit]]))
+  /** Takes the limits that are in force now. */
+  limitsChanged (): void {
+    this._limits = this._options.limits()
     // An entry without requests reports too: its part of each rate is lent to the others by whoever hears it.
     if (this._limits.size > 0) for (let shard = 0; shard < this._shards; shard++) this._line(shard)
   }
@@ -67,16 +61,12 @@
   }
 
   /**
-   * Takes a request's usage.
+   * Takes what a request uses of an account.
    *
-   * @param organisation - whose request it is
-   * @param tokens - that the request names; undefined when it names none
    * @returns at once where credit is at hand, or lately was not to be had
    */
-  admit ({ name, limit }: Organisation, tokens: number | undefined): Admission | Promise<Admission> {
-    if (limit === undefined) return { kind: 'admitted', refund: () => {} }
-    const cost = limit.unit === 'requests' ? 1 : tokens ?? limit.plainTokens
-    return this._line(this._shardOf(name)).admit(name, cost)
+  admit (account: string, cost: number): Admission | Promise<Admission> {
+    return this._limits.has(account) ? this._line(this._shardOf(account)).admit(account, cost) : { kind: 'admitted', refund: () => {} }
   }
 
   /** Another entry reports, or this one to itself. */
@@ -87,10 +77,10 @@
     return keeper.report(report, { bounds: bounds(), now: clock.now(), entries: entries().length, limitOf: name => this._limits.get(name) })
   }
 
-  private get _shards (): number { return Math.max(1, Math.ceil(this._limits.size / organisationsEach)) }
+  private get _shards (): number { return Math.max(1, Math.ceil(this._limits.size / accountsEach)) }
 
-  private _shardOf (organisation: string): number {
-    return this._shards === 1 ? 0 : rendezvousWeight('usage', organisation) % this._shards
+  private _shardOf (account: string): number {
+    return this._shards === 1 ? 0 : rendezvousWeight(this._options.kind, account) % this._shards
   }
 
   private _line (shard: number): UsageLine {
@@ -107,21 +97,28 @@
     const { node, entries, log } = this._options
     let { covers } = report
     const known = new Map(entries().map(entry => [entry.node, entry]))
-    for (const name of rendezvousOrder(`usage/${shard}`, [...known.keys()])) {
+    for (const name of rendezvousOrder(`${this._options.kind}/${shard}`, [...known.keys()])) {
       if (name === node) break
       if (this._suspects.has(name)) continue
       try {
-        return complete(report, await this._options.report(known.get(name)!, { ...report, covers, shard }))
+        return this._complete(report, await this._options.report(known.get(name)!, { ...report, covers, shard }))
       } catch (error) {
         // It may have counted the time before its answer was lost.
         if (!(error instanceof NoAnswer && !error.sent)) covers = 0
-        log.info('usage', 'keeper does not answer.', { keeper: name, shard, cause: (error as Error).message })
+        log.info('usage', 'keeper does not answer.', { kind: this._options.kind, keeper: name, shard, cause: (error as Error).message })
         this._suspect(known.get(name)!)
       }
     }
     return this.report({ ...report, covers, shard })
   }
 
+  /** Adds what a keeper says nothing of. Asked again meanwhile, it would say nothing again. */
+  private _complete ({ rows }: UsageReport, grants: readonly UsageGrant[]): readonly UsageGrant[] {
+    const told = new Set(grants.map(({ account }) => account))
+    const untold = rows.filter(({ account }) => !told.has(account))
+    return [...grants, ...untold.map(row => ({ account: row.account, ...this._options.untold(row) }))]
+  }
+
   private _suspect (peer: PeerAddress): void {
     if (this._suspects.has(peer.node)) return
     this._suspects.add(peer.node)
--- a/packages/direct/src/lib/usage-line.ts
+++ b/packages/direct/src/lib/usage-line.ts
@@ -1,10 +1,10 @@
 /**
- * Requests that wait for credit of the organisations that one keeper counts.
+ * Requests that wait for credit of the accounts that one keeper counts.
  */
 import { assertNever, type CancelTimer, type Clock, type Instant, instantOf, type Log, type Ms } from '@hazelford/core'
 import { type UsageGrant, UsagePool, type UsageReport, type UsageRow } from '@hazelford/decisions'
 
-/** Whether a request's usage is within its organisation's limit. */
+/** Whether a request's usage is within its account's limit. */
 export type Admission =
   /** `refund` gives the usage back, once, when the request has not run. */
   | { readonly kind: 'admitted', readonly refund: () => void }
@@ -23,7 +23,7 @@
 }
 
 interface Waiter {
-  readonly organisation: string
+  readonly account: string
   readonly cost: number
   readonly since: Ms
   readonly resolve: (admission: Admission) => void
@@ -42,7 +42,7 @@
 /** Spread of the times at which refused callers may return, as a part of the wait. */
 const retrySpread = 0.5
 
-/** Credit of some organisations at one entry. One report is under way at a time. */
+/** Credit of some accounts at one entry. One report is under way at a time. */
 export class UsageLine {
   private readonly _pools = new Map<string, UsagePool>()
   private _waiting: Waiter[] = []
@@ -64,20 +64,20 @@
   }
 
   /** Takes a request's usage. */
-  admit (organisation: string, cost: number): Admission | Promise<Admission> {
+  admit (account: string, cost: number): Admission | Promise<Admission> {
     const at = this._instant
-    const pool = this._pool(organisation)
+    const pool = this._pool(account)
     pool.count(cost, at.now)
-    const isFirst = !this._waiting.some(waiter => waiter.organisation === organisation)
+    const isFirst = !this._waiting.some(waiter => waiter.account === account)
     const spending = isFirst ? pool.spend(cost, at) : pool.outlook(at.now)
     switch (spending.kind) {
       case 'spent':
         if (pool.isLow(at)) this._reportSoon()
         return this._admitted(pool, cost)
       case 'closed': return this._refused(spending.retryAfter)
-      case 'held': return this._wait(organisation, cost, at.now)
+      case 'held': return this._wait(account, cost, at.now)
       case 'short': {
-        const admission = this._wait(organisation, cost, at.now)
+        const admission = this._wait(account, cost, at.now)
         this._report()
         return admission
       }
@@ -85,8 +85,8 @@
     }
   }
 
-  private _wait (organisation: string, cost: number, since: Ms): Promise<Admission> {
-    return new Promise(resolve => { this._waiting.push({ organisation, cost, since, resolve }) })
+  private _wait (account: string, cost: number, since: Ms): Promise<Admission> {
+    return new Promise(resolve => { this._waiting.push({ account, cost, since, resolve }) })
   }
 
   private _admitted (pool: UsagePool, cost: number): Admission {
@@ -105,11 +105,11 @@
 
   private get _instant (): Instant { return instantOf(this._options.clock) }
 
-  private _pool (organisation: string): UsagePool {
-    const known = this._pools.get(organisation)
+  private _pool (account: string): UsagePool {
+    const known = this._pools.get(account)
     if (known !== undefined) return known
     const pool = new UsagePool(this._options.startedAt)
-    this._pools.set(organisation, pool)
+    this._pools.set(account, pool)
     return pool
   }
 
@@ -145,17 +145,17 @@
   }
 
   private _rows (at: Instant): readonly UsageRow[] {
-    return [...this._pools].flatMap(([organisation, pool]) => {
-      const waiters = this._waiting.filter(waiter => waiter.organisation === organisation)
+    return [...this._pools].flatMap(([account, pool]) => {
+      const waiters = this._waiting.filter(waiter => waiter.account === account)
       const waiting = waiters.reduce((sum, { cost }) => sum + cost, 0)
-      return pool.row(organisation, waiters[0]?.cost ?? 0, waiting, at) ?? []
+      return pool.row(account, waiters[0]?.cost ?? 0, waiting, at) ?? []
     })
   }
 
   /** Those who came meanwhile are not in the report; those who are held are asked for anew in a while. */
   private _reportAgain (): void {
     const { clock } = this._options
-    if (this._waiting.some(({ organisation }) => this._pool(organisation).outlook(clock.now()).kind === 'short')) this._report()
+    if (this._waiting.some(({ account }) => this._pool(account).outlook(clock.now()).kind === 'short')) this._report()
     else if (this._waiting.length > 0 && !this._isDue) {
       this._isDue = true
       clock.after(heldPause, () => {
@@ -167,14 +167,14 @@
 
   private _take (grants: readonly UsageGrant[], sent: Instant, told: readonly Waiter[]): void {
     const at = this._instant
-    for (const grant of grants) this._pool(grant.organisation).take(grant, sent, at)
+    for (const grant of grants) this._pool(grant.account).take(grant, sent, at)
     const answered = new Set(told)
     this._waiting = this._waiting.filter(waiter => !answered.has(waiter) || !this._decide(waiter, at))
   }
 
   /** @returns false when it is to wait on */
-  private _decide ({ organisation, cost, since, resolve }: Waiter, at: Instant): boolean {
-    const pool = this._pool(organisation)
+  private _decide ({ account, cost, since, resolve }: Waiter, at: Instant): boolean {
+    const pool = this._pool(account)
     const spending = pool.spend(cost, at)
     switch (spending.kind) {
       case 'spent':
--- a/packages/direct/src/lib/usage-messages.ts
+++ b/packages/direct/src/lib/usage-messages.ts
@@ -7,13 +7,13 @@
 function isAmount (value: unknown): value is number { return typeof value === 'number' && Number.isFinite(value) && value >= 0 }
 
 function isRow (value: unknown): value is UsageRow {
-  const { organisation, holding, first, waiting, ahead, returned } = (value ?? {}) as Record<string, unknown>
-  return typeof organisation === 'string' && [holding, first, waiting, ahead, returned].every(isAmount)
+  const { account, holding, first, waiting, ahead, returned } = (value ?? {}) as Record<string, unknown>
+  return typeof account === 'string' && [holding, first, waiting, ahead, returned].every(isAmount)
 }
 
 function isGrant (value: unknown): value is UsageGrant {
-  const { organisation, granted, wait } = (value ?? {}) as Record<string, unknown>
-  return typeof organisation === 'string' && isAmount(granted) && isAmount(wait)
+  const { account, granted, wait } = (value ?? {}) as Record<string, unknown>
+  return typeof account === 'string' && isAmount(granted) && isAmount(wait)
 }
 
 /**
--- a/packages/direct/src/test/support/usage-play.ts
+++ b/packages/direct/src/test/support/usage-play.ts
@@ -3,6 +3,7 @@
  */
 import { FakeClock, type Ms, silentLog, sleep } from '@hazelford/core'
 import type { Organisation } from '@hazelford/ports'
+import { grantUntold, usageLimits } from '../../lib/organisation-usage.js'
 import type { PeerAddress } from '../../lib/peer-table.js'
 import { UsageDesk } from '../../lib/usage-desk.js'
 import type { Admission } from '../../lib/usage-line.js'
@@ -145,12 +146,14 @@
       log: silentLog,
       bounds: () => ({ window, overage, slack }),
       entries: () => this._peers,
-      organisations: () => this._organisations,
+      kind: 'usage',
+      limits: () => usageLimits(this._organisations),
+      untold: grantUntold,
       report: async ({ port }, msg) => await this._carry(n, port - 1, () => this._desks[port - 1]!.report(msg)),
       ping: async ({ port }) => { await this._carry(n, port - 1, () => []) }
     })
     this._desks[n] = desk
-    desk.configured()
+    desk.limitsChanged()
     this._parts[n] = new Map(this._load.demands.map(({ organisation, limit }) => [organisation, new NaiveBucket(limit / this._load.entries, limit / this._load.entries)]))
   }
 
@@ -196,7 +199,7 @@
       note(this._parts[entry]!.get(organisation)!.take(cost, this._clock.now()) ? { kind: 'admitted', refund: () => {} } : { kind: 'over-limit', retryAfter: 0 })
       return
     }
-    const admission = this._desks[entry]!.admit(this._organisations.find(({ name }) => name === organisation)!, cost)
+    const admission = this._desks[entry]!.admit(organisation, cost)
     if (admission instanceof Promise) admission.then(note, (error: Error) => { throw error })
     else note(admission)
   }
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -7,6 +7,7 @@
 import { rendezvousOrder } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import fc from 'fast-check'
+import { grantUntold, usageLimits, usageOf } from '../lib/organisation-usage.js'
 import { UsageDesk } from '../lib/usage-desk.js'
 import type { Admission } from '../lib/usage-line.js'
 import { readUsageGrants, readUsageMessage } from '../lib/usage-messages.js'
@@ -81,31 +82,33 @@
       log: silentLog,
       bounds: () => bounds,
       entries: () => entries,
-      organisations: () => organisations,
+      kind: 'usage',
+      limits: () => usageLimits(organisations),
+      untold: grantUntold,
       report: async (_, msg) => {
         this.messages++
         return keeper!.report(msg)
       },
       ping: async () => {}
     })
-    desk.configured()
+    desk.limitsChanged()
     return desk
   }
   this.desk = create(names[1]!, [newcomer], create(names[0]!, []))
 })
 
 Then('its first {int} requests are let in, with {int} messages at most', async function (this: NewcomerWorld, requests: number, messages: number) {
-  const admissions: readonly Admission[] = await Promise.all(Array.from({ length: requests }, () => this.desk.admit(newcomer, undefined)))
+  const admissions: readonly Admission[] = await Promise.all(Array.from({ length: requests }, () => this.desk.admit(newcomer.name, usageOf(newcomer.limit!, undefined))))
   assert.deepEqual(admissions.filter(({ kind }) => kind !== 'admitted'), [])
   assert.ok(this.messages <= messages, `${this.messages} messages`)
 })
 
 Then('whatever a peer reports or lends is amounts that can be counted, or nothing', () => {
-  const anything = fc.oneof(fc.jsonValue(), fc.record({ shard: fc.jsonValue(), entry: fc.jsonValue(), covers: fc.jsonValue(), rows: fc.array(fc.record({ organisation: fc.string(), holding: fc.jsonValue(), first: fc.integer(), waiting: fc.integer(), ahead: fc.jsonValue(), returned: fc.integer() })) }))
+  const anything = fc.oneof(fc.jsonValue(), fc.record({ shard: fc.jsonValue(), entry: fc.jsonValue(), covers: fc.jsonValue(), rows: fc.array(fc.record({ account: fc.string(), holding: fc.jsonValue(), first: fc.integer(), waiting: fc.integer(), ahead: fc.jsonValue(), returned: fc.integer() })) }))
   fc.assert(fc.property(anything, value => {
     for (const { holding, first, waiting, ahead, returned } of readUsageMessage(value)?.rows ?? []) assert.ok([holding, first, waiting, ahead, returned].every(amount => Number.isFinite(amount) && amount >= 0))
     for (const { granted, wait } of readUsageGrants({ grants: value }) ?? []) assert.ok(granted >= 0 && wait >= 0)
   }), { seed: propertySeed, numRuns: 1_000 })
-  const good = { shard: 0, entry: 'e', covers: 400, rows: [{ organisation: 'o', holding: 1, first: 0, waiting: 0, ahead: 2.5, returned: 0 }] }
+  const good = { shard: 0, entry: 'e', covers: 400, rows: [{ account: 'o', holding: 1, first: 0, waiting: 0, ahead: 2.5, returned: 0 }] }
   assert.deepEqual(readUsageMessage(good), good)
 })
