Hold all entries together to the request limit that an upstream names

What callers saw: nothing yet; the upstream that asked for help got as many requests as before, and may fail under them.

Cause: the limit in an upstream's answers was passed on to the caller and read by nobody (first hypothesis). The class of fault: a word of an upstream about itself that is not taken at the boundary, and a bound over all entries that no entry can keep alone.

Change: a limit is an account of the usage desk: one entry, on which all agree, lends requests to the others ahead of need; before each send an entry takes one, or goes to another upstream. A word heard by one entry goes to the one that counts and from there to all, and back again when it ends. Where each upstream of a service names a limit that is used up, the caller is refused at once as not run, with the time until one takes a further request.

The keeper lends whole units now: with limits of a request or two a second, parts of one lay at each entry, filled the bucket, and nothing was lent any more.

--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -6,9 +6,16 @@
 /** Why a placed request was refused by its upstream. Each is a true "not run". */
 export type UpstreamRefusal = 'full' | 'other-instance' | 'adapter-missing'
 
+/**
+ * Why no upstream can take a request now.
+ *
+ * - `upstream-limit`: each names a limit on requests, which is used up.
+ */
+export type UnplacedCause = 'no-upstream' | 'adapter-unavailable' | 'upstream-limit'
+
 /** Why an entry gives a request up. Logs and metrics name it. */
 export type RelayFailure =
-  | 'no-upstream' | 'adapter-unavailable' | 'refused' | 'attempts-spent' | 'budget-spent'
+  | UnplacedCause | 'refused' | 'attempts-spent' | 'budget-spent'
   | 'lost' | 'timeout-unsent' | 'timeout-sent' | 'shutting-down' | 'quarantined'
   /** The key was withdrawn while the request waited. */
   | 'key-withdrawn'
@@ -17,7 +24,7 @@
 export type RelayMessage =
   /** An upstream can take it now. */
   | { readonly kind: 'placed', readonly upstream: string }
-  | { readonly kind: 'unplaced', readonly cause: 'no-upstream' | 'adapter-unavailable' }
+  | { readonly kind: 'unplaced', readonly cause: UnplacedCause }
   | { readonly kind: 'refused', readonly refusal: UpstreamRefusal }
   /** No connection: nothing was sent. */
   | { readonly kind: 'unreachable' }
--- a/packages/decisions/src/lib/upstream-notices.ts
+++ b/packages/decisions/src/lib/upstream-notices.ts
@@ -10,6 +10,8 @@
   readonly rate: number | undefined
   /** Since when it is known to hold. */
   readonly at: Ms
+  /** Whether the upstream has named a limit at any time. */
+  readonly everNamed: boolean
 }
 
 /** What changed by an answer. */
@@ -20,7 +22,7 @@
 
 /** Notices of one incarnation of an upstream. */
 export class UpstreamNotices {
-  private _limit: LimitWord = { rate: undefined, at: -Infinity }
+  private _limit: LimitWord = { rate: undefined, at: -Infinity, everNamed: false }
   private _leaving = false
   private _restsUntil: Ms = -Infinity
 
@@ -60,10 +62,10 @@
    *
    * @returns what it changes, if anything
    */
-  noteLimit (word: LimitWord): NoticeChange & { readonly kind: 'limit' } | undefined {
-    if (word.at <= this._limit.at) return undefined
+  noteLimit ({ rate, at }: Omit<LimitWord, 'everNamed'>): NoticeChange & { readonly kind: 'limit' } | undefined {
+    if (at <= this._limit.at) return undefined
     const before = this._limit.rate
-    this._limit = word
-    return word.rate === before ? undefined : { kind: 'limit', rate: word.rate, before }
+    this._limit = { rate, at, everNamed: this._limit.everNamed || rate !== undefined }
+    return rate === before ? undefined : { kind: 'limit', rate, before }
   }
 }
--- a/packages/decisions/src/lib/usage-keeper.ts
+++ b/packages/decisions/src/lib/usage-keeper.ts
@@ -123,7 +123,7 @@
     this._words.set(entry, { holding, waiting, at: now })
     const forWaiting = this._forWaiting(row, now)
     this._level -= forWaiting
-    const forAhead = Math.min(ahead, Math.max(0, this._level - this._cap * reservedShare) / 2)
+    const forAhead = Math.floor(Math.min(ahead, Math.max(0, this._level - this._cap * reservedShare) / 2))
     this._level -= forAhead
     const granted = forWaiting + forAhead
     this._words.set(entry, { holding: holding + granted, waiting: waiting - forWaiting, at: now })
@@ -139,7 +139,8 @@
     const all = this._waiting(now)
     if (this._level >= all) return waiting
     if (first > this._level) return 0
-    return Math.min(waiting, this._level, Math.max(first, shareOfLevel * this._level * waiting / all))
+    // Parts of a unit would lie unused at each entry, and what entries hold takes room in the bucket.
+    return Math.floor(Math.min(waiting, this._level, Math.max(first, shareOfLevel * this._level * waiting / all)))
   }
 }
 
--- a/packages/decisions/src/lib/usage-pool.ts
+++ b/packages/decisions/src/lib/usage-pool.ts
@@ -11,7 +11,7 @@
   /** The keeper must be asked. */
   | { readonly kind: 'short' }
   /** The keeper was asked, and has some soon. */
-  | { readonly kind: 'held' }
+  | { readonly kind: 'held', readonly retryAfter: Ms }
   /** The keeper has said that there is none for now. */
   | { readonly kind: 'closed', readonly retryAfter: Ms }
 
@@ -77,7 +77,7 @@
   outlook (now: Ms): Spending & { readonly kind: 'short' | 'held' | 'closed' } {
     if (now >= this._noneUntil) return { kind: 'short' }
     const wait = this._lendsAt - now
-    return wait <= this._longestHold(now) ? { kind: 'held' } : { kind: 'closed', retryAfter: wait }
+    return wait <= this._longestHold(now) ? { kind: 'held', retryAfter: Math.max(0, wait) } : { kind: 'closed', retryAfter: wait }
   }
 
   private _longestHold (now: Ms): Ms { return now - this._startedAt < startLasts ? startHold : usualHold }
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -116,7 +116,15 @@
       held: fingerprint => this._hold(fingerprint)
     })
     this._usage = this._createUsageDesk()
-    this._notices = new NoticeDesk({ clock, log, metrics: _options.metrics })
+    this._notices = new NoticeDesk({
+      node: settings.name,
+      clock,
+      log,
+      metrics: _options.metrics,
+      client: this._client,
+      entries: () => this.peers.entries,
+      upstreams: { all: () => this.members.all(), get: id => this.members.get(id) }
+    })
     this._view = new StoreView({
       node: settings.name,
       platform,
@@ -156,7 +164,16 @@
       ended: () => this.desk.dropAll()
     })
     this._directory = new AdapterDirectory(settings.name, clock, log, this.peers, this._client, this.desk, this.members)
-    this._placer = new Placer(clock, log, settings.zone, this.members, this._directory, () => this.peers.entryCount, service => this.config.table?.service(service)?.engine?.adapterSlots ?? 1)
+    this._placer = new Placer({
+      clock,
+      log,
+      zone: settings.zone,
+      members: this.members,
+      directory: this._directory,
+      entries: () => this.peers.entryCount,
+      adapterSlots: service => this.config.table?.service(service)?.engine?.adapterSlots ?? 1,
+      admit: upstream => this._notices.admit(upstream)
+    })
     this._runner = this._createRunner()
     this._intake = this._createIntake()
     this._callers = new CallerServer({
@@ -175,6 +192,7 @@
       clock,
       log,
       bounds: () => usageBounds(this._settings),
+      isPatient: true,
       entries: () => this.peers.entries,
       limits: () => usageLimits(this.config.table?.organisations ?? []),
       untold: grantUntold,
@@ -307,7 +325,9 @@
       changes: (after, wait) => this._view.changes(after, wait),
       state: () => this._view.state,
       configAge: () => this._view.configAge,
-      reportUsage: msg => this._usage.report(msg)
+      reportUsage: msg => this._usage.report(msg),
+      reportLimits: msg => this._notices.report(msg),
+      heardNotices: msg => this._notices.heard(msg)
     }
   }
 
@@ -323,6 +343,7 @@
 
   private _upstreamGone (upstream: Upstream): void {
     this._directory.forget(upstream.id)
+    this._notices.forget()
     this._quarantine.recordGone(upstream)
   }
 
@@ -355,6 +376,7 @@
     this._stopped = true
     this._quarantine.stop()
     this._usage.stop()
+    this._notices.stop()
     this._view.stop()
     for (const server of this._servers) {
       server.close()
@@ -368,6 +390,7 @@
     this._stopped = true
     this._quarantine.stop()
     this._usage.stop()
+    this._notices.stop()
     this._view.stop()
     this._lease.abandon()
     this.desk.dropAll()
--- a/packages/direct/src/lib/notice-desk.ts
+++ b/packages/direct/src/lib/notice-desk.ts
@@ -1,22 +1,70 @@
 /**
- * Takes what upstreams say of themselves in their answers.
+ * Takes what upstreams say of themselves in their answers, and holds this entry to it together with the others.
  */
 import { assertNever, type Clock, type Log, type Ms } from '@hazelford/core'
-import type { NoticeChange } from '@hazelford/decisions'
+import { type CreditLimit, type NoticeChange, rendezvousOrder, type UsageBounds, type UsageGrant } from '@hazelford/decisions'
 import type { UpstreamNotice } from '@hazelford/ports'
 import type { EntryMetrics } from './metrics.js'
+import type { NoticeMessage, NoticeRow } from './notice-messages.js'
+import type { LimitReply, LimitReport, PeerClient } from './peer-calls.js'
+import type { PeerAddress } from './peer-table.js'
 import type { Upstream } from './upstream.js'
+import { UsageDesk } from './usage-desk.js'
+import type { Admission } from './usage-line.js'
 
 /** What the desk needs of its entry. */
 export interface NoticeDeskOptions {
+  readonly node: string
   readonly clock: Clock
   readonly log: Log
   readonly metrics: Pick<EntryMetrics, 'notices'>
+  readonly client: Pick<PeerClient, 'reportLimits' | 'tellNotices' | 'ping'>
+  /** All entries that live. */
+  readonly entries: () => readonly PeerAddress[]
+  readonly upstreams: { readonly all: () => Iterable<Upstream>, readonly get: (id: string) => Upstream | undefined }
 }
 
-/** Notices of all upstreams at one entry. */
+const keepersOf = 'upstream-limits'
+/**
+ * How far an upstream's limit may be passed: requests that were let in may come to it together, when what they waited for
+ * ends at one moment.
+ */
+export const limitBounds: UsageBounds = { window: 4_000, overage: 0.25, slack: 2 }
+/** An upstream that wants nothing at all is asked now and then, or its next word would never be heard. */
+const leastRate = 0.05
+/** Pause before a keeper that does not know an upstream yet is asked again. */
+const untoldPause: Ms = 500
+
+/** Words of all upstreams at one entry. */
 export class NoticeDesk {
-  constructor (private readonly _options: NoticeDeskOptions) {}
+  /** Requests that upstreams take, lent by a keeper to all entries. */
+  private readonly _limits: UsageDesk
+
+  constructor (private readonly _options: NoticeDeskOptions) {
+    const { node, clock, log, client, entries } = _options
+    this._limits = new UsageDesk({
+      node,
+      kind: keepersOf,
+      clock,
+      log,
+      bounds: () => limitBounds,
+      // Another upstream may have room.
+      isPatient: false,
+      entries,
+      limits: () => this._limited(),
+      untold: () => ({ granted: 0, wait: untoldPause }),
+      report: async (peer, msg) => this._heardReply(await client.reportLimits(peer, { ...msg, notices: this._rows() })),
+      ping: peer => client.ping(peer)
+    })
+  }
+
+  stop (): void { this._limits.stop() }
+
+  /** Takes one request of what an upstream takes; at once where it names no limit. */
+  admit (upstream: Upstream): Admission | Promise<Admission> { return this._limits.admit(upstream.id, 1) }
+
+  /** What was known of an incarnation holds no more. */
+  forget (): void { this._limits.limitsChanged() }
 
   /**
    * Takes the notice of an answer.
@@ -27,21 +75,77 @@
    */
   take (upstream: Upstream, notice: UpstreamNotice, took: Ms): void {
     const now = this._options.clock.now()
-    for (const change of upstream.notices.note(notice, now - took, now)) this._noteChange(upstream, change)
+    for (const change of upstream.notices.note(notice, now - took, now)) this._changed(upstream, change, 'its answer')
+  }
+
+  /** Another entry reports what it uses, and what upstreams have told it. */
+  report ({ notices, ...report }: LimitReport): LimitReply {
+    this.heard({ notices })
+    return { grants: this._limits.report(report), notices: this._rows() }
+  }
+
+  /** Another entry tells what upstreams have told it. */
+  heard ({ notices }: NoticeMessage): void {
+    const now = this._options.clock.now()
+    for (const { upstream: id, startedAt, rate, age } of notices) {
+      const upstream = this._options.upstreams.get(id)
+      if (upstream === undefined || upstream.record.startedAt !== startedAt) continue
+      const change = upstream.notices.noteLimit({ rate: rate ?? undefined, at: now - age })
+      if (change !== undefined) this._changed(upstream, change, 'another entry')
+    }
   }
 
-  private _noteChange ({ id, record }: Upstream, change: NoticeChange): void {
+  private _heardReply ({ grants, notices }: LimitReply): readonly UsageGrant[] {
+    this.heard({ notices })
+    return grants
+  }
+
+  private _limited (): ReadonlyMap<string, CreditLimit> {
+    const limited = new Map<string, CreditLimit>()
+    for (const { id, notices: { limit: { rate } } } of this._options.upstreams.all()) {
+      if (rate !== undefined) limited.set(id, { rate: Math.max(leastRate, rate), burst: 0 })
+    }
+    return limited
+  }
+
+  /** Words on limits, also on those that have ended: another entry may not have heard. */
+  private _rows (): readonly NoticeRow[] {
+    const now = this._options.clock.now()
+    return [...this._options.upstreams.all()].flatMap(({ id, record: { startedAt }, notices: { limit } }) => limit.everNamed
+      ? [{ upstream: id, ...(startedAt === undefined ? {} : { startedAt }), rate: limit.rate ?? null, age: now - limit.at }]
+      : [])
+  }
+
+  private _changed (upstream: Upstream, change: NoticeChange, source: 'its answer' | 'another entry'): void {
+    const { id, record } = upstream
     const { log, metrics } = this._options
     metrics.notices.inc({ notice: change.kind })
-    const about = { upstream: id, service: record.service }
+    const about = { upstream: id, service: record.service, source }
     switch (change.kind) {
       case 'limit':
-        return change.rate === undefined
-          ? log.info('membership', 'upstream names no limit any more.', { ...about, before: change.before })
-          : log.info('membership', 'upstream names a limit.', { ...about, rate: change.rate, before: change.before })
+        if (change.rate === undefined) log.info('membership', 'upstream names no limit any more.', { ...about, before: change.before })
+        else log.info('membership', 'upstream names a limit.', { ...about, rate: change.rate, before: change.before })
+        this._limits.limitsChanged()
+        if (change.before === undefined && this._isKeeper) this._tellOthers()
+        return
       case 'leaving': return log.info('membership', 'upstream says that it leaves.', { ...about, listedAs: record.state })
       case 'rest': return log.info('membership', 'upstream asks for rest.', { ...about, lasts: Math.round(change.lasts) })
       default: return assertNever(change)
     }
   }
+
+  private get _isKeeper (): boolean {
+    const { node, entries } = this._options
+    return rendezvousOrder(`${keepersOf}/0`, entries().map(entry => entry.node))[0] === node
+  }
+
+  /** An entry that has sent nothing there yet would not ask for credit, and its part of the limit would lie unused. */
+  private _tellOthers (): void {
+    const { node, entries, client, log } = this._options
+    const notices = this._rows()
+    for (const peer of entries()) {
+      if (peer.node === node) continue
+      client.tellNotices(peer, { notices }).catch((error: Error) => log.info('peers', 'not told what upstreams say.', { peer: peer.node, cause: error.message }))
+    }
+  }
 }
--- a/packages/direct/src/lib/peer-calls.ts
+++ b/packages/direct/src/lib/peer-calls.ts
@@ -10,6 +10,7 @@
 import { callJson, readJson } from './json-client.js'
 import type { DigestRow } from './load-digest.js'
 import type { News } from './load-news.js'
+import { type NoticeMessage, readNotices } from './notice-messages.js'
 import type { ConfigAge, PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
 import type { UsageMessage } from './usage-desk.js'
@@ -49,6 +50,12 @@
 /** Asks which of some requests were answered whole lately, by their fingerprints. */
 export interface AnsweredQuery { readonly requests: readonly string[] }
 
+/** What an entry uses of upstreams' limits, with what these have told it. */
+export type LimitReport = UsageMessage & NoticeMessage
+
+/** What is lent to it, with what upstreams have told the keeper. */
+export interface LimitReply extends NoticeMessage { readonly grants: readonly UsageGrant[] }
+
 /** The answer; a promise is told as the time left, since clocks differ. */
 type AskReply = { readonly news?: News, readonly loads?: readonly DigestRow[] } & (
   | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number, readonly load?: EngineLoad, readonly atDoor?: Ms }
@@ -72,6 +79,8 @@
 const statePath = '/state'
 const configAgePath = '/config/age'
 const usagePath = '/usage/report'
+const limitsPath = '/upstreams/limits'
+const noticesPath = '/upstreams/notices'
 const pingPath = '/ping'
 /** An entry may have requests open on some hundred adapters of an engine. */
 const maxBody = 64 * 1024
@@ -100,6 +109,10 @@
   readonly configAge: () => ConfigAge | undefined
   /** Lends an entry credit of organisations that are counted here. */
   readonly reportUsage: (msg: UsageMessage) => readonly UsageGrant[]
+  /** Lends an entry requests to upstreams that name a limit. */
+  readonly reportLimits: (msg: LimitReport) => LimitReply
+  /** Upstreams have told another entry something of themselves. */
+  readonly heardNotices: (msg: NoticeMessage) => void
 }
 
 function sendJson (res: ServerResponse, status: number, value: object): void {
@@ -127,6 +140,17 @@
     const msg = readUsageMessage(await readJson(req, maxBody))
     return msg === undefined ? sendJson(res, 400, { error: 'This is no report of usage.' }) : sendJson(res, 200, { grants: service.reportUsage(msg) })
   }
+  if (req.method === 'POST' && req.url === limitsPath) {
+    const body = await readJson(req, maxBody)
+    const [msg, notices] = [readUsageMessage(body), readNotices(body)]
+    return msg === undefined || notices === undefined ? sendJson(res, 400, { error: 'This is no report of limits.' }) : sendJson(res, 200, service.reportLimits({ ...msg, notices }))
+  }
+  if (req.method === 'POST' && req.url === noticesPath) {
+    const notices = readNotices(await readJson(req, maxBody))
+    if (notices === undefined) return sendJson(res, 400, { error: 'These are no words of upstreams.' })
+    service.heardNotices({ notices })
+    return sendJson(res, 200, {})
+  }
   if (req.method === 'POST' && req.url === takenPath) {
     service.taken(await readJson(req, maxBody) as TakenMessage)
     return sendJson(res, 200, {})
@@ -225,6 +249,19 @@
     return grants
   }
 
+  /** Reports what is used of upstreams' limits to the entry that counts it; rejects when it does not answer. */
+  async reportLimits ({ host, port }: PeerAddress, msg: LimitReport): Promise<LimitReply> {
+    const { status, body } = await callJson(this._agent, { host, port, method: 'POST', path: limitsPath, body: msg, timeout: answerMargin })
+    const [grants, notices] = [readUsageGrants(body), readNotices(body)]
+    if (status !== 200 || grants === undefined || notices === undefined) throw new Error(`The keeper answered ${status}.`)
+    return { grants, notices }
+  }
+
+  /** Tells an entry what upstreams say of themselves; rejects when it does not answer. */
+  async tellNotices ({ host, port }: PeerAddress, msg: NoticeMessage): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'POST', path: noticesPath, body: msg, timeout: answerMargin })
+  }
+
   /** Asks as of when a peer knows the configuration; undefined when it does not say. */
   async configAge ({ host, port }: PeerAddress): Promise<ConfigAge | undefined> {
     const { status, body } = await callJson(this._agent, { host, port, method: 'GET', path: configAgePath, timeout: answerMargin })
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -2,11 +2,12 @@
  * Finds the upstream for a request: ranks the candidates and gets the adapter there.
  */
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { type AdapterWant, DecayedCounter, type PlacementCandidate, rankCandidates, rendezvousOrder, replicasFor, Smoothed } from '@hazelford/decisions'
+import { type AdapterWant, DecayedCounter, type PlacementCandidate, rankCandidates, rendezvousOrder, replicasFor, Smoothed, type UnplacedCause } from '@hazelford/decisions'
 import type { AdapterDirectory, EnsureQuery } from './adapter-directory.js'
 import type { UnavailableCause } from './engine-holder.js'
 import type { Membership } from './membership.js'
 import type { Upstream } from './upstream.js'
+import type { Admission } from './usage-line.js'
 
 /** What is to be placed. */
 export interface PlaceQuery {
@@ -34,8 +35,10 @@
 
 /** Where a request can go. */
 export type Placed =
-  | { readonly kind: 'placed', readonly upstream: Upstream, readonly version: number | undefined, readonly waits?: PlaceWaits }
-  | { readonly kind: 'unplaced', readonly cause: 'no-upstream' | 'adapter-unavailable' }
+  /** `refund` gives back what was taken of the upstream's limit, when nothing has reached it. */
+  | { readonly kind: 'placed', readonly upstream: Upstream, readonly version: number | undefined, readonly waits?: PlaceWaits, readonly refund: () => void }
+  /** `retryAfter`: ms until a place can be expected, where that is known. */
+  | { readonly kind: 'unplaced', readonly cause: UnplacedCause, readonly retryAfter?: Ms }
 
 /** Upstreams with every slot in use at which an adapter is asked for before a request stands in line. */
 const maxOccupied = 3
@@ -58,11 +61,33 @@
 interface Line { readonly upstream: Upstream, readonly length: number }
 
 /** What came of asking one upstream for an adapter. */
-type Attempt =
-  | Placed & { readonly kind: 'placed' }
+type AdapterAttempt =
+  | Omit<Placed & { readonly kind: 'placed' }, 'refund'>
   /** `cause`: what its holder said; undefined when the request has no time left or the upstream leaves. */
   | { readonly kind: 'not-there', readonly cause?: UnavailableCause, readonly line: number }
 
+/** The same, where the upstream may name a limit. */
+type Attempt =
+  | Placed & { readonly kind: 'placed' }
+  | AdapterAttempt & { readonly kind: 'not-there' }
+  | Admission & { readonly kind: 'over-limit' }
+
+/** What a placer needs of its entry. */
+export interface PlacerOptions {
+  readonly clock: Clock
+  readonly log: Log
+  /** Of the entry. */
+  readonly zone: string
+  readonly members: Membership
+  readonly directory: AdapterDirectory
+  /** Entries that live. */
+  readonly entries: () => number
+  /** Adapters that an engine of a service holds at once. */
+  readonly adapterSlots: (service: string) => number
+  /** Takes one request of what an upstream takes; at once where it names no limit. */
+  readonly admit: (upstream: Upstream) => Admission | Promise<Admission>
+}
+
 /** Whether a request that waits there has its turn one day. */
 function isLine (cause: UnavailableCause | undefined): boolean { return cause !== undefined && cause !== 'the engine does not answer' }
 
@@ -73,20 +98,13 @@
   private _orders = new Map<string, ReadonlyMap<string, number>>()
   private _ordersOf = ''
 
-  constructor (
-    private readonly _clock: Clock,
-    private readonly _log: Log,
-    private readonly _zone: string,
-    private readonly _members: Membership,
-    private readonly _directory: AdapterDirectory,
-    private readonly _entries: () => number,
-    /** Adapters that an engine of a service holds at once. */
-    private readonly _adapterSlots: (service: string) => number
-  ) {}
+  constructor (private readonly _options: PlacerOptions) {}
+
+  private get _now (): Ms { return this._options.clock.now() }
 
   /** Counts a request for the adapter's popularity. */
   count (service: string, want: AdapterWant | undefined): void {
-    const now = this._clock.now()
+    const now = this._now
     this._seen.add(service, now)
     if (want !== undefined) this._seen.add(`${service} ${want.model}/${want.adapter ?? ''}`, now)
   }
@@ -104,56 +122,88 @@
   async place (query: PlaceQuery): Promise<Placed> {
     const ranked = this._ranked(query)
     if (ranked.length === 0) return { kind: 'unplaced', cause: 'no-upstream' }
-    if (query.want === undefined) return { kind: 'placed', upstream: ranked[0]!, version: undefined }
+    if (query.want === undefined) return this._placePlain(ranked)
     return this._placeAdapter(query, query.want, ranked.slice(0, maxTried))
   }
 
+  /** Takes the first candidate whose limit, if it names one, leaves room. */
+  private async _placePlain (ranked: readonly Upstream[]): Promise<Placed> {
+    let retryAfter: Ms = Infinity
+    for (const upstream of ranked) {
+      const admission = await this._options.admit(upstream)
+      if (admission.kind === 'over-limit') {
+        retryAfter = Math.min(retryAfter, admission.retryAfter)
+        continue
+      }
+      const { refund } = admission
+      if (this._isOpen(upstream)) return { kind: 'placed', upstream, version: undefined, refund }
+      refund()
+    }
+    return retryAfter === Infinity ? { kind: 'unplaced', cause: 'no-upstream' } : { kind: 'unplaced', cause: 'upstream-limit', retryAfter }
+  }
+
   /** Takes the first candidate that can have the adapter, else stands in line at the best. */
   private async _placeAdapter (query: PlaceQuery, want: AdapterWant, candidates: readonly Upstream[]): Promise<Placed> {
-    const startedAt = this._clock.now()
+    const startedAt = this._now
     const placed = await this._placeAtOne(query, want, candidates)
     if (placed.kind === 'unplaced') return placed
     const door = placed.waits?.door ?? 0
-    return { ...placed, waits: { adapter: this._clock.now() - startedAt - door, door } }
+    return { ...placed, waits: { adapter: this._now - startedAt - door, door } }
   }
 
   private async _placeAtOne (query: PlaceQuery, want: AdapterWant, candidates: readonly Upstream[]): Promise<Placed> {
-    const until = this._clock.now() + query.patience
+    const until = this._now + query.patience
     const lines: Line[] = []
     const causes: Partial<Record<UnavailableCause, number>> = {}
+    let retryAfter: Ms = Infinity
     for (const upstream of candidates) {
       if (lines.length >= maxOccupied) break
       const attempt = await this._await(upstream, query, { want, urgency: query.urgency, missing: query.again === upstream.id, mayWait: false, repeated: query.again === upstream.id }, until)
       if (attempt.kind === 'placed') return attempt
+      if (attempt.kind === 'over-limit') {
+        retryAfter = Math.min(retryAfter, attempt.retryAfter)
+        continue
+      }
       if (attempt.cause !== undefined) causes[attempt.cause] = (causes[attempt.cause] ?? 0) + 1
-      if (isLine(attempt.cause) && this._directory.canOrder(upstream.id)) lines.push({ upstream, length: attempt.line })
+      if (isLine(attempt.cause) && this._options.directory.canOrder(upstream.id)) lines.push({ upstream, length: attempt.line })
     }
     lines.sort((a, b) => a.length - b.length)
-    this._log.info('request', 'adapter not to be had.', { request: query.prompt.request, ...want, causes, standsAt: lines[0]?.upstream.id, ahead: lines[0]?.length, left: Math.round(until - this._clock.now()) })
-    for (let turn = 0; until > this._clock.now() && !query.cancelled(); turn++) {
+    this._options.log.info('request', 'adapter not to be had.', { request: query.prompt.request, ...want, causes, standsAt: lines[0]?.upstream.id, ahead: lines[0]?.length, limitedFor: retryAfter === Infinity ? undefined : Math.round(retryAfter), left: Math.round(until - this._now) })
+    for (let turn = 0; until > this._now && !query.cancelled(); turn++) {
       // Where nobody can order now, a line would stand for nothing.
-      const open = lines.filter(({ upstream }) => this._isOpen(upstream) && this._directory.canOrder(upstream.id))
+      const open = lines.filter(({ upstream }) => this._isOpen(upstream) && this._options.directory.canOrder(upstream.id))
       if (open.length === 0) break
       const attempt = await this._await(open[turn % open.length]!.upstream, query, { want, urgency: query.urgency, missing: false, mayWait: true, repeated: true }, until)
       if (attempt.kind === 'placed') return attempt
-      await sleep(this._clock, linePause)
+      await sleep(this._options.clock, linePause)
     }
-    return { kind: 'unplaced', cause: 'adapter-unavailable' }
+    return retryAfter === Infinity || lines.length > 0 ? { kind: 'unplaced', cause: 'adapter-unavailable' } : { kind: 'unplaced', cause: 'upstream-limit', retryAfter }
+  }
+
+  /** Waits for an adapter at one upstream, if the upstream takes a request now. */
+  private async _await (upstream: Upstream, query: PlaceQuery, ask: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<Attempt> {
+    const admission = await this._options.admit(upstream)
+    if (admission.kind === 'over-limit') return admission
+    const { refund } = admission
+    const attempt = await this._awaitAdapter(upstream, query, ask, until)
+    if (attempt.kind === 'placed') return { ...attempt, refund }
+    refund()
+    return attempt
   }
 
   /**
    * Waits for an adapter at one upstream while it is on its way there. Asking elsewhere
    * meanwhile would load it twice, and both loads would share the weight store's rate.
    */
-  private async _await (upstream: Upstream, query: PlaceQuery, ask: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<Attempt> {
+  private async _awaitAdapter (upstream: Upstream, query: PlaceQuery, ask: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<AdapterAttempt> {
     let { missing, repeated } = ask
     const { request, tokens, dueAt } = query.prompt
     let door = 0
     for (;;) {
-      const patience = until - this._clock.now()
+      const patience = until - this._now
       if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return { kind: 'not-there', line: 0 }
-      const prompt = { request, tokens, dueIn: dueAt - this._clock.now() }
-      const outcome = await this._directory.ensure(upstream, { ...ask, missing, repeated, patience, prompt })
+      const prompt = { request, tokens, dueIn: dueAt - this._now }
+      const outcome = await this._options.directory.ensure(upstream, { ...ask, missing, repeated, patience, prompt })
       if (outcome.kind === 'unavailable') return { kind: 'not-there', cause: outcome.cause, line: outcome.line ?? 0 }
       door += outcome.atDoor ?? 0
       // It may have said that it leaves while the request waited.
@@ -165,20 +215,20 @@
 
   /** Whether an upstream still takes new requests. */
   private _isOpen (upstream: Upstream): boolean {
-    return this._members.get(upstream.id) === upstream && upstream.record.state === 'ready' &&
-      upstream.leavesAt > this._clock.now() + leavingMargin
+    return this._options.members.get(upstream.id) === upstream && upstream.record.state === 'ready' &&
+      upstream.leavesAt > this._now + leavingMargin
   }
 
   private _ranked (query: PlaceQuery): readonly Upstream[] {
-    const again = query.again === undefined ? undefined : this._members.get(query.again)
+    const again = query.again === undefined ? undefined : this._options.members.get(query.again)
     // The upstream that lacked the adapter goes first: it is on its way there.
     const first = again !== undefined && this._isOpen(again) ? [again] : []
     return [...first, ...this._rankedOthers(query)]
   }
 
   private _rankedOthers (query: PlaceQuery): readonly Upstream[] {
-    const now = this._clock.now()
-    const serving = this._members.serving(query.service)
+    const now = this._now
+    const serving = this._options.members.serving(query.service)
       .filter(upstream => !query.avoid.has(upstream.id) && this._isOpen(upstream) && upstream.pool.hasRoom)
     const healthy = serving.filter(upstream => upstream.health.accepts(now))
     const open = healthy.length > 0 ? healthy : serving
@@ -193,19 +243,19 @@
 
   private _rank (query: PlaceQuery, upstreams: readonly Upstream[]): readonly Upstream[] {
     const { want } = query
-    const entries = this._entries()
+    const entries = this._options.entries()
     const ranks = want?.adapter === undefined ? undefined : this._rankOf(`${want.model}/${want.adapter}`, upstreams)
     const running = this._loadGuess(upstreams, want, entries)
     const candidates = upstreams.map((upstream): PlacementCandidate & { readonly upstream: Upstream } => ({
       upstream,
       id: upstream.id,
-      sameZone: upstream.record.zone === this._zone,
+      sameZone: upstream.record.zone === this._options.zone,
       running: running(upstream),
       promptBacklog: upstream.promptBacklog,
       slots: upstream.record.slots,
       latency: upstream.health.latency * (want === undefined ? 1 : engineLatencyShare),
       failureShare: upstream.health.failureShare,
-      adapter: want === undefined ? 'loaded' : this._directory.presence(upstream, want),
+      adapter: want === undefined ? 'loaded' : this._options.directory.presence(upstream, want),
       rank: ranks?.get(upstream.id) ?? 0
     }))
     const context = {
@@ -221,18 +271,18 @@
    */
   private _loadGuess (upstreams: readonly Upstream[], want: AdapterWant | undefined, entries: number): (upstream: Upstream) => number {
     if (want === undefined) return upstream => upstream.outstanding * entries
-    this._directory.countOwnLoads()
+    this._options.directory.countOwnLoads()
     const known = upstreams.flatMap(({ running }) => running ?? [])
     const mean = known.length === 0 ? undefined : known.reduce((sum, each) => sum + each, 0) / known.length
     return upstream => upstream.running ?? Math.max(upstream.outstanding, mean ?? upstream.outstanding * entries)
   }
 
   private _replicas (service: string, want: AdapterWant, upstreams: number): number {
-    const now = this._clock.now()
+    const now = this._now
     const total = this._seen.read(service, now)
     if (want.adapter === undefined) return upstreams
     if (total < minSeen) return 1
-    return replicasFor(this._seen.read(`${service} ${want.model}/${want.adapter}`, now) / total, upstreams, this._adapterSlots(service))
+    return replicasFor(this._seen.read(`${service} ${want.model}/${want.adapter}`, now) / total, upstreams, this._options.adapterSlots(service))
   }
 
   /** Rendezvous order of an adapter; kept until the upstreams change. */
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -98,6 +98,10 @@
   private _upstream: Upstream | undefined
   private _version: number | undefined
   private _waits: PlaceWaits | undefined
+  /** Gives back what the request took of its upstream's limit. */
+  private _refund: () => void = () => {}
+  /** Ms until a place can be expected, where that is known. */
+  private _retryAfter: Ms | undefined
   private _want: AdapterWant | undefined
   private _whole: WholeAnswer | undefined
   private _held: WholeAnswer | undefined
@@ -182,7 +186,7 @@
       case 'deliver': return this._deliver()
       case 'finish': return this._end('delivered')
       case 'fail':
-        this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._deps.retryAfter(effect.failure) })
+        this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._retryAfter ?? this._deps.retryAfter(effect.failure) })
         return this._end(effect.failure, effect.notRun)
       case 'break':
         log.info('request', 'broken off.', { request: this._call.facts.id, cause: effect.failure, lastEventId: this._lastEventId })
@@ -212,6 +216,7 @@
     // A stream may go on elsewhere many seconds after its request. A version that was declared since is
     // in force there; by the one of its first placement it would begin anew on weights that were replaced.
     this._want = this._deps.want()
+    this._retryAfter = undefined
     const query: PlaceQuery = {
       service: this._service,
       want: this._want,
@@ -243,7 +248,9 @@
   private _placed (placed: Placed): void {
     const sends = this._sends
     this._takePlace(placed)
-    if (placed.kind === 'placed' && this._sends === sends) placed.upstream.placeUnused()
+    if (placed.kind !== 'placed' || this._sends > sends) return
+    placed.upstream.placeUnused()
+    placed.refund()
   }
 
   private _takePlace (placed: Placed): void {
@@ -252,7 +259,11 @@
     this._stall = stall === 'placing' && placed.kind === 'unplaced' ? 'unplaced' : 'none'
     // It goes on where it is: moved now, it would be read anew for nothing.
     if (stall === 'over') return this._post({ kind: 'moves-again' })
-    if (placed.kind === 'unplaced') return this._post(placed)
+    if (placed.kind === 'unplaced') {
+      this._retryAfter = placed.retryAfter
+      return this._post(placed)
+    }
+    this._refund = placed.refund
     this._upstream = placed.upstream
     this._version = placed.version
     this._waits = placed.waits
@@ -310,6 +321,7 @@
       },
       unreachable: cause => {
         close('unreachable')
+        this._refund()
         log.info('request', 'upstream unreachable.', { request: facts.id, upstream: upstream.id, cause })
         this._post({ kind: 'unreachable' })
       },
--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -19,6 +19,8 @@
   readonly clock: Clock
   readonly log: Log
   readonly bounds: () => UsageBounds
+  /** Whether requests wait for credit that comes soon. */
+  readonly isPatient: boolean
   /** All entries that live. */
   readonly entries: () => readonly PeerAddress[]
   /** Those in force, by account. */
@@ -34,6 +36,8 @@
  * little; with more accounts than this, one keeper's host would be busy with nothing else.
  */
 const accountsEach = 500
+/** Time for which an entry goes on reporting after its last limit has ended. */
+const reportAfterEnd: Ms = 2_000
 /** How often a keeper that did not answer is tried. */
 const tryAgainEvery: Ms = 400
 
@@ -43,6 +47,8 @@
   private readonly _keepers = new Map<number, UsageKeeper>()
   private readonly _suspects = new Set<string>()
   private _limits: ReadonlyMap<string, CreditLimit> = new Map()
+  /** When the last limit ended. */
+  private _endedAt: Ms = -Infinity
   private _stopped = false
   private readonly _startedAt: Ms
 
@@ -50,7 +56,10 @@
 
   /** Takes the limits that are in force now. */
   limitsChanged (): void {
+    const hadLimits = this._limits.size > 0
     this._limits = this._options.limits()
+    if (hadLimits && this._limits.size === 0) this._endedAt = this._options.clock.now()
+    for (const line of this._lines.values()) line.release(account => !this._limits.has(account))
     // An entry without requests reports too: its part of each rate is lent to the others by whoever hears it.
     if (this._limits.size > 0) for (let shard = 0; shard < this._shards; shard++) this._line(shard)
   }
@@ -77,6 +86,9 @@
     return keeper.report(report, { bounds: bounds(), now: clock.now(), entries: entries().length, limitOf: name => this._limits.get(name) })
   }
 
+  /** Others may keep to a limit that has ended; they hear of its end from who reports to them. */
+  private get _isNeeded (): boolean { return this._limits.size > 0 || this._options.clock.now() - this._endedAt < reportAfterEnd }
+
   private get _shards (): number { return Math.max(1, Math.ceil(this._limits.size / accountsEach)) }
 
   private _shardOf (account: string): number {
@@ -86,8 +98,8 @@
   private _line (shard: number): UsageLine {
     const known = this._lines.get(shard)
     if (known !== undefined) return known
-    const { clock, log, node } = this._options
-    const line = new UsageLine({ clock, log, node, startedAt: this._startedAt, report: report => this._report(shard, report) })
+    const { clock, log, node, isPatient } = this._options
+    const line = new UsageLine({ clock, log, node, startedAt: this._startedAt, isPatient, isNeeded: () => this._isNeeded, report: report => this._report(shard, report) })
     this._lines.set(shard, line)
     return line
   }
--- a/packages/direct/src/lib/usage-line.ts
+++ b/packages/direct/src/lib/usage-line.ts
@@ -18,6 +18,10 @@
   readonly node: string
   /** Since when this process runs, and has reported to nobody. */
   readonly startedAt: Ms
+  /** Whether anything is limited. */
+  readonly isNeeded: () => boolean
+  /** Whether requests wait for credit that comes soon; else they are refused once the keeper has said that it has none. */
+  readonly isPatient: boolean
   /** Reports to whoever counts; rejects for a fault of this entry only. */
   readonly report: (report: UsageReport) => Promise<readonly UsageGrant[]>
 }
@@ -63,6 +67,14 @@
     this._cancel()
   }
 
+  /** Lets in all who wait for accounts that have no limit any more. */
+  release (isFree: (account: string) => boolean): void {
+    const free = this._waiting.filter(({ account }) => isFree(account))
+    this._waiting = this._waiting.filter(({ account }) => !isFree(account))
+    for (const account of [...this._pools.keys()]) if (isFree(account)) this._pools.delete(account)
+    for (const { resolve } of free) resolve({ kind: 'admitted', refund: () => {} })
+  }
+
   /** Takes a request's usage. */
   admit (account: string, cost: number): Admission | Promise<Admission> {
     const at = this._instant
@@ -75,7 +87,7 @@
         if (pool.isLow(at)) this._reportSoon()
         return this._admitted(pool, cost)
       case 'closed': return this._refused(spending.retryAfter)
-      case 'held': return this._wait(account, cost, at.now)
+      case 'held': return this._options.isPatient ? this._wait(account, cost, at.now) : this._refused(spending.retryAfter)
       case 'short': {
         const admission = this._wait(account, cost, at.now)
         this._report()
@@ -116,7 +128,7 @@
   private _schedule (): void {
     this._cancel = this._options.clock.after(reportEvery, () => {
       if (this._stopped) return
-      this._report()
+      if (this._options.isNeeded()) this._report()
       this._schedule()
     })
   }
@@ -184,11 +196,20 @@
         resolve(this._refused(spending.retryAfter))
         return true
       case 'held':
-      case 'short':
-        if (at.now - since < longestWait) return false
-        resolve(this._refused(leastRetryAfter))
-        return true
+        if (!this._options.isPatient) {
+          resolve(this._refused(spending.retryAfter))
+          return true
+        }
+        return this._hasWaited(since, at.now, resolve)
+      case 'short': return this._hasWaited(since, at.now, resolve)
       default: return assertNever(spending)
     }
   }
+
+  /** Refuses who has waited for as long as anybody does. */
+  private _hasWaited (since: Ms, now: Ms, resolve: Waiter['resolve']): boolean {
+    if (now - since < longestWait) return false
+    resolve(this._refused(leastRetryAfter))
+    return true
+  }
 }
--- a/packages/direct/src/test/support/usage-play.ts
+++ b/packages/direct/src/test/support/usage-play.ts
@@ -2,6 +2,7 @@
  * Plays organisations with usage limits at many entries, in virtual time, against the real desks.
  */
 import { FakeClock, type Ms, silentLog, sleep } from '@hazelford/core'
+import type { UsageBounds } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import { grantUntold, usageLimits } from '../../lib/organisation-usage.js'
 import type { PeerAddress } from '../../lib/peer-table.js'
@@ -28,8 +29,10 @@
   readonly asked: number
   /** Entries that its callers' connections go to. */
   readonly entries: number
-  /** Units of a request, in the mean. */
+  /** Units of a request, in the mean; each takes one where this is 1. */
   readonly cost: number
+  /** Units that may be used at once on top; as many as in a second, if not given. */
+  readonly burst?: number
 }
 
 /** What is played. */
@@ -40,6 +43,12 @@
   readonly faults: readonly UsageFault[]
   readonly length: Ms
   readonly seed: number
+  /** What the desks keep to; those of an organisation, if not given. */
+  readonly bounds?: UsageBounds
+  /** Whether requests wait for credit that comes soon; they do, if not given. */
+  readonly isPatient?: boolean
+  /** What is judged, where it is not the same. */
+  readonly judged?: UsageBounds
 }
 
 /** What came of it. */
@@ -57,9 +66,7 @@
 }
 
 /** Bounds of the window rule, as the deployment's sheet has them. */
-const window: Ms = 8_000
-const overage = 0.1
-const slack = 17_000
+const organisationBounds: UsageBounds = { window: 8_000, overage: 0.1, slack: 17_000 }
 const step: Ms = 5
 const latency: Ms = 2
 const lostAfter: Ms = 150
@@ -84,7 +91,7 @@
   }
 }
 
-function worstWindow (uses: readonly Use[]): number {
+function worstWindow (uses: readonly Use[], window: Ms): number {
   let most = 0
   let sum = 0
   let from = 0
@@ -114,13 +121,13 @@
   constructor (private readonly _load: UsageLoad) {
     this._random = randoms(_load.seed)
     this._peers = Array.from({ length: _load.entries }, (_, n) => ({ node: `entry-${n}`, host: '127.0.0.1', port: n + 1 }))
-    this._organisations = _load.demands.map(({ organisation, limit }) => ({ name: organisation, keys: [], limit: { unit: 'tokens', rate: limit, burst: limit, plainTokens: 200 } }))
+    this._organisations = _load.demands.map(({ organisation, limit, burst = limit }) => ({ name: organisation, keys: [], limit: { unit: 'tokens', rate: limit, burst, plainTokens: 200 } }))
     for (let n = 0; n < _load.entries; n++) this._start(n)
   }
 
   async run (): Promise<UsageResult> {
     await this._advance(settle)
-    const whole = new Map(this._load.demands.map(({ organisation, limit }) => [organisation, new NaiveBucket(limit, limit)]))
+    const whole = new Map(this._load.demands.map(({ organisation, limit, burst = limit }) => [organisation, new NaiveBucket(limit, Math.max(1, burst))]))
     const end = settle + this._load.length
     for (let now = this._clock.now(); now < end; now = this._clock.now()) {
       for (const fault of this._load.faults) if (fault.kind === 'restart' && fault.at + settle >= now && fault.at + settle < now + step) this._start(fault.entry)
@@ -144,9 +151,10 @@
       node: this._peers[n]!.node,
       clock: this._clock,
       log: silentLog,
-      bounds: () => ({ window, overage, slack }),
+      bounds: () => this._load.bounds ?? organisationBounds,
       entries: () => this._peers,
       kind: 'usage',
+      isPatient: this._load.isPatient ?? true,
       limits: () => usageLimits(this._organisations),
       untold: grantUntold,
       report: async ({ port }, msg) => await this._carry(n, port - 1, () => this._desks[port - 1]!.report(msg)),
@@ -180,7 +188,7 @@
       if (this._random() >= left) continue
       // Callers keep their connections, and some have many more than others.
       const entry = Math.floor(this._random() ** 2 * demand.entries)
-      const cost = Math.ceil(demand.cost * (0.4 + 1.2 * this._random()))
+      const cost = demand.cost === 1 ? 1 : Math.ceil(demand.cost * (0.4 + 1.2 * this._random()))
       this._ask(demand, entry, cost, whole.take(cost, this._clock.now()))
     }
   }
@@ -216,9 +224,10 @@
   }
 
   private _worst (): number {
-    return Math.max(...this._load.demands.map(({ organisation, limit }) => {
-      const allowed = (limit * window / 1_000 + limit) * (1 + overage) + slack
-      return worstWindow(this._uses.get(organisation) ?? []) / allowed
+    const { window, overage, slack } = this._load.judged ?? this._load.bounds ?? organisationBounds
+    return Math.max(...this._load.demands.map(({ organisation, limit, burst = limit }) => {
+      const allowed = (limit * window / 1_000 + burst) * (1 + overage) + slack
+      return worstWindow(this._uses.get(organisation) ?? [], window) / allowed
     }))
   }
 }
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -23,6 +23,11 @@
     Cause: two entries counted the same organisation, and each lent all of it.
     Then in no window more is used than its limit allows, whatever is cut off or starts again
 
+  Scenario: upstreams that take few requests, entries cut off or started again among many
+    Guards against more requests than an upstream's limit allows over all entries, and against a limit of which most lies unused.
+    Then of 30 entries' requests an upstream gets at most what 4 s allow, and over 90 in 100 of its limit, whatever it names
+    And of 6 entries' requests it gets at most what 4 s allow, whatever is cut off or starts again
+
   Scenario: an organisation that the counting entry does not know yet
     Symptom: callers of an organisation that was just added get 429 for a second, and entries ask each other in a loop.
     Events: an organisation is added with a limit; the entry that counts hears of it a second after the others.
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -4,9 +4,10 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
 import { FakeClock, silentLog } from '@hazelford/core'
-import { rendezvousOrder } from '@hazelford/decisions'
+import { rendezvousOrder, type UsageBounds } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import fc from 'fast-check'
+import { limitBounds } from '../lib/notice-desk.js'
 import { grantUntold, usageLimits, usageOf } from '../lib/organisation-usage.js'
 import { UsageDesk } from '../lib/usage-desk.js'
 import type { Admission } from '../lib/usage-line.js'
@@ -65,6 +66,29 @@
   }), { seed: propertySeed, numRuns: 60, endOnFailure: true })
 })
 
+/** What is judged of an upstream's limit: half as much again, and five requests. */
+const judgedLimit: UsageBounds = { window: 4_000, overage: 0.5, slack: 5 }
+
+function limited (limit: number, among: number): UsageLoad {
+  const demand: UsageDemand = { organisation: 'upstream', limit, asked: 60, entries: among, cost: 1, burst: 0 }
+  return load({ entries: among, demands: [demand], bounds: limitBounds, judged: judgedLimit, isPatient: false, length: 10_000 })
+}
+
+Then('of {int} entries\' requests an upstream gets at most what 4 s allow, and over {int} in {int} of its limit, whatever it names', async (among: number, least: number, of: number) => {
+  for (const limit of [1, 1.4, 8, 30]) {
+    const result = await playUsage(limited(limit, among))
+    assert.ok(result.worstWindow <= 1, `limit ${limit}: worst window ${result.worstWindow}`)
+    assert.ok(result.used > least / of, `limit ${limit}: used ${result.used}`)
+  }
+})
+
+Then('of {int} entries\' requests it gets at most what 4 s allow, whatever is cut off or starts again', async (among: number) => {
+  await fc.assert(fc.asyncProperty(fc.array(fault, { minLength: 1, maxLength: 8 }), fc.constantFrom(0.5, 1.4, 9), async (faults, limit) => {
+    const result = await playUsage({ ...limited(limit, among), faults })
+    assert.ok(result.worstWindow <= 1, `limit ${limit}: worst window ${result.worstWindow}`)
+  }), { seed: propertySeed, numRuns: 30, endOnFailure: true })
+})
+
 interface NewcomerWorld { desk: UsageDesk, messages: number }
 
 const newcomer: Organisation = { name: 'newcomer', keys: [], limit: { unit: 'requests', rate: 50, burst: 50, plainTokens: 0 } }
@@ -83,6 +107,7 @@
       bounds: () => bounds,
       entries: () => entries,
       kind: 'usage',
+      isPatient: true,
       limits: () => usageLimits(organisations),
       untold: grantUntold,
       report: async (_, msg) => {
