Send nothing new to an upstream that says in its answers that it leaves

What callers saw: drafts refused and broken for some 10 s after an engine that was leaving had ended, while the store was away.

Cause: an entry learned who leaves from the store alone, which can be away for longer than an upstream takes to end. What the upstream said itself in each answer was passed on and read by nobody (first hypothesis; the others are ruled out: no record undid anything, and the requests were sent within 300 ms of their arrival).

Change: an upstream's own word that it leaves counts like its record's, for this incarnation and for good: a record that still says ready, or that lapses and comes back, does not undo it. It is told to the other entries, by the first of those that hear it; entries that start take it with the state of their peers. It is read from answers to requests, orders and reports.

--- a/packages/decisions/src/lib/upstream-notices.ts
+++ b/packages/decisions/src/lib/upstream-notices.ts
@@ -48,8 +48,7 @@
     // An answer without a limit may have been on its way since before the limit was named.
     const limit = this.noteLimit({ rate: rateLimit, at: rateLimit === undefined ? sentAt : now })
     if (limit !== undefined) changes.push(limit)
-    if (leaving && !this._leaving) changes.push({ kind: 'leaving' })
-    this._leaving ||= leaving
+    if (leaving && this.noteLeaving()) changes.push({ kind: 'leaving' })
     if (rest !== undefined && now + rest > this._restsUntil) {
       this._restsUntil = now + rest
       changes.push({ kind: 'rest', lasts: rest })
@@ -57,6 +56,13 @@
     return changes
   }
 
+  /** @returns whether that is news */
+  noteLeaving (): boolean {
+    const isNews = !this._leaving
+    this._leaving = true
+    return isNews
+  }
+
   /**
    * Takes a word on its limit, unless a newer one is known.
    *
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -123,6 +123,7 @@
       metrics: _options.metrics,
       client: this._client,
       entries: () => this.peers.entries,
+      leaves: upstream => this._upstreamLeaves(upstream),
       upstreams: { all: () => this.members.all(), get: id => this.members.get(id) }
     })
     this._view = new StoreView({
@@ -347,6 +348,11 @@
     this._quarantine.recordGone(upstream)
   }
 
+  private _upstreamLeaves (upstream: Upstream): void {
+    this.members.leaves(upstream)
+    this.desk.review()
+  }
+
   /** Ends what this entry has open of a request that is held back from now on. */
   private _hold (fingerprint: string): void {
     this._options.metrics.heldRequests.inc()
--- a/packages/direct/src/lib/membership.ts
+++ b/packages/direct/src/lib/membership.ts
@@ -37,6 +37,8 @@
 
   /** Latest start heard of each upstream, gone ones too. */
   private readonly _starts = new Map<string, number>()
+  /** Starts of upstreams that have said that they leave, gone ones too; undefined for one that does not say when it started. */
+  private readonly _leaving = new Map<string, number | undefined>()
   /** Revisions of keys whose values can't be read, so that each is told of once. */
   private readonly _unreadable = new Map<string, number>()
 
@@ -92,11 +94,21 @@
     if (record.startedAt !== undefined) this._noteStart(record.id, record.startedAt)
     if (known !== undefined) this._drop(known, 'started again')
     const upstream = new Upstream(record, this._clock, this._listener.connections(record.service), this._listener.requestEnded)
+    if (this._leaving.has(record.id) && this._leaving.get(record.id) === record.startedAt) upstream.leave()
     this._upstreams.set(record.id, upstream)
-    this._log.info('membership', 'upstream seen.', { upstream: record.id, startedAt: record.startedAt, service: record.service, address: `${record.host}:${record.port}`, zone: record.zone, state: record.state })
+    this._log.info('membership', 'upstream seen.', { upstream: record.id, startedAt: record.startedAt, service: record.service, address: `${record.host}:${record.port}`, zone: record.zone, state: upstream.record.state })
     if (known !== undefined) this._listener.restarted(upstream)
   }
 
+  /** Takes an upstream's own word that it leaves. Its record may lapse and come back, and says ready until the store has taken that word. */
+  leaves (upstream: Upstream): void {
+    const { id, record } = upstream
+    this._leaving.delete(id)
+    this._leaving.set(id, record.startedAt)
+    this._forgetOldest(this._leaving)
+    upstream.leave()
+  }
+
   private _update (known: Upstream, record: UpstreamRecord): void {
     if (known.record.state !== record.state) this._log.info('membership', `upstream ${record.state}.`, { upstream: record.id, service: record.service, leavesIn: record.leavesIn })
     known.update(record)
@@ -108,7 +120,7 @@
     this._forgetOldest(this._starts)
   }
 
-  private _forgetOldest (kept: Map<string, number>): void {
+  private _forgetOldest (kept: Map<string, unknown>): void {
     for (const oldest of kept.keys()) {
       if (kept.size <= goneKept) break
       if (!this._upstreams.has(oldest)) kept.delete(oldest)
--- a/packages/direct/src/lib/notice-desk.ts
+++ b/packages/direct/src/lib/notice-desk.ts
@@ -21,6 +21,10 @@
   readonly client: Pick<PeerClient, 'reportLimits' | 'tellNotices' | 'ping'>
   /** All entries that live. */
   readonly entries: () => readonly PeerAddress[]
+  /** An upstream has said that it leaves. */
+  readonly leaves: (upstream: Upstream) => void
+  /** Numbers below 1. */
+  readonly random?: () => number
   readonly upstreams: { readonly all: () => Iterable<Upstream>, readonly get: (id: string) => Upstream | undefined }
 }
 
@@ -32,6 +36,8 @@
 export const limitBounds: UsageBounds = { window: 4_000, overage: 0.25, slack: 2 }
 /** An upstream that wants nothing at all is asked now and then, or its next word would never be heard. */
 const leastRate = 0.05
+/** Time over which entries that hear of a leaving upstream tell the others. */
+const tellSpread: Ms = 150
 /** Pause before a keeper that does not know an upstream yet is asked again. */
 const untoldPause: Ms = 500
 
@@ -39,6 +45,8 @@
 export class NoticeDesk {
   /** Requests that upstreams take, lent by a keeper to all entries. */
   private readonly _limits: UsageDesk
+  /** Upstreams of which another entry has told that they leave. */
+  private readonly _told = new WeakSet<Upstream>()
 
   constructor (private readonly _options: NoticeDeskOptions) {
     const { node, clock, log, client, entries } = _options
@@ -87,10 +95,12 @@
   /** Another entry tells what upstreams have told it. */
   heard ({ notices }: NoticeMessage): void {
     const now = this._options.clock.now()
-    for (const { upstream: id, startedAt, rate, age } of notices) {
+    for (const { upstream: id, startedAt, leaving, limit } of notices) {
       const upstream = this._options.upstreams.get(id)
       if (upstream === undefined || upstream.record.startedAt !== startedAt) continue
-      const change = upstream.notices.noteLimit({ rate: rate ?? undefined, at: now - age })
+      if (leaving) this._told.add(upstream)
+      if (leaving && upstream.notices.noteLeaving()) this._changed(upstream, { kind: 'leaving' }, 'another entry')
+      const change = limit && upstream.notices.noteLimit({ rate: limit.rate ?? undefined, at: now - limit.age })
       if (change !== undefined) this._changed(upstream, change, 'another entry')
     }
   }
@@ -108,12 +118,17 @@
     return limited
   }
 
-  /** Words on limits, also on those that have ended: another entry may not have heard. */
+  /** What upstreams have said, also of limits that have ended: another entry may not have heard. */
   private _rows (): readonly NoticeRow[] {
     const now = this._options.clock.now()
-    return [...this._options.upstreams.all()].flatMap(({ id, record: { startedAt }, notices: { limit } }) => limit.everNamed
-      ? [{ upstream: id, ...(startedAt === undefined ? {} : { startedAt }), rate: limit.rate ?? null, age: now - limit.at }]
-      : [])
+    return [...this._options.upstreams.all()]
+      .filter(({ notices }) => notices.leaving || notices.limit.everNamed)
+      .map(({ id, record: { startedAt }, notices: { leaving, limit } }) => ({
+        upstream: id,
+        ...(startedAt === undefined ? {} : { startedAt }),
+        leaving,
+        ...(limit.everNamed ? { limit: { rate: limit.rate ?? null, age: now - limit.at } } : {})
+      }))
   }
 
   private _changed (upstream: Upstream, change: NoticeChange, source: 'its answer' | 'another entry'): void {
@@ -128,7 +143,11 @@
         this._limits.limitsChanged()
         if (change.before === undefined && this._isKeeper) this._tellOthers()
         return
-      case 'leaving': return log.info('membership', 'upstream says that it leaves.', { ...about, listedAs: record.state })
+      case 'leaving':
+        log.info('membership', 'upstream says that it leaves.', { ...about, listedAs: record.state })
+        this._options.leaves(upstream)
+        if (source === 'its answer') this._tellLeaving(upstream)
+        return
       case 'rest': return log.info('membership', 'upstream asks for rest.', { ...about, lasts: Math.round(change.lasts) })
       default: return assertNever(change)
     }
@@ -139,6 +158,15 @@
     return rendezvousOrder(`${keepersOf}/0`, entries().map(entry => entry.node))[0] === node
   }
 
+  /**
+   * Tells the others of an upstream that leaves, unless one of them is faster: all that send there hear it at about the same
+   * time.
+   */
+  private _tellLeaving (upstream: Upstream): void {
+    const { clock, random = Math.random } = this._options
+    clock.after(random() * tellSpread, () => { if (!this._told.has(upstream)) this._tellOthers() })
+  }
+
   /** An entry that has sent nothing there yet would not ask for credit, and its part of the limit would lie unused. */
   private _tellOthers (): void {
     const { node, entries, client, log } = this._options
--- a/packages/direct/src/lib/notice-messages.ts
+++ b/packages/direct/src/lib/notice-messages.ts
@@ -8,9 +8,17 @@
   readonly upstream: string
   /** Start of the incarnation that said it, as in its record. */
   readonly startedAt?: number
-  /** Requests a second from all entries together; null for no limit. */
+  /** Whether it leaves. */
+  readonly leaving: boolean
+  /** What it said of a limit; undefined for one that has never named any. */
+  readonly limit?: LimitRow
+}
+
+/** A word on a request limit. */
+export interface LimitRow {
+  /** Requests a second from all entries together; null for none. */
   readonly rate: number | null
-  /** Ms since which the limit is known to hold. */
+  /** Ms since which it is known to hold. */
   readonly age: Ms
 }
 
@@ -19,9 +27,14 @@
 
 function isAmount (value: unknown): value is number { return typeof value === 'number' && Number.isFinite(value) && value >= 0 }
 
+function isLimit (value: unknown): value is LimitRow {
+  const { rate, age } = (value ?? {}) as Record<string, unknown>
+  return (rate === null || isAmount(rate)) && isAmount(age)
+}
+
 function isRow (value: unknown): value is NoticeRow {
-  const { upstream, startedAt, rate, age } = (value ?? {}) as Record<string, unknown>
-  return typeof upstream === 'string' && (startedAt === undefined || isAmount(startedAt)) && (rate === null || isAmount(rate)) && isAmount(age)
+  const { upstream, startedAt, leaving, limit } = (value ?? {}) as Record<string, unknown>
+  return typeof upstream === 'string' && (startedAt === undefined || isAmount(startedAt)) && typeof leaving === 'boolean' && (limit === undefined || isLimit(limit))
 }
 
 /** Reads words of upstreams; undefined when they are none. */
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -149,6 +149,9 @@
   /** When it is gone, if it was told to leave at short notice. */
   get leavesAt (): Ms { return this._leavesAt }
 
+  /** Takes its own word that it leaves, which the store may not have yet. */
+  leave (): void { this._record = { ...this._record, state: 'draining' } }
+
   update (record: UpstreamRecord): void {
     // An incarnation that leaves never comes back; a late word must not undo it.
     this._record = this._record.state === 'draining' ? { ...record, state: 'draining' } : record
