--- a/packages/decisions/src/lib/usage-keeper.ts
+++ b/packages/decisions/src/lib/usage-keeper.ts
@@ -190,6 +190,11 @@
     })
   }
 
+  /** Forgets accounts that have no limit any more. */
+  forget (isFree: (account: string) => boolean): void {
+    for (const account of [...this._buckets.keys()]) if (isFree(account)) this._buckets.delete(account)
+  }
+
   private _hear (entry: string, now: Ms): void {
     for (const [other, at] of this._heard) if (now - at >= wordLasts) this._heard.delete(other)
     if (this._heard.size === 0) {
--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -6,7 +6,7 @@
 import type { EngineDesk } from './engine-desk.js'
 import type { Ask, AskOutcome } from './engine-holder.js'
 import { type DigestRow, type LoadDigest, pickDigests, readDigests, toRow } from './load-digest.js'
-import type { PeerClient } from './peer-calls.js'
+import type { PeerClient } from './peer-client.js'
 import type { PeerAddress, PeerTable } from './peer-table.js'
 import type { Upstream } from './upstream.js'
 
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -7,7 +7,7 @@
 import { type Ask, type AskOutcome, EngineHolder } from './engine-holder.js'
 import type { LeaseKeeper } from './lease-keeper.js'
 import type { LoadDigest } from './load-digest.js'
-import type { TakenMessage } from './peer-calls.js'
+import type { TakenMessage } from './peer-messages.js'
 import type { Upstream } from './upstream.js'
 import { holderKey, type PeerAddress, type PeerTable } from './peer-table.js'
 
--- a/packages/direct/src/lib/notice-desk.ts
+++ b/packages/direct/src/lib/notice-desk.ts
@@ -6,7 +6,8 @@
 import type { UpstreamNotice } from '@hazelford/ports'
 import type { EntryMetrics } from './metrics.js'
 import type { NoticeMessage, NoticeRow } from './notice-messages.js'
-import type { LimitReply, LimitReport, PeerClient } from './peer-calls.js'
+import type { PeerClient } from './peer-client.js'
+import type { LimitReply, LimitReport } from './peer-messages.js'
 import type { PeerAddress } from './peer-table.js'
 import type { Upstream } from './upstream.js'
 import { UsageDesk } from './usage-desk.js'
@@ -40,6 +41,8 @@
 const leastRate = 0.05
 /** Time over which entries that hear of a leaving upstream tell the others. */
 const tellSpread: Ms = 150
+/** Upstreams told of in one message; where more have said something, others are told of the next time. */
+const mostRows = 200
 /** Pause before a keeper that does not know an upstream yet is asked again. */
 const untoldPause: Ms = 500
 
@@ -122,15 +125,19 @@
 
   /** What upstreams have said, also of limits that have ended: another entry may not have heard. */
   private _rows (): readonly NoticeRow[] {
-    const now = this._options.clock.now()
-    return [...this._options.upstreams.all()]
-      .filter(({ notices }) => notices.leaving || notices.limit.everNamed)
-      .map(({ id, record: { startedAt }, notices: { leaving, limit } }) => ({
-        upstream: id,
-        ...(startedAt === undefined ? {} : { startedAt }),
-        leaving,
-        ...(limit.everNamed ? { limit: { rate: limit.rate ?? null, age: now - limit.at } } : {})
-      }))
+    const { upstreams, random = Math.random } = this._options
+    const saying = [...upstreams.all()].filter(({ notices }) => notices.leaving || notices.limit.everNamed)
+    const first = saying.length > mostRows ? Math.floor(random() * saying.length) : 0
+    return [...saying.slice(first), ...saying.slice(0, first)].slice(0, mostRows).map(upstream => this._row(upstream))
+  }
+
+  private _row ({ id, record: { startedAt }, notices: { leaving, limit } }: Upstream): NoticeRow {
+    return {
+      upstream: id,
+      ...(startedAt === undefined ? {} : { startedAt }),
+      leaving,
+      ...(limit.everNamed ? { limit: { rate: limit.rate ?? null, age: this._options.clock.now() - limit.at } } : {})
+    }
   }
 
   private _changed (upstream: Upstream, change: NoticeChange, source: 'its answer' | 'another entry'): void {
@@ -143,7 +150,7 @@
         if (change.rate === undefined) log.info('membership', 'upstream names no limit any more.', { ...about, before: change.before })
         else log.info('membership', 'upstream names a limit.', { ...about, rate: change.rate, before: change.before })
         this._limits.limitsChanged()
-        if (change.before === undefined && this._isKeeper) this._tellOthers()
+        if (change.before === undefined && this._isKeeper) this._tellOthers(upstream)
         return
       case 'leaving':
         log.info('membership', 'upstream says that it leaves.', { ...about, listedAs: record.state })
@@ -168,13 +175,13 @@
    */
   private _tellLeaving (upstream: Upstream): void {
     const { clock, random = Math.random } = this._options
-    clock.after(random() * tellSpread, () => { if (!this._told.has(upstream)) this._tellOthers() })
+    clock.after(random() * tellSpread, () => { if (!this._told.has(upstream)) this._tellOthers(upstream) })
   }
 
   /** An entry that has sent nothing there yet would not ask for credit, and its part of the limit would lie unused. */
-  private _tellOthers (): void {
+  private _tellOthers (upstream: Upstream): void {
     const { node, entries, client, log } = this._options
-    const notices = this._rows()
+    const notices = [this._row(upstream)]
     for (const peer of entries()) {
       if (peer.node === node) continue
       client.tellNotices(peer, { notices }).catch((error: Error) => log.info('peers', 'not told what upstreams say.', { peer: peer.node, cause: error.message }))
--- /dev/null
+++ b/packages/direct/src/lib/peer-client.ts
@@ -0,0 +1,124 @@
+/**
+ * Calls to the other entries.
+ */
+import { Agent } from 'node:http'
+import type { Ms } from '@hazelford/core'
+import type { UsageGrant } from '@hazelford/decisions'
+import { type FeedAnswer, readFeedAnswer } from './change-feed.js'
+import { callJson } from './json-client.js'
+import { type NoticeMessage, readNotices } from './notice-messages.js'
+import { type AnsweredQuery, type AskMessage, type AskReply, type ChangesMessage, type EndsMessage, type HeldMessage, type LimitReply, type LimitReport, type PeerAskOutcome, peerPaths, type TakenMessage, type UseMessage } from './peer-messages.js'
+import type { ConfigAge, PeerState } from './peer-state.js'
+import type { PeerAddress } from './peer-table.js'
+import type { UsageMessage } from './usage-desk.js'
+import { readUsageGrants } from './usage-messages.js'
+
+/** Peers are a few ms apart; one that takes longer is cut off, frozen or gone. */
+const answerMargin: Ms = 150
+const stateTimeout: Ms = 1_000
+/** For an answer with many changes over a link of 7 Mbit/s, and a watcher on a fifth of a core. */
+const changesMargin: Ms = 300
+
+/** Calls other entries. */
+export class PeerClient {
+  private readonly _agent = new Agent({ keepAlive: true, maxSockets: 16 })
+
+  /**
+   * Asks for an adapter.
+   *
+   * @param peer - the entry that orders the engine
+   * @param msg - what is asked
+   * @param now - for the time of the promise
+   * @returns rejects when no answer came in time
+   */
+  async ask (peer: PeerAddress, msg: AskMessage, now: () => Ms): Promise<PeerAskOutcome> {
+    const sentAt = now()
+    const answer = await callJson(this._agent, { host: peer.host, port: peer.port, method: 'POST', path: peerPaths.ask, body: msg, timeout: msg.answerIn + answerMargin })
+    if (answer.status !== 200) throw new Error(`The holder answered ${answer.status}.`)
+    const reply = answer.body as AskReply
+    const loads = reply.loads ?? []
+    if (reply.kind !== 'ready') return { ...reply, loads }
+    const { lasts, version, ...rest } = reply
+    // The promise runs from the reply; counting from the request is the safe side.
+    return { ...rest, loads, version, until: Math.max(sentAt, now() - answerMargin) + lasts }
+  }
+
+  /** Asks for changes in the store after a revision; rejects when no answer came in time. */
+  async changes ({ host, port }: PeerAddress, after: number, wait: Ms): Promise<FeedAnswer> {
+    const body: ChangesMessage = { after, wait }
+    const answer = await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.changes, body, timeout: wait + changesMargin })
+    if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
+    const changes = readFeedAnswer(answer.body)
+    if (changes === undefined) throw new Error('The peer\'s answer can not be read.')
+    return changes
+  }
+
+  /** Asks for configuration and upstreams. */
+  async state ({ host, port }: { readonly host: string, readonly port: number }): Promise<PeerState> {
+    const answer = await callJson(this._agent, { host, port, method: 'GET', path: peerPaths.state, timeout: stateTimeout })
+    if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
+    return answer.body as PeerState
+  }
+
+  /** Reports usage to the entry that counts it; rejects when it does not answer. */
+  async reportUsage ({ host, port }: PeerAddress, msg: UsageMessage): Promise<readonly UsageGrant[]> {
+    const { status, body } = await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.usage, body: msg, timeout: answerMargin })
+    const grants = readUsageGrants(body)
+    if (status !== 200 || grants === undefined) throw new Error(`The keeper answered ${status}.`)
+    return grants
+  }
+
+  /** Reports what is used of upstreams' limits to the entry that counts it; rejects when it does not answer. */
+  async reportLimits ({ host, port }: PeerAddress, msg: LimitReport): Promise<LimitReply> {
+    const { status, body } = await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.limits, body: msg, timeout: answerMargin })
+    const [grants, notices] = [readUsageGrants(body), readNotices(body)]
+    if (status !== 200 || grants === undefined || notices === undefined) throw new Error(`The keeper answered ${status}.`)
+    return { grants, notices }
+  }
+
+  /** Tells an entry what upstreams say of themselves; rejects when it does not answer. */
+  async tellNotices ({ host, port }: PeerAddress, msg: NoticeMessage): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.notices, body: msg, timeout: answerMargin })
+  }
+
+  /** Asks as of when a peer knows the configuration; undefined when it does not say. */
+  async configAge ({ host, port }: PeerAddress): Promise<ConfigAge | undefined> {
+    const { status, body } = await callJson(this._agent, { host, port, method: 'GET', path: peerPaths.configAge, timeout: answerMargin })
+    const { version, viewAge } = (body ?? {}) as Partial<ConfigAge>
+    return status === 200 && typeof version === 'number' && typeof viewAge === 'number' ? { version, viewAge } : undefined
+  }
+
+  /** Tells whether a peer answers; rejects when it does not. */
+  async ping ({ host, port }: PeerAddress): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'GET', path: peerPaths.ping, timeout: answerMargin })
+  }
+
+  /** Tells a holder what this entry still uses. */
+  async tellUse ({ host, port }: PeerAddress, msg: UseMessage): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.use, body: msg, timeout: answerMargin })
+  }
+
+  /** Tells the former holder of an engine that it has a new one; rejects when it does not answer. */
+  async tellTaken ({ host, port }: PeerAddress, msg: TakenMessage): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.taken, body: msg, timeout: answerMargin })
+  }
+
+  /** Tells an entry that counts them of ends of upstreams; rejects when it does not answer. */
+  async tellEnds ({ host, port }: PeerAddress, msg: EndsMessage): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.ends, body: msg, timeout: answerMargin })
+  }
+
+  /** Asks an entry which of some requests it has answered lately; rejects when it does not answer. */
+  async askAnswered ({ host, port }: PeerAddress, query: AnsweredQuery): Promise<readonly string[]> {
+    const answer = await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.answered, body: query, timeout: answerMargin })
+    if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
+    return (answer.body as { readonly answered: readonly string[] }).answered
+  }
+
+  /** Tells an entry which requests are held back; rejects when it does not answer. */
+  async tellHeld ({ host, port }: PeerAddress, msg: HeldMessage): Promise<void> {
+    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.held, body: msg, timeout: answerMargin })
+  }
+
+  close (): void { this._agent.destroy() }
+}
--- a/packages/direct/src/lib/peer-follower.ts
+++ b/packages/direct/src/lib/peer-follower.ts
@@ -2,7 +2,7 @@
  * Follows what peers know, while the store does not answer this entry.
  */
 import { type Clock, type Instant, instantOf, type Log, type Ms, sleep } from '@hazelford/core'
-import type { PeerClient } from './peer-calls.js'
+import type { PeerClient } from './peer-client.js'
 import type { PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
 
--- a/packages/direct/src/lib/peer-state.ts
+++ b/packages/direct/src/lib/peer-state.ts
@@ -3,7 +3,7 @@
  */
 import { type Clock, type Instant, instantOf, type Log, type Ms, sleep } from '@hazelford/core'
 import type { AdapterVersion, RouteConfig, UpstreamRecord } from '@hazelford/ports'
-import type { PeerClient } from './peer-calls.js'
+import type { PeerClient } from './peer-client.js'
 import type { HolderListing, PeerAddress } from './peer-table.js'
 
 /** Everything an entry needs to serve. */
--- a/packages/direct/src/lib/quarantine-desk.ts
+++ b/packages/direct/src/lib/quarantine-desk.ts
@@ -6,7 +6,8 @@
 import type { Store } from '@hazelford/ports'
 import { EndDetector, type LostRequest } from './end-detector.js'
 import type { ProbeOutcome } from './connection-probe.js'
-import type { AnsweredQuery, EndsMessage, HeldMessage, PeerClient } from './peer-calls.js'
+import type { PeerClient } from './peer-client.js'
+import type { AnsweredQuery, EndsMessage, HeldMessage } from './peer-messages.js'
 import { ownPrefix, type PeerAddress } from './peer-table.js'
 import type { Upstream } from './upstream.js'
 
--- /dev/null
+++ b/packages/direct/src/lib/serve-peers.ts
@@ -0,0 +1,142 @@
+/**
+ * Serves the other entries.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Ms } from '@hazelford/core'
+import type { UsageGrant } from '@hazelford/decisions'
+import type { FeedAnswer } from './change-feed.js'
+import { readJson } from './json-client.js'
+import { type NoticeMessage, readNotices } from './notice-messages.js'
+import { type AnsweredQuery, type AskMessage, type AskReply, type ChangesMessage, type EndsMessage, type HeldMessage, type LimitReply, type LimitReport, type PeerAskOutcome, peerPaths, type TakenMessage, type UseMessage } from './peer-messages.js'
+import type { ConfigAge, PeerState } from './peer-state.js'
+import type { UsageMessage } from './usage-desk.js'
+import { readUsageMessage } from './usage-messages.js'
+
+/** Longest time that a question for changes is held. */
+const longestFeedWait: Ms = 2_000
+/** An entry may have requests open on some hundred adapters of an engine, and tell of as many upstreams. */
+const maxBody = 128 * 1024
+
+/** What an entry does for its peers. */
+export interface PeerService {
+  readonly ask: (msg: AskMessage) => Promise<PeerAskOutcome>
+  readonly noteUse: (msg: UseMessage) => void
+  /** Another entry orders an engine from now on. */
+  readonly taken: (msg: TakenMessage) => void
+  readonly heardEnds: (msg: EndsMessage) => void
+  readonly heardHeld: (msg: HeldMessage) => void
+  /** Which of some requests were answered whole here lately. */
+  readonly answered: (msg: AnsweredQuery) => readonly string[]
+  readonly now: () => Ms
+  /** Changes in the store after a revision. */
+  readonly changes: (after: number, wait: Ms) => Promise<FeedAnswer>
+  /** Configuration and upstreams, for a peer that starts while the store is away. */
+  readonly state: () => PeerState | undefined
+  /** As of when the configuration is known, for a peer that can't tell. */
+  readonly configAge: () => ConfigAge | undefined
+  /** Lends an entry credit of organisations that are counted here. */
+  readonly reportUsage: (msg: UsageMessage) => readonly UsageGrant[]
+  /** Lends an entry requests to upstreams that name a limit. */
+  readonly reportLimits: (msg: LimitReport) => LimitReply
+  /** Upstreams have told another entry something of themselves. */
+  readonly heardNotices: (msg: NoticeMessage) => void
+}
+
+/** What a peer is answered. */
+interface PeerAnswer { readonly status: number, readonly body: object }
+
+function ok (body: object = {}): PeerAnswer { return { status: 200, body } }
+function malformed (problem: string): PeerAnswer { return { status: 400, body: { error: problem } } }
+
+/** Whether there is something to tell yet. */
+function known (body: object | undefined): PeerAnswer {
+  return body === undefined ? { status: 503, body: { error: 'Nothing is known here yet.' } } : ok(body)
+}
+
+function answerGet (service: PeerService, path: string): PeerAnswer | undefined {
+  switch (path) {
+    case peerPaths.state: return known(service.state())
+    case peerPaths.configAge: return known(service.configAge())
+    case peerPaths.ping: return ok()
+    default: return undefined
+  }
+}
+
+function answerLimits (service: PeerService, body: unknown): PeerAnswer {
+  const [msg, notices] = [readUsageMessage(body), readNotices(body)]
+  return msg === undefined || notices === undefined ? malformed('This is no report of limits.') : ok(service.reportLimits({ ...msg, notices }))
+}
+
+function answerUsage (service: PeerService, body: unknown): PeerAnswer {
+  const msg = readUsageMessage(body)
+  return msg === undefined ? malformed('This is no report of usage.') : ok({ grants: service.reportUsage(msg) })
+}
+
+function answerNotices (service: PeerService, body: unknown): PeerAnswer {
+  const notices = readNotices(body)
+  if (notices === undefined) return malformed('These are no words of upstreams.')
+  service.heardNotices({ notices })
+  return ok()
+}
+
+/** Takes a word that asks for nothing. */
+function take<T> (heard: (msg: T) => void, body: unknown): PeerAnswer {
+  heard(body as T)
+  return ok()
+}
+
+async function answerPost (service: PeerService, path: string, body: unknown): Promise<PeerAnswer | undefined> {
+  switch (path) {
+    case peerPaths.ask: return ok(toReply(await service.ask(body as AskMessage), service.now()))
+    case peerPaths.use: return take(service.noteUse, body)
+    case peerPaths.taken: return take(service.taken, body)
+    case peerPaths.ends: return take(service.heardEnds, body)
+    case peerPaths.held: return take(service.heardHeld, body)
+    case peerPaths.answered: return ok({ answered: service.answered(body as AnsweredQuery) })
+    case peerPaths.usage: return answerUsage(service, body)
+    case peerPaths.limits: return answerLimits(service, body)
+    case peerPaths.notices: return answerNotices(service, body)
+    case peerPaths.changes: {
+      const { after, wait } = body as ChangesMessage
+      return ok(await service.changes(after, Math.min(wait, longestFeedWait)))
+    }
+    default: return undefined
+  }
+}
+
+async function answer (service: PeerService, req: IncomingMessage): Promise<PeerAnswer> {
+  const path = req.url ?? ''
+  const found = req.method === 'GET' ? answerGet(service, path) : await answerPost(service, path, await readJson(req, maxBody))
+  return found ?? { status: 404, body: { error: `Nothing is served at ${path}.` } }
+}
+
+function send (res: ServerResponse, { status, body }: PeerAnswer): void {
+  const text = JSON.stringify(body)
+  res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  res.end(text)
+}
+
+function toReply (outcome: PeerAskOutcome, now: Ms): AskReply {
+  if (outcome.kind !== 'ready') return outcome
+  const { until, ...rest } = outcome
+  return { ...rest, lasts: until - now }
+}
+
+/**
+ * Serves the other entries.
+ *
+ * @param service - what it does for them
+ * @param host - address to listen on
+ * @param port - 0 lets the kernel choose
+ */
+export function servePeers (service: PeerService, host: string, port: number): Promise<Server> {
+  const server = createServer((req, res) => {
+    answer(service, req).then(found => send(res, found)).catch((error: Error) => {
+      if (!res.headersSent) send(res, malformed(error.message))
+    })
+  })
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => resolve(server))
+  })
+}
--- a/packages/direct/src/lib/store-view.ts
+++ b/packages/direct/src/lib/store-view.ts
@@ -7,7 +7,7 @@
 import { type FeedAnswer, longestAge } from './change-feed.js'
 import { ConfigHolder } from './config-holder.js'
 import { Membership, type MembershipListener } from './membership.js'
-import type { PeerClient } from './peer-calls.js'
+import type { PeerClient } from './peer-client.js'
 import { PeerFollower } from './peer-follower.js'
 import { type ConfigAge, learnFromPeers, type PeerState } from './peer-state.js'
 import { ownPrefix, type PeerAddress, PeerTable } from './peer-table.js'
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -150,7 +150,10 @@
   get leavesAt (): Ms { return this._leavesAt }
 
   /** Takes its own word that it leaves, which the store may not have yet. */
-  leave (): void { this._record = { ...this._record, state: 'draining' } }
+  leave (): void {
+    this.notices.noteLeaving()
+    this._record = { ...this._record, state: 'draining' }
+  }
 
   update (record: UpstreamRecord): void {
     // An incarnation that leaves never comes back; a late word must not undo it.
--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -59,7 +59,9 @@
     const hadLimits = this._limits.size > 0
     this._limits = this._options.limits()
     if (hadLimits && this._limits.size === 0) this._endedAt = this._options.clock.now()
-    for (const line of this._lines.values()) line.release(account => !this._limits.has(account))
+    const isFree = (account: string): boolean => !this._limits.has(account)
+    for (const line of this._lines.values()) line.release(isFree)
+    for (const keeper of this._keepers.values()) keeper.forget(isFree)
     // An entry without requests reports too: its part of each rate is lent to the others by whoever hears it.
     if (this._limits.size > 0) for (let shard = 0; shard < this._shards; shard++) this._line(shard)
   }
