--- a/packages/bench/src/lib/guards.ts
+++ b/packages/bench/src/lib/guards.ts
@@ -256,5 +256,54 @@
     replace: 'await (async () => ({ isErr: () => false, value: { kind: "lost" } }))(',
     feature: 'platform/src/test/ending-requests.feature',
     scenario: 'an entry that has seen none of the ends'
+  },
+  {
+    promise: 'limits of upstreams: each send takes one request of what the upstream takes',
+    file: 'packages/direct/dist/lib/notice-desk.js',
+    find: 'return this._limits.admit(upstream.id, 1);',
+    replace: 'return { kind: \'admitted\', refund: () => { } };',
+    feature: 'platform/src/test/notices.feature',
+    scenario: 'upstreams that name a request limit'
+  },
+  {
+    promise: 'limits of upstreams: their end reaches all entries',
+    file: 'packages/direct/dist/lib/usage-desk.js',
+    find: 'this._limits.size > 0 || this._options.clock.now() - this._endedAt < reportAfterEnd',
+    replace: 'this._limits.size > 0',
+    feature: 'platform/src/test/notices.feature',
+    scenario: 'a server names no limit any more'
+  },
+  {
+    promise: 'leaving upstreams: their own word counts',
+    file: 'packages/direct/dist/lib/notice-desk.js',
+    find: 'this._options.leaves(upstream);',
+    replace: '',
+    feature: 'platform/src/test/notices.feature',
+    scenario: 'servers that say in their answers that they leave'
+  },
+  {
+    promise: 'leaving upstreams: all entries are told',
+    file: 'packages/direct/dist/lib/notice-desk.js',
+    find: 'if (source === \'its answer\')',
+    replace: 'if (false)',
+    feature: 'platform/src/test/notices.feature',
+    scenario: 'an entry that has not heard it'
+  },
+  {
+    promise: 'resting upstreams: they get no requests',
+    file: 'packages/direct/dist/lib/placer.js',
+    find: 'upstream.notices.restsUntil <= this._now &&',
+    replace: '',
+    feature: 'platform/src/test/notices.feature',
+    scenario: 'servers that turn an entry away'
+  },
+  {
+    promise: 'resting upstreams: they get no orders and no questions',
+    file: 'packages/direct/dist/lib/engine-holder.js',
+    find: 'if (this._rest > 0) {',
+    replace: 'if (false) {',
+    also: { file: 'packages/direct/dist/lib/liveness-probe.js', find: 'if (!this._options.mayAsk())', replace: 'if (false)' },
+    feature: 'platform/src/test/notices.feature',
+    scenario: 'servers that turn an entry away'
   }
 ]
--- /dev/null
+++ b/packages/decisions/src/test/upstream-notices.steps.ts
@@ -0,0 +1,45 @@
+/**
+ * What is known of an upstream's words, against a naive record that keeps all answers.
+ */
+import assert from 'node:assert/strict'
+import { Then } from '@cucumber/cucumber'
+import type { Ms } from '@hazelford/core'
+import fc from 'fast-check'
+import { UpstreamNotices } from '../lib/upstream-notices.js'
+import { propertyOptions } from './support/property-options.js'
+
+/** An answer: how long after the one before it was read, and how long it took. */
+interface Answer { readonly gap: Ms, readonly took: Ms, readonly rateLimit: number | undefined, readonly leaving: boolean, readonly rest: Ms | undefined }
+
+const answers: fc.Arbitrary<readonly Answer[]> = fc.array(fc.record({
+  gap: fc.integer({ min: 1, max: 300 }),
+  took: fc.integer({ min: 0, max: 400 }),
+  rateLimit: fc.constantFrom(undefined, undefined, 1.4, 3),
+  leaving: fc.integer({ min: 0, max: 9 }).map(n => n === 0),
+  rest: fc.constantFrom(undefined, undefined, 200, 900)
+}), { maxLength: 30 })
+
+interface Read extends Answer { readonly at: Ms }
+
+/** A limit holds until an answer without one was asked for after every answer that named one had been read. */
+function naiveLimit (read: readonly Read[]): number | undefined {
+  const named = read.filter(({ rateLimit }) => rateLimit !== undefined).at(-1)
+  const isLifted = named !== undefined && read.some(({ at, took, rateLimit }) => rateLimit === undefined && at - took > named.at)
+  return isLifted ? undefined : named?.rateLimit
+}
+
+Then('what is known agrees with a naive record of all answers, whatever their order', () => {
+  fc.assert(fc.property(answers, given => {
+    const notices = new UpstreamNotices()
+    const read: Read[] = []
+    let now = 0
+    for (const answer of given) {
+      now += answer.gap
+      notices.note(answer, now - answer.took, now)
+      read.push({ ...answer, at: now })
+      assert.equal(notices.limit.rate, naiveLimit(read))
+      assert.equal(notices.leaving, read.some(({ leaving }) => leaving))
+      assert.equal(notices.restsUntil, Math.max(-Infinity, ...read.flatMap(({ at, rest }) => rest === undefined ? [] : [at + rest])))
+    }
+  }), propertyOptions)
+})
