--- a/packages/bench/src/lib/guards.ts
+++ b/packages/bench/src/lib/guards.ts
@@ -271,7 +271,7 @@
     find: 'this._limits.size > 0 || this._options.clock.now() - this._endedAt < reportAfterEnd',
     replace: 'this._limits.size > 0',
     feature: 'platform/src/test/notices.feature',
-    scenario: 'a server names no limit any more'
+    scenario: 'a server names no limit any more, and the entry that counts'
   },
   {
     promise: 'leaving upstreams: their own word counts',
