--- a/packages/bench/src/test/ci-verdict.feature
+++ b/packages/bench/src/test/ci-verdict.feature
@@ -17,3 +17,14 @@
     Given a list of known failures that names "g.feature: second"
     When a run of the scenarios "first" and "second" of f.feature ends with "second" failing and status 1
     Then it fails and its last line is "1 passed, 1 failed"
+
+  Scenario Outline: a known failure is printed with what the run says of it
+    Given a list of known failures that names "<test>"
+    When a run of the scenarios "first" and "second" of f.feature ends with <failing> and status <status>
+    Then it begins with "KNOWN RED (<state>) <test>"
+
+    Examples:
+      | test              | failing          | status | state                              |
+      | f.feature: second | "second" failing | 1      | failed                             |
+      | f.feature: second | none failing     | 0      | did not fail: take it off the list |
+      | soak, seed 912    | none failing     | 0      | not run here                       |
--- a/packages/bench/src/test/ci-verdict.steps.ts
+++ b/packages/bench/src/test/ci-verdict.steps.ts
@@ -34,3 +34,7 @@
   assert.equal(this.verdict.lines.at(-1), last)
   assert.ok(this.verdict.lines[0]!.startsWith('KNOWN RED ('))
 })
+
+Then('it begins with {string}', function (this: VerdictWorld, begin: string) {
+  assert.ok(this.verdict.lines[0]!.startsWith(begin), this.verdict.lines[0])
+})
