Reproduce limits that each entry lends itself in whole when leases have lapsed (fails)

When the store is away for longer than leases last, and lapses them, each entry is listed with itself alone until the others have registered again.

--- a/packages/direct/src/test/support/usage-play.ts
+++ b/packages/direct/src/test/support/usage-play.ts
@@ -17,6 +17,8 @@
 export type UsageFault =
   /** Its messages and those to it are lost. */
   | { readonly kind: 'cut', readonly entry: number, readonly at: Ms, readonly until: Ms }
+  /** The store has let all leases lapse: each entry is listed with itself alone until the others have registered again. */
+  | { readonly kind: 'lapse', readonly at: Ms, readonly until: Ms }
   /** Ends, and starts again knowing nothing. */
   | { readonly kind: 'restart', readonly entry: number, readonly at: Ms }
 
@@ -152,7 +154,7 @@
       clock: this._clock,
       log: silentLog,
       bounds: () => this._load.bounds ?? organisationBounds,
-      entries: () => this._peers,
+      entries: () => this._hasLapsed() ? [this._peers[n]!] : this._peers,
       kind: 'usage',
       isPatient: this._load.isPatient ?? true,
       limits: () => usageLimits(this._organisations),
@@ -182,6 +184,11 @@
     return this._load.faults.some(fault => fault.kind === 'cut' && fault.entry === entry && now >= fault.at && now < fault.until)
   }
 
+  private _hasLapsed (): boolean {
+    const now = this._clock.now() - settle
+    return this._load.faults.some(fault => fault.kind === 'lapse' && now >= fault.at && now < fault.until)
+  }
+
   private _arrivals (demand: UsageDemand, whole: NaiveBucket): void {
     const expected = demand.asked / demand.cost * step / 1_000
     for (let left = expected; left > 0; left--) {
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -28,6 +28,10 @@
     Then of 30 entries' requests an upstream gets at most what 4 s allow, and over 90 in 100 of its limit, whatever it names
     And of 6 entries' requests it gets at most what 4 s allow, whatever is cut off or starts again
 
+  Scenario: entries that are gone from each other's lists for a while
+    Guards against each entry lending itself the whole of a limit, when the store has let their leases lapse.
+    Then in no window more is used than the limits of an upstream and an organisation allow, while lists hold one entry each for 1500 ms
+
   Scenario: an organisation that the counting entry does not know yet
     Symptom: callers of an organisation that was just added get 429 for a second, and entries ask each other in a loop.
     Events: an organisation is added with a limit; the entry that counts hears of it a second after the others.
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -89,6 +89,13 @@
   }), { seed: propertySeed, numRuns: 30, endOnFailure: true })
 })
 
+Then('in no window more is used than the limits of an upstream and an organisation allow, while lists hold one entry each for {int} ms', async (lasts: number) => {
+  const faults: readonly UsageFault[] = [{ kind: 'lapse', at: 3_000, until: 3_000 + lasts }]
+  const loads = [limited(1.4, 5), limited(8, 30), load({ demands: [{ ...large, asked: 600_000 }] })]
+  const worst = await Promise.all(loads.map(async each => (await playUsage({ ...each, faults })).worstWindow))
+  assert.ok(Math.max(...worst) <= 1, `worst windows ${worst.join()}`)
+})
+
 interface NewcomerWorld { desk: UsageDesk, messages: number }
 
 const newcomer: Organisation = { name: 'newcomer', keys: [], limit: { unit: 'requests', rate: 50, burst: 50, plainTokens: 0 } }
