Count entries for 5 s after they were listed last, where a limit holds over all of them

What callers would have seen: an organisation or an upstream gets up to as many times its limit as there are entries.

Cause: the parts of a limit are worked out by the entries that are listed now. When the store is away and lapses all leases, each entry is listed with itself alone at its return, until the others have registered again; it then counts for itself and lends itself the whole limit.

Change: an entry counts for 5 s after it was listed last. The part of one that has surely gone lies unused for as long.

--- a/packages/bench/src/lib/guards.ts
+++ b/packages/bench/src/lib/guards.ts
@@ -305,5 +305,13 @@
     also: { file: 'packages/direct/dist/lib/liveness-probe.js', find: 'if (!this._options.mayAsk())', replace: 'if (false)' },
     feature: 'platform/src/test/notices.feature',
     scenario: 'servers that turn an entry away'
+  },
+  {
+    promise: 'limits over all entries: entries that were listed lately count',
+    file: 'packages/direct/dist/lib/usage-desk.js',
+    find: 'entries: this._listedAt.size',
+    replace: 'entries: this._options.entries().length',
+    feature: 'packages/direct/src/test/usage.feature',
+    scenario: 'entries that are gone from each other'
   }
 ]
--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -36,6 +36,13 @@
  * little; with more accounts than this, one keeper's host would be busy with nothing else.
  */
 const accountsEach = 500
+/**
+ * Time for which an entry counts that is listed no more. A store that is away for long lets all leases lapse, and entries
+ * register again within a second or two of its return: counted by the list alone, each would lend itself the whole of every limit.
+ */
+const listedLasts: Ms = 5_000
+/** How often the list is looked at. */
+const lookEvery: Ms = 100
 /** Time for which an entry goes on reporting after its last limit has ended. */
 const reportAfterEnd: Ms = 2_000
 /** How often a keeper that did not answer is tried. */
@@ -46,6 +53,9 @@
   private readonly _lines = new Map<number, UsageLine>()
   private readonly _keepers = new Map<number, UsageKeeper>()
   private readonly _suspects = new Set<string>()
+  /** When each entry was listed last. */
+  private readonly _listedAt = new Map<string, Ms>()
+  private _lookedAt: Ms = -Infinity
   private _limits: ReadonlyMap<string, CreditLimit> = new Map()
   /** When the last limit ended. */
   private _endedAt: Ms = -Infinity
@@ -82,10 +92,21 @@
 
   /** Another entry reports, or this one to itself. */
   report ({ shard, ...report }: UsageMessage): readonly UsageGrant[] {
-    const { clock, bounds, entries } = this._options
+    const { clock, bounds } = this._options
+    this._look()
     const keeper = this._keepers.get(shard) ?? new UsageKeeper()
     this._keepers.set(shard, keeper)
-    return keeper.report(report, { bounds: bounds(), now: clock.now(), entries: entries().length, limitOf: name => this._limits.get(name) })
+    return keeper.report(report, { bounds: bounds(), now: clock.now(), entries: this._listedAt.size, limitOf: name => this._limits.get(name) })
+  }
+
+  /** Notes who is listed, also at an entry that counts for nobody yet: it may have to from one moment to the next. */
+  private _look (): void {
+    const { clock, entries } = this._options
+    const now = clock.now()
+    if (now - this._lookedAt < lookEvery) return
+    this._lookedAt = now
+    for (const { node } of entries()) this._listedAt.set(node, now)
+    for (const [node, at] of this._listedAt) if (now - at > listedLasts) this._listedAt.delete(node)
   }
 
   /** Others may keep to a limit that has ended; they hear of its end from who reports to them. */
@@ -110,6 +131,7 @@
   private async _report (shard: number, report: UsageReport): Promise<readonly UsageGrant[]> {
     const { node, entries, log } = this._options
     let { covers } = report
+    this._look()
     const known = new Map(entries().map(entry => [entry.node, entry]))
     for (const name of rendezvousOrder(`${this._options.kind}/${shard}`, [...known.keys()])) {
       if (name === node) break
