--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -32,6 +32,10 @@
     Guards against each entry lending itself the whole of a limit, when the store has let their leases lapse.
     Then in no window more is used than the limits of an upstream and an organisation allow, while lists hold one entry each for 1500 ms
 
+  Scenario: entries that start while lists hold nobody else
+    Guards against an entry that has just started lending itself the whole of a limit, since it knows of nobody yet.
+    Then in no window more is used than the limits of an upstream and an organisation allow, while entries start in 1500 ms in which lists hold one entry each
+
   Scenario: an organisation that the counting entry does not know yet
     Symptom: callers of an organisation that was just added get 429 for a second, and entries ask each other in a loop.
     Events: an organisation is added with a limit; the entry that counts hears of it a second after the others.
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -89,11 +89,19 @@
   }), { seed: propertySeed, numRuns: 30, endOnFailure: true })
 })
 
-Then('in no window more is used than the limits of an upstream and an organisation allow, while lists hold one entry each for {int} ms', async (lasts: number) => {
-  const faults: readonly UsageFault[] = [{ kind: 'lapse', at: 3_000, until: 3_000 + lasts }]
+async function assertWithinLimits (faults: readonly UsageFault[]): Promise<void> {
   const loads = [limited(1.4, 5), limited(8, 30), load({ demands: [{ ...large, asked: 600_000 }] })]
   const worst = await Promise.all(loads.map(async each => (await playUsage({ ...each, faults })).worstWindow))
   assert.ok(Math.max(...worst) <= 1, `worst windows ${worst.join()}`)
+}
+
+function lapse (lasts: number): UsageFault { return { kind: 'lapse', at: 3_000, until: 3_000 + lasts } }
+
+Then('in no window more is used than the limits of an upstream and an organisation allow, while lists hold one entry each for {int} ms', (lasts: number) => assertWithinLimits([lapse(lasts)]))
+
+Then('in no window more is used than the limits of an upstream and an organisation allow, while entries start in {int} ms in which lists hold one entry each', (lasts: number) => {
+  const starts = [0, 1, 2, 3].map((entry): UsageFault => ({ kind: 'restart', entry, at: 3_500 + entry * 200 }))
+  return assertWithinLimits([lapse(lasts), ...starts])
 })
 
 interface NewcomerWorld { desk: UsageDesk, messages: number }
