Lend nothing to an entry that knows of limits for less than 2 s and hears no other one

Cause: an entry that starts while the store is away, or just as it returns with all leases lapsed, is listed with itself alone. It counted for itself, and lent itself the whole of each limit.

Change: in the first 2 s in which an entry knows of any limit it lends itself nothing, unless another one reports to it. Its requests are held for up to 0.8 s as after any start, then refused with a time; an upstream's limit makes them go elsewhere.

--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -3,7 +3,7 @@
  * organisation's usage, or the requests that an upstream takes.
  */
 import type { Clock, Log, Ms } from '@hazelford/core'
-import { type CreditLimit, rendezvousOrder, rendezvousWeight, type UsageBounds, type UsageGrant, UsageKeeper, type UsageReport, type UsageRow } from '@hazelford/decisions'
+import { type CreditLimit, rendezvousOrder, rendezvousWeight, type UsageBounds, type UsageGrant, UsageKeeper, type UsageReport, type UsageRow, wordLasts } from '@hazelford/decisions'
 import { NoAnswer } from './json-client.js'
 import type { PeerAddress } from './peer-table.js'
 import { type Admission, UsageLine } from './usage-line.js'
@@ -41,6 +41,11 @@
  * register again within a second or two of its return: counted by the list alone, each would lend itself the whole of every limit.
  */
 const listedLasts: Ms = 5_000
+/**
+ * Time since the first limit was known in which an entry that hears no other one lends itself nothing: it may have started
+ * during an outage of the store, and know of nobody yet.
+ */
+const aloneAfter: Ms = 2_000
 /** How often the list is looked at. */
 const lookEvery: Ms = 100
 /** Time for which an entry goes on reporting after its last limit has ended. */
@@ -56,7 +61,11 @@
   /** When each entry was listed last. */
   private readonly _listedAt = new Map<string, Ms>()
   private _lookedAt: Ms = -Infinity
+  /** When another entry reported here. */
+  private _othersHeardAt: Ms = -Infinity
   private _limits: ReadonlyMap<string, CreditLimit> = new Map()
+  /** When a limit was first known. */
+  private _limitedSince: Ms | undefined
   /** When the last limit ended. */
   private _endedAt: Ms = -Infinity
   private _stopped = false
@@ -68,6 +77,7 @@
   limitsChanged (): void {
     const hadLimits = this._limits.size > 0
     this._limits = this._options.limits()
+    if (this._limits.size > 0) this._limitedSince ??= this._options.clock.now()
     if (hadLimits && this._limits.size === 0) this._endedAt = this._options.clock.now()
     const isFree = (account: string): boolean => !this._limits.has(account)
     for (const line of this._lines.values()) line.release(isFree)
@@ -92,13 +102,21 @@
 
   /** Another entry reports, or this one to itself. */
   report ({ shard, ...report }: UsageMessage): readonly UsageGrant[] {
-    const { clock, bounds } = this._options
+    const { clock, bounds, node } = this._options
     this._look()
+    if (report.entry !== node) this._othersHeardAt = clock.now()
+    if (this._mayMissOthers) return report.rows.map(({ account }) => ({ account, granted: 0, wait: aloneAfter }))
     const keeper = this._keepers.get(shard) ?? new UsageKeeper()
     this._keepers.set(shard, keeper)
     return keeper.report(report, { bounds: bounds(), now: clock.now(), entries: this._listedAt.size, limitOf: name => this._limits.get(name) })
   }
 
+  /** Whether others may count the same accounts, of whom nothing is known yet. */
+  private get _mayMissOthers (): boolean {
+    const now = this._options.clock.now()
+    return now - (this._limitedSince ?? now) < aloneAfter && now - this._othersHeardAt > wordLasts
+  }
+
   /** Notes who is listed, also at an entry that counts for nobody yet: it may have to from one moment to the next. */
   private _look (): void {
     const { clock, entries } = this._options
