--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -46,6 +46,8 @@
  * during an outage of the store, and know of nobody yet.
  */
 const aloneAfter: Ms = 2_000
+/** Entries report at least this often to whom they think counts. */
+const hearWithin: Ms = 400
 /** How often the list is looked at. */
 const lookEvery: Ms = 100
 /** Time for which an entry goes on reporting after its last limit has ended. */
@@ -105,7 +107,7 @@
     const { clock, bounds, node } = this._options
     this._look()
     if (report.entry !== node) this._othersHeardAt = clock.now()
-    if (this._mayMissOthers) return report.rows.map(({ account }) => ({ account, granted: 0, wait: aloneAfter }))
+    if (this._mayMissOthers) return report.rows.map(({ account }) => ({ account, granted: 0, wait: hearWithin }))
     const keeper = this._keepers.get(shard) ?? new UsageKeeper()
     this._keepers.set(shard, keeper)
     return keeper.report(report, { bounds: bounds(), now: clock.now(), entries: this._listedAt.size, limitOf: name => this._limits.get(name) })
