--- a/packages/direct/src/lib/notice-messages.ts
+++ b/packages/direct/src/lib/notice-messages.ts
@@ -2,6 +2,7 @@
  * What entries tell each other of the words of upstreams.
  */
 import type { Ms } from '@hazelford/core'
+import { isAmount } from './amount.js'
 
 /** One upstream's latest word, as far as an entry knows. */
 export interface NoticeRow {
@@ -25,8 +26,6 @@
 /** Words of some upstreams. */
 export interface NoticeMessage { readonly notices: readonly NoticeRow[] }
 
-function isAmount (value: unknown): value is number { return typeof value === 'number' && Number.isFinite(value) && value >= 0 }
-
 function isLimit (value: unknown): value is LimitRow {
   const { rate, age } = (value ?? {}) as Record<string, unknown>
   return (rate === null || isAmount(rate)) && isAmount(age)
--- a/packages/direct/src/lib/usage-messages.ts
+++ b/packages/direct/src/lib/usage-messages.ts
@@ -2,10 +2,9 @@
  * Reads what entries tell each other of usage.
  */
 import type { UsageGrant, UsageRow } from '@hazelford/decisions'
+import { isAmount } from './amount.js'
 import type { UsageMessage } from './usage-desk.js'
 
-function isAmount (value: unknown): value is number { return typeof value === 'number' && Number.isFinite(value) && value >= 0 }
-
 function isRow (value: unknown): value is UsageRow {
   const { account, holding, first, waiting, ahead, returned } = (value ?? {}) as Record<string, unknown>
   return typeof account === 'string' && [holding, first, waiting, ahead, returned].every(isAmount)
