Let an entry that has ended ask and order nothing more

"A stream that may run once" found two runs where one was allowed.

Cause, likely for that run and shown for its symptom: an entry that suspects another one asked it every 400 ms whether it answers, also after it had itself ended. Tests run many entries in one process; such an entry asked for minutes at a port that was free, and a server of a later scenario that got that port recorded "GET /ping" as a run. Of that run no lines are kept, so that it was this and nothing else is not proved.

Ruled out by reading: a second send of the same request (one attempt, not resumable; every way to a second send needs a refusal or a connection that never opened, and neither leaves a run).

Change: PeerSuspects holds what two classes had each by themselves, and ends with its entry; EngineDesk ends too; shutdown and kill share one list.

--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -7,15 +7,10 @@
 import type { Ask, AskOutcome } from './engine-holder.js'
 import { type DigestRow, type LoadDigest, pickDigests, readDigests, toRow } from './load-digest.js'
 import type { PeerClient } from './peer-client.js'
-import type { PeerAddress, PeerTable } from './peer-table.js'
+import { PeerSuspects } from './peer-suspects.js'
+import type { PeerTable } from './peer-table.js'
 import type { Upstream } from './upstream.js'
 
-/**
- * How often a holder that did not answer is tried. Until it answers nobody waits for it:
- * each request would spend most of its patience on a process that is gone.
- */
-const tryAgainEvery: Ms = 400
-
 /**
  * How long an engine is left alone after the entry that is listed as its holder said that it
  * does not order it. Another claims it within about this time, and the store tells who.
@@ -39,7 +34,7 @@
 /** Promises that holders made to this entry. */
 export class AdapterDirectory {
   private readonly _promises = new Map<string, Map<string, HeldPromise>>()
-  private readonly _suspects = new Set<string>()
+  private readonly _suspects: PeerSuspects
   /** Engines whose listed holder has said that it does not order them, and until when that counts. */
   private readonly _notHeld = new Map<string, Ms>()
 
@@ -51,7 +46,16 @@
     private readonly _client: PeerClient,
     private readonly _desk: EngineDesk,
     private readonly _upstreams: UpstreamSource
-  ) {}
+  ) {
+    this._suspects = new PeerSuspects({
+      clock: _clock,
+      entries: () => _peers.entries,
+      ping: peer => _client.ping(peer),
+      cleared: peer => _log.info('peers', 'no longer suspected.', { peer })
+    })
+  }
+
+  stop (): void { this._suspects.stop() }
 
   /** What this entry knows of engines' loads, for another one. */
   loadsToTell (): readonly DigestRow[] {
@@ -167,28 +171,8 @@
       return outcome
     } catch (error) {
       this._log.info('loads', 'holder does not answer.', { upstream, holder: holder.node, fence: holder.fence, cause: (error as Error).message })
-      this._suspect(holder)
+      if (this._suspects.add(holder)) this._log.info('peers', 'suspected.', { peer: holder.node })
       return { kind: 'unavailable', cause: 'its holder does not answer' }
     }
   }
-
-  private _suspect (peer: PeerAddress): void {
-    if (this._suspects.has(peer.node)) return
-    this._suspects.add(peer.node)
-    this._log.info('peers', 'suspected.', { peer: peer.node })
-    this._tryAgain(peer)
-  }
-
-  private _tryAgain (peer: PeerAddress): void {
-    this._clock.after(tryAgainEvery, () => {
-      const listed = this._peers.entries.some(({ node }) => node === peer.node)
-      if (!listed) return this._clear(peer)
-      this._client.ping(peer).then(() => this._clear(peer), () => this._tryAgain(peer))
-    })
-  }
-
-  private _clear (peer: PeerAddress): void {
-    this._suspects.delete(peer.node)
-    this._log.info('peers', 'no longer suspected.', { peer: peer.node })
-  }
 }
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -382,32 +382,29 @@
     await Promise.race([this._callers.drained(), sleep(clock, until - clock.now())])
     log.info('entry', 'drained.', { open: this._callers.open })
     this._callers.close()
-    this._stopped = true
-    this._quarantine.stop()
-    this._usage.stop()
-    this._notices.stop()
-    this._view.stop()
-    for (const server of this._servers) {
-      server.close()
-      server.closeAllConnections()
-    }
-    this._client.close()
+    this._stop()
   }
 
   /** Ends at once, as a crash does: nothing is given back and callers are cut. */
   kill (): void {
+    this._lease.abandon()
+    this._callers.server.closeAllConnections()
+    this._callers.close()
+    this._stop()
+  }
+
+  /** Ends all that this entry does by itself. */
+  private _stop (): void {
     this._stopped = true
     this._quarantine.stop()
     this._usage.stop()
     this._notices.stop()
+    this._directory.stop()
     this._view.stop()
-    this._lease.abandon()
-    this.desk.dropAll()
-    this._callers.server.closeAllConnections()
-    this._callers.close()
+    this.desk.stop()
     for (const server of this._servers) {
-      server.closeAllConnections()
       server.close()
+      server.closeAllConnections()
     }
     this._client.close()
   }
--- a/packages/direct/src/lib/engine-desk.ts
+++ b/packages/direct/src/lib/engine-desk.ts
@@ -69,6 +69,7 @@
   private readonly _givenUp = new Map<string, number>()
   private _handedAt: Ms = -Infinity
   private _timer: CancelTimer | undefined
+  private _stopped = false
 
   constructor (private readonly _options: DeskOptions, private readonly _lease: () => LeaseKeeper) {
     this._startedAt = _options.clock.now()
@@ -98,6 +99,13 @@
     for (const [id, holder] of this._holders) this._drop(id, holder)
   }
 
+  /** Claims and orders nothing from here on, though its keys may stand in the store for a while. */
+  stop (): void {
+    this._stopped = true
+    this._timer?.()
+    this.dropAll()
+  }
+
   /** An engine has started again under its id: it holds nothing and counts orders anew. */
   restarted (upstream: Upstream): void {
     this._holders.get(upstream.id)?.restart(upstream.record.startedAt, this._options.control(upstream))
@@ -105,7 +113,7 @@
 
   /** Looks at what changed in the store, soon. */
   review (): void {
-    if (this._timer !== undefined) return
+    if (this._timer !== undefined || this._stopped) return
     this._timer = this._options.clock.after(20, () => {
       this._timer = undefined
       this._review()
@@ -235,7 +243,7 @@
     } else if (outcome.value.kind === 'stored') {
       const { revision } = outcome.value
       await Promise.all(upstreams.map(({ id }) => this._tellFormer(id, revision)))
-      if (this._lease().lease === lease) for (const upstream of upstreams) this._hold(upstream, revision)
+      if (this._lease().lease === lease && !this._stopped) for (const upstream of upstreams) this._hold(upstream, revision)
     } else {
       log.info('loads', 'claim lost.', { upstreams: upstreams.map(({ id }) => id), outcome: outcome.value.kind })
     }
--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -5,6 +5,7 @@
 import type { Clock, Log, Ms } from '@hazelford/core'
 import { type CreditLimit, rendezvousOrder, rendezvousWeight, type UsageBounds, type UsageGrant, UsageKeeper, type UsageReport, type UsageRow, wordLasts } from '@hazelford/decisions'
 import { NoAnswer } from './json-client.js'
+import { PeerSuspects } from './peer-suspects.js'
 import type { PeerAddress } from './peer-table.js'
 import { type Admission, UsageLine } from './usage-line.js'
 
@@ -52,14 +53,12 @@
 const lookEvery: Ms = 100
 /** Time for which an entry goes on reporting after its last limit has ended. */
 const reportAfterEnd: Ms = 2_000
-/** How often a keeper that did not answer is tried. */
-const tryAgainEvery: Ms = 400
 
 /** One entry's part: its credit, and what it lends to others. */
 export class UsageDesk {
   private readonly _lines = new Map<number, UsageLine>()
   private readonly _keepers = new Map<number, UsageKeeper>()
-  private readonly _suspects = new Set<string>()
+  private readonly _suspects: PeerSuspects
   /** When each entry was listed last. */
   private readonly _listedAt = new Map<string, Ms>()
   private _lookedAt: Ms = -Infinity
@@ -70,10 +69,12 @@
   private _limitedSince: Ms | undefined
   /** When the last limit ended. */
   private _endedAt: Ms = -Infinity
-  private _stopped = false
   private readonly _startedAt: Ms
 
-  constructor (private readonly _options: UsageDeskOptions) { this._startedAt = _options.clock.now() }
+  constructor (private readonly _options: UsageDeskOptions) {
+    this._startedAt = _options.clock.now()
+    this._suspects = new PeerSuspects(_options)
+  }
 
   /** Takes the limits that are in force now. */
   limitsChanged (): void {
@@ -89,7 +90,7 @@
   }
 
   stop (): void {
-    this._stopped = true
+    this._suspects.stop()
     for (const line of this._lines.values()) line.stop()
   }
 
@@ -162,7 +163,7 @@
         // It may have counted the time before its answer was lost.
         if (!(error instanceof NoAnswer && !error.sent)) covers = 0
         log.info('usage', 'keeper does not answer.', { kind: this._options.kind, keeper: name, shard, cause: (error as Error).message })
-        this._suspect(known.get(name)!)
+        this._suspects.add(known.get(name)!)
       }
     }
     return this.report({ ...report, covers, shard })
@@ -174,19 +175,4 @@
     const untold = rows.filter(({ account }) => !told.has(account))
     return [...grants, ...untold.map(row => ({ account: row.account, ...this._options.untold(row) }))]
   }
-
-  private _suspect (peer: PeerAddress): void {
-    if (this._suspects.has(peer.node)) return
-    this._suspects.add(peer.node)
-    this._tryAgain(peer)
-  }
-
-  private _tryAgain (peer: PeerAddress): void {
-    this._options.clock.after(tryAgainEvery, () => {
-      if (this._stopped) return
-      const isListed = this._options.entries().some(({ node }) => node === peer.node)
-      if (!isListed) this._suspects.delete(peer.node)
-      else this._options.ping(peer).then(() => { this._suspects.delete(peer.node) }, () => this._tryAgain(peer))
-    })
-  }
 }
