Answer callers within a second at an entry that is cut off from those that count

An entry that is cut off asked each of the others in turn, 150 ms each, before it counted by itself: up to 39 x 150 ms = 5.9 s. The longest wait of a second was looked at only when a report had ended.

Change: after each keeper that does not answer twice as many others are asked at once whether they answer, so that 39 are known after some six timeouts; and a request is refused after a second whatever is under way.

--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -148,25 +148,45 @@
     return line
   }
 
-  /** Reports to the first keeper that answers; at last to this entry itself. */
+  /**
+   * Reports to the first keeper that answers; at last to this entry itself.
+   *
+   * Callers wait for the answer. After each failure twice as many are asked whether they answer, so that an entry that is cut
+   * off from hundreds knows it after some ten timeouts.
+   */
   private async _report (shard: number, report: UsageReport): Promise<readonly UsageGrant[]> {
-    const { node, entries, log } = this._options
     let { covers } = report
     this._look()
-    const known = new Map(entries().map(entry => [entry.node, entry]))
-    for (const name of rendezvousOrder(`${this._options.kind}/${shard}`, [...known.keys()])) {
-      if (name === node) break
-      if (this._suspects.has(name)) continue
+    for (let asked = 1; ; asked *= 2) {
+      const [keeper, ...next] = this._keepersBefore(shard).slice(0, asked)
+      if (keeper === undefined) return this.report({ ...report, covers, shard })
+      const probes = next.map(peer => this._probe(peer))
       try {
-        return this._complete(report, await this._options.report(known.get(name)!, { ...report, covers, shard }))
+        return this._complete(report, await this._options.report(keeper, { ...report, covers, shard }))
       } catch (error) {
         // It may have counted the time before its answer was lost.
         if (!(error instanceof NoAnswer && !error.sent)) covers = 0
-        log.info('usage', 'keeper does not answer.', { kind: this._options.kind, keeper: name, shard, cause: (error as Error).message })
-        this._suspects.add(known.get(name)!)
+        this._options.log.info('usage', 'keeper does not answer.', { kind: this._options.kind, keeper: keeper.node, shard, cause: (error as Error).message })
+        this._suspects.add(keeper)
       }
+      await Promise.all(probes)
     }
-    return this.report({ ...report, covers, shard })
+  }
+
+  /** Who counts rather than this entry, as far as it answers; the first does if it can. */
+  private _keepersBefore (shard: number): readonly PeerAddress[] {
+    const { node, kind, entries } = this._options
+    const known = new Map(entries().map(entry => [entry.node, entry]))
+    const order = rendezvousOrder(`${kind}/${shard}`, [...known.keys()])
+    const own = order.indexOf(node)
+    return order.slice(0, own < 0 ? order.length : own).filter(name => !this._suspects.has(name)).map(name => known.get(name)!)
+  }
+
+  private async _probe (peer: PeerAddress): Promise<void> {
+    await this._options.ping(peer).catch((error: Error) => {
+      this._options.log.info('usage', 'possible keeper does not answer.', { kind: this._options.kind, keeper: peer.node, cause: error.message })
+      this._suspects.add(peer)
+    })
   }
 
   /** Adds what a keeper says nothing of. Asked again meanwhile, it would say nothing again. */
--- a/packages/direct/src/lib/usage-line.ts
+++ b/packages/direct/src/lib/usage-line.ts
@@ -29,8 +29,7 @@
 interface Waiter {
   readonly account: string
   readonly cost: number
-  readonly since: Ms
-  readonly resolve: (admission: Admission) => void
+  readonly decide: (admission: Admission) => void
 }
 
 /** A keeper counts an entry for as long as it hears it; the entry's part of all rates hangs on that. */
@@ -72,7 +71,7 @@
     const free = this._waiting.filter(({ account }) => isFree(account))
     this._waiting = this._waiting.filter(({ account }) => !isFree(account))
     for (const account of [...this._pools.keys()]) if (isFree(account)) this._pools.delete(account)
-    for (const { resolve } of free) resolve({ kind: 'admitted', refund: () => {} })
+    for (const { decide } of free) decide({ kind: 'admitted', refund: () => {} })
   }
 
   /** Takes a request's usage. */
@@ -87,9 +86,9 @@
         if (pool.isLow(at)) this._reportSoon()
         return this._admitted(pool, cost)
       case 'closed': return this._refused(spending.retryAfter)
-      case 'held': return this._options.isPatient ? this._wait(account, cost, at.now) : this._refused(spending.retryAfter)
+      case 'held': return this._options.isPatient ? this._wait(account, cost) : this._refused(spending.retryAfter)
       case 'short': {
-        const admission = this._wait(account, cost, at.now)
+        const admission = this._wait(account, cost)
         this._report()
         return admission
       }
@@ -97,8 +96,23 @@
     }
   }
 
-  private _wait (account: string, cost: number, since: Ms): Promise<Admission> {
-    return new Promise(resolve => { this._waiting.push({ account, cost, since, resolve }) })
+  private _wait (account: string, cost: number): Promise<Admission> {
+    return new Promise(resolve => {
+      // A report can be under way for longer, from an entry that is cut off.
+      const cancel = this._options.clock.after(longestWait, () => {
+        this._waiting = this._waiting.filter(other => other !== waiter)
+        resolve(this._refused(leastRetryAfter))
+      })
+      const waiter: Waiter = {
+        account,
+        cost,
+        decide: admission => {
+          cancel()
+          resolve(admission)
+        }
+      }
+      this._waiting.push(waiter)
+    })
   }
 
   private _admitted (pool: UsagePool, cost: number): Admission {
@@ -185,31 +199,22 @@
   }
 
   /** @returns false when it is to wait on */
-  private _decide ({ account, cost, since, resolve }: Waiter, at: Instant): boolean {
+  private _decide ({ account, cost, decide }: Waiter, at: Instant): boolean {
     const pool = this._pool(account)
     const spending = pool.spend(cost, at)
     switch (spending.kind) {
       case 'spent':
-        resolve(this._admitted(pool, cost))
+        decide(this._admitted(pool, cost))
+        return true
+      case 'held':
+        if (this._options.isPatient) return false
+        decide(this._refused(spending.retryAfter))
         return true
       case 'closed':
-        resolve(this._refused(spending.retryAfter))
+        decide(this._refused(spending.retryAfter))
         return true
-      case 'held':
-        if (!this._options.isPatient) {
-          resolve(this._refused(spending.retryAfter))
-          return true
-        }
-        return this._hasWaited(since, at.now, resolve)
-      case 'short': return this._hasWaited(since, at.now, resolve)
+      case 'short': return false
       default: return assertNever(spending)
     }
   }
-
-  /** Refuses who has waited for as long as anybody does. */
-  private _hasWaited (since: Ms, now: Ms, resolve: Waiter['resolve']): boolean {
-    if (now - since < longestWait) return false
-    resolve(this._refused(leastRetryAfter))
-    return true
-  }
 }
--- a/packages/direct/src/test/support/usage-play.ts
+++ b/packages/direct/src/test/support/usage-play.ts
@@ -65,6 +65,8 @@
   readonly worstWindow: number
   /** Messages between entries a second. */
   readonly messages: number
+  /** Longest time from a request to its decision. */
+  readonly longestWait: Ms
 }
 
 /** Bounds of the window rule, as the deployment's sheet has them. */
@@ -114,6 +116,9 @@
   private readonly _parts: Map<string, NaiveBucket>[] = []
   private readonly _uses = new Map<string, Use[]>()
   private _messages = 0
+  private _longestWait: Ms = 0
+  /** When requests came that are undecided. */
+  private readonly _undecided = new Set<{ readonly since: Ms }>()
   private _asked = 0
   private _owed = 0
   private _used = 0
@@ -137,7 +142,8 @@
       await this._advance(step)
     }
     await this._advance(1_000)
-    return { refusedBelow: this._refusedBelow(), letIn: this._used / Math.max(1, this._asked), used: this._used / Math.max(1, this._owed), worstWindow: this._worst(), messages: this._messages / (end / 1_000) }
+    for (const { since } of this._undecided) this._longestWait = Math.max(this._longestWait, this._clock.now() - since)
+    return { refusedBelow: this._refusedBelow(), letIn: this._used / Math.max(1, this._asked), used: this._used / Math.max(1, this._owed), worstWindow: this._worst(), messages: this._messages / (end / 1_000), longestWait: this._longestWait }
   }
 
   private async _advance (by: Ms): Promise<void> {
@@ -206,7 +212,11 @@
       this._owed += cost
       this._owedOf.set(organisation, (this._owedOf.get(organisation) ?? 0) + cost)
     }
+    const request = { since: this._clock.now() }
+    this._undecided.add(request)
     const note = (admission: Admission): void => {
+      this._undecided.delete(request)
+      this._longestWait = Math.max(this._longestWait, this._clock.now() - request.since)
       if (admission.kind === 'admitted') this._note(organisation, cost)
       else if (isOwed) this._refusedOf.set(organisation, (this._refusedOf.get(organisation) ?? 0) + cost)
     }
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -23,6 +23,12 @@
     Cause: two entries counted the same organisation, and each lent all of it.
     Then in no window more is used than its limit allows, whatever is cut off or starts again
 
+  Scenario: an entry that is cut off from many others
+    Symptom: requests with keys get no answer for seconds, and then none in time.
+    Events: one of 40 entries is cut off from all others.
+    Cause: it asked one after the other who might count, 150 ms each, while its callers waited.
+    Then at an entry that is cut off from 39 others, no request waits for longer than 1200 ms, and in no window more is used than its limit allows
+
   Scenario: upstreams that take few requests, entries cut off or started again among many
     Guards against more requests than an upstream's limit allows over all entries, and against a limit of which most lies unused.
     Then of 30 entries' requests an upstream gets at most what 4 s allow, and over 90 in 100 of its limit, whatever it names
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
-import { FakeClock, silentLog } from '@hazelford/core'
+import { FakeClock, type Ms, silentLog } from '@hazelford/core'
 import { rendezvousOrder, type UsageBounds } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import fc from 'fast-check'
@@ -66,6 +66,14 @@
   }), { seed: propertySeed, numRuns: 60, endOnFailure: true })
 })
 
+Then('at an entry that is cut off from {int} others, no request waits for longer than {int} ms, and in no window more is used than its limit allows', async (others: number, most: Ms) => {
+  const demands = [{ ...large, asked: 400_000, entries: 8 }]
+  const faults: UsageFault[] = [{ kind: 'cut', entry: 0, at: 2_000, until: 9_500 }]
+  const { longestWait, worstWindow } = await playUsage(load({ entries: others + 1, demands, faults, length: 10_000 }))
+  assert.ok(longestWait <= most, `waited ${longestWait} ms`)
+  assert.ok(worstWindow <= 1, `worst window ${worstWindow}`)
+})
+
 /** What is judged of an upstream's limit: half as much again, and five requests. */
 const judgedLimit: UsageBounds = { window: 4_000, overage: 0.5, slack: 5 }
 
