Take a word for told only if the other entry took it

An entry of a version that does not know a path answers 404, and what it was told of leaving, resting or ending upstreams counted as told.

Evidence: an entry that knows no path is told what an upstream says: told, before; an error now, which callers log as before.

Change: the five ways of telling share one call, which looks at the status.

--- a/packages/direct/src/lib/peer-client.ts
+++ b/packages/direct/src/lib/peer-client.ts
@@ -77,9 +77,7 @@
   }
 
   /** Tells an entry what upstreams say of themselves; rejects when it does not answer. */
-  async tellNotices ({ host, port }: PeerAddress, msg: NoticeMessage): Promise<void> {
-    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.notices, body: msg, timeout: answerMargin })
-  }
+  tellNotices (peer: PeerAddress, msg: NoticeMessage): Promise<void> { return this._tell(peer, peerPaths.notices, msg) }
 
   /** Asks as of when a peer knows the configuration; undefined when it does not say. */
   async configAge ({ host, port }: PeerAddress): Promise<ConfigAge | undefined> {
@@ -94,19 +92,13 @@
   }
 
   /** Tells a holder what this entry still uses. */
-  async tellUse ({ host, port }: PeerAddress, msg: UseMessage): Promise<void> {
-    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.use, body: msg, timeout: answerMargin })
-  }
+  tellUse (peer: PeerAddress, msg: UseMessage): Promise<void> { return this._tell(peer, peerPaths.use, msg) }
 
   /** Tells the former holder of an engine that it has a new one; rejects when it does not answer. */
-  async tellTaken ({ host, port }: PeerAddress, msg: TakenMessage): Promise<void> {
-    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.taken, body: msg, timeout: answerMargin })
-  }
+  tellTaken (peer: PeerAddress, msg: TakenMessage): Promise<void> { return this._tell(peer, peerPaths.taken, msg) }
 
   /** Tells an entry that counts them of ends of upstreams; rejects when it does not answer. */
-  async tellEnds ({ host, port }: PeerAddress, msg: EndsMessage): Promise<void> {
-    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.ends, body: msg, timeout: answerMargin })
-  }
+  tellEnds (peer: PeerAddress, msg: EndsMessage): Promise<void> { return this._tell(peer, peerPaths.ends, msg) }
 
   /** Asks an entry which of some requests it has answered lately; rejects when it does not answer. */
   async askAnswered ({ host, port }: PeerAddress, query: AnsweredQuery): Promise<readonly string[]> {
@@ -116,9 +108,13 @@
   }
 
   /** Tells an entry which requests are held back; rejects when it does not answer. */
-  async tellHeld ({ host, port }: PeerAddress, msg: HeldMessage): Promise<void> {
-    await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.held, body: msg, timeout: answerMargin })
-  }
+  tellHeld (peer: PeerAddress, msg: HeldMessage): Promise<void> { return this._tell(peer, peerPaths.held, msg) }
 
   close (): void { this._agent.destroy() }
+
+  /** One of another version may not know what it is told; nothing was told then. */
+  private async _tell ({ host, port }: PeerAddress, path: string, body: object): Promise<void> {
+    const { status } = await callJson(this._agent, { host, port, method: 'POST', path, body, timeout: answerMargin })
+    if (status !== 200) throw new Error(`The peer answered ${status}.`)
+  }
 }
--- a/packages/direct/src/test/peers.feature
+++ b/packages/direct/src/test/peers.feature
@@ -12,6 +12,11 @@
     When an entry of a version that knows no compression asks for a large state
     Then it can read the answer
 
+  Scenario: an entry of a version that does not know what it is told
+    Guards against a word that counts as told, though the other entry answered that it knows no such path.
+    When an entry that knows none of the paths is told what an upstream says
+    Then it is not told
+
   Scenario: entries whose leases have lapsed in an outage of the store
     Guards against each entry taking for itself all of what it shares with the others, while it hears of them again.
     When 22 entries that know each other hear of themselves alone for 1500 ms
--- a/packages/direct/src/test/peers.steps.ts
+++ b/packages/direct/src/test/peers.steps.ts
@@ -2,7 +2,7 @@
  * Checks messages between entries.
  */
 import assert from 'node:assert/strict'
-import type { Server } from 'node:http'
+import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { After, Then, When } from '@cucumber/cucumber'
 import { FakeClock } from '@hazelford/core'
@@ -21,7 +21,7 @@
 const feedWaitMs = 400
 const bitsPerByte = 8
 
-interface PeersWorld { clock: FakeClock, tables: readonly PeerTable[], server?: Server, slowLink?: SlowLink, client?: PeerClient, answers: readonly FeedAnswer[], config: string, body: unknown }
+interface PeersWorld { clock: FakeClock, tables: readonly PeerTable[], server?: Server, slowLink?: SlowLink, client?: PeerClient, answers: readonly FeedAnswer[], config: string, body: unknown, told: boolean }
 
 /** A configuration as operators write it. */
 function largeConfig (routes: number): string {
@@ -72,6 +72,16 @@
 
 Then('it can read the answer', function (this: PeersWorld) { assert.deepEqual(this.body, { config: this.config }) })
 
+When('an entry that knows none of the paths is told what an upstream says', async function (this: PeersWorld) {
+  this.server = createServer((_, res) => res.writeHead(404).end())
+  await new Promise<void>(resolve => this.server!.listen(0, loopback, resolve))
+  this.client = new PeerClient()
+  const { port } = this.server.address() as AddressInfo
+  this.told = await this.client.tellNotices({ node: 'older', host: loopback, port }, { notices: [] }).then(() => true, () => false)
+})
+
+Then('it is not told', function (this: PeersWorld) { assert.equal(this.told, false) })
+
 function listed (n: number): StoreItem {
   const node = `entry-${n}`
   return { key: entryKey(node), value: JSON.stringify({ node, host: loopback, port: n + 1 }), revision: n + 1 }
