Ask after a load whose order and its repeats had no answer

What callers saw: not shown by itself. An engine lost a slot for as long as nothing else went wrong there, and the process that orders it set a timer every millisecond.

Cause: a load whose order got no answer was noted as ready at infinity, ordered at 0. A report that says that the adapter is coming took both over: the load was never asked after, its adapter never promised, the next look was due after an infinite time, which a timer takes for 1 ms. Taken over without the first, the load's time would have been learned as that since the process began.

Evidence: scenario "a load whose answers are all lost": next look at Infinity, before.

Change: an order without an answer has the time of its last repeat; a report takes over times of loads that were ordered only.

--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -56,6 +56,7 @@
    * - `unknown`: an order had no answer.
    */
   state: 'loaded' | 'in-transit' | 'unloading' | 'unknown'
+  /** When its load was ordered; of no meaning for one that is loaded or unloading. */
   orderedAt: Ms
   readyAt: Ms
   /** Whether its load was not over when it should have been. */
@@ -122,7 +123,8 @@
     for (const { model, adapter, version } of report.coming) {
       const key = slotKey(model, adapter)
       const before = held.get(key)
-      this._slots.set(key, { model, adapter, version, state: 'in-transit', orderedAt: before?.orderedAt ?? askedAt, readyAt: Math.max(before?.readyAt ?? 0, askedAt + this._times.shortest), late: false, promisedUntil: 0 })
+      const ordered = before?.state === 'in-transit' || before?.state === 'unknown' ? before : undefined
+      this._slots.set(key, { model, adapter, version, state: 'in-transit', orderedAt: ordered?.orderedAt ?? askedAt, readyAt: Math.max(ordered?.readyAt ?? 0, askedAt + this._times.shortest), late: false, promisedUntil: 0 })
     }
     // An order that was accepted after the report's values were read isn't in it yet.
     for (const [key, slot] of held) {
@@ -239,6 +241,8 @@
   /** The engine lacks what the plan took for loaded: the load is late, or its view is wrong. */
   private _distrust (slot: Slot, now: Ms): void {
     slot.state = 'unknown'
+    slot.orderedAt = now
+    slot.readyAt = now
     this._askAgain(now)
   }
 
@@ -415,7 +419,7 @@
    * or one too many could follow.
    */
   private _noAnswer (action: PlanAction & { readonly kind: 'load' | 'unload' }, now: Ms): void {
-    if (action.kind === 'load') this._noteUnknown(action.target)
+    if (action.kind === 'load') this._noteUnknown(action.target, now)
     if (++this._repeats > maxRepeats) {
       this._repeats = 0
       this._askAgain(now + reportLag)
@@ -424,9 +428,9 @@
     }
   }
 
-  private _noteUnknown ({ model, adapter, version }: LoadTarget): void {
+  private _noteUnknown ({ model, adapter, version }: LoadTarget, now: Ms): void {
     if (adapter === undefined) this._models.set(model, 'unknown')
-    else if (!this._slots.has(slotKey(model, adapter))) this._slots.set(slotKey(model, adapter), { model, adapter, version, state: 'unknown', orderedAt: 0, readyAt: Infinity, late: false, promisedUntil: 0 })
+    else if (!this._slots.has(slotKey(model, adapter))) this._slots.set(slotKey(model, adapter), { model, adapter, version, state: 'unknown', orderedAt: now, readyAt: now, late: false, promisedUntil: 0 })
   }
 
   private _loadAccepted ({ model, adapter, version }: LoadTarget, outcome: 'accepted' | 'holds', now: Ms): void {
--- a/packages/decisions/src/test/adapter-plan.feature
+++ b/packages/decisions/src/test/adapter-plan.feature
@@ -50,3 +50,12 @@
     Events: a load is late and its order is sent again to ask after it; the next order is refused.
     Cause: the engine does not count the repeat, and its holder did.
     Then of the orders of 60 asks for adapters whose loads take 400 ms none is refused
+
+  Scenario: a load whose answers are all lost
+    Symptom: an engine has one slot less for as long as nothing else goes wrong, and its entry is busy doing nothing.
+    Events: the engine takes an order; no answer to it or its repeats arrives; then a report says that the adapter is coming.
+    Cause: the order's time was unknown, so the load was never asked after, and the pause before that was endless.
+    Given an engine that takes the order of an adapter, whose answers are all lost
+    When a report says that the adapter is coming
+    Then the adapter is promised within 300 ms of being there
+    And the load's time was learned as less than 3 s
--- a/packages/decisions/src/test/adapter-plan.steps.ts
+++ b/packages/decisions/src/test/adapter-plan.steps.ts
@@ -208,3 +208,55 @@
   assert.ok(engine.orders > 20, `only ${engine.orders} orders`)
   assert.equal(engine.conflicts, 0)
 })
+
+interface LostWorld { plan: AdapterPlan, engine: PlayedEngine, now: number }
+
+const lostLoadMs = 1_500
+const stepMs = 10
+/** When the first order is sent; clocks of long-lived processes are far from 0. */
+const startedMs = 1_000_000
+
+Given('an engine that takes the order of an adapter, whose answers are all lost', function (this: LostWorld) {
+  this.engine = new PlayedEngine(lostLoadMs)
+  this.plan = new AdapterPlan(specOf(4))
+  this.now = startedMs
+  assert.equal(this.plan.next(this.now).kind, 'report')
+  this.plan.takeReport(this.engine.report(this.now), this.now)
+  this.plan.ask({ model, adapter: 'a1' }, { urgency: 1, until: this.now + 10_000, dueAt: this.now + 10_000, missing: false, repeated: false, mayWait: true }, this.now)
+  for (let action = this.plan.next(this.now); action.kind === 'load' || action.kind === 'unload'; action = this.plan.next(this.now)) {
+    this.engine.take(action, 0, this.now)
+    this.now += stepMs
+    this.plan.ordered(action, undefined, this.now)
+  }
+})
+
+When('a report says that the adapter is coming', function (this: LostWorld) {
+  while (this.plan.next(this.now).kind === 'idle') this.now += stepMs
+  assert.equal(this.plan.next(this.now).kind, 'report')
+  const report = this.engine.report(this.now)
+  assert.equal(report.coming.length, 1)
+  this.plan.takeReport(report, this.now)
+})
+
+Then('the adapter is promised within {int} ms of being there', function (this: LostWorld, ms: number) {
+  const latest = startedMs + lostLoadMs + ms
+  while (this.plan.promise({ model, adapter: 'a1' }, this.now)?.kind !== 'ready') {
+    assert.ok(this.now <= latest, 'not promised')
+    const ready = this.plan.nextReady(this.now)
+    assert.ok(ready === undefined || Number.isFinite(ready), `next look at ${ready}`)
+    const action = this.plan.next(this.now)
+    if (action.kind === 'load') this.plan.ordered(action, this.engine.take(action, this.plan.orders, this.now), this.now)
+    if (action.kind === 'report') this.plan.takeReport(this.engine.report(this.now), this.now)
+    this.now += stepMs
+  }
+})
+
+Then('the load\'s time was learned as less than {int} s', function (this: LostWorld, seconds: number) {
+  const begun = this.now
+  this.plan.ask({ model, adapter: 'a2' }, { urgency: 1, until: begun + 10_000, dueAt: begun + 10_000, missing: false, repeated: false, mayWait: true }, begun)
+  const action = this.plan.next(begun)
+  assert.equal(action.kind, 'load')
+  if (action.kind === 'load') this.plan.ordered(action, 'accepted', begun)
+  const ready = this.plan.nextReady(begun)
+  assert.ok(ready !== undefined && ready - begun < seconds * 1_000, `expected after ${(ready ?? 0) - begun} ms`)
+})
