--- a/packages/direct/src/test/peers.steps.ts
+++ b/packages/direct/src/test/peers.steps.ts
@@ -21,7 +21,7 @@
 const feedWaitMs = 400
 const bitsPerByte = 8
 
-interface PeersWorld { clock: FakeClock, tables: readonly PeerTable[], server?: Server, slowLink?: SlowLink, client?: PeerClient, answers: readonly FeedAnswer[], config: string, body: unknown, told: boolean }
+interface PeersWorld { clock: FakeClock, tables: readonly PeerTable[], peerServer?: Server, slowLink?: SlowLink, peerClient?: PeerClient, answers: readonly FeedAnswer[], config: string, body: unknown, told: boolean }
 
 /** A configuration as operators write it. */
 function largeConfig (routes: number): string {
@@ -32,15 +32,15 @@
 }
 
 async function serve (world: PeersWorld, service: Partial<PeerService>): Promise<number> {
-  world.server = await servePeers(service as PeerService, loopback, 0)
-  return (world.server.address() as AddressInfo).port
+  world.peerServer = await servePeers(service as PeerService, loopback, 0)
+  return (world.peerServer.address() as AddressInfo).port
 }
 
 After(function (this: PeersWorld) {
-  this.client?.close()
+  this.peerClient?.close()
   this.slowLink?.stop()
-  this.server?.closeAllConnections()
-  this.server?.close()
+  this.peerServer?.closeAllConnections()
+  this.peerServer?.close()
 })
 
 When('{int} entries ask one for changes, over its link of {int} Mbit\\/s, and a configuration of {int} routes is among them', async function (this: PeersWorld, entries: number, megabits: number, routes: number) {
@@ -49,9 +49,9 @@
   const port = await serve(this, { changes: async () => ({ kind: 'changes', events: [event], revision: 2, age: 0, viewAge: 0 }) })
   this.slowLink = new SlowLink(port, megabits * 1e6 / bitsPerByte)
   await this.slowLink.listen()
-  this.client = new PeerClient()
+  this.peerClient = new PeerClient()
   const peer = { node: 'watcher', host: loopback, port: this.slowLink.port }
-  this.answers = await Promise.all(Array.from({ length: entries }, () => this.client!.changes(peer, 1, feedWaitMs)))
+  this.answers = await Promise.all(Array.from({ length: entries }, () => this.peerClient!.changes(peer, 1, feedWaitMs)))
 })
 
 Then('each has it', function (this: PeersWorld) {
@@ -73,11 +73,11 @@
 Then('it can read the answer', function (this: PeersWorld) { assert.deepEqual(this.body, { config: this.config }) })
 
 When('an entry that knows none of the paths is told what an upstream says', async function (this: PeersWorld) {
-  this.server = createServer((_, res) => res.writeHead(404).end())
-  await new Promise<void>(resolve => this.server!.listen(0, loopback, resolve))
-  this.client = new PeerClient()
-  const { port } = this.server.address() as AddressInfo
-  this.told = await this.client.tellNotices({ node: 'older', host: loopback, port }, { notices: [] }).then(() => true, () => false)
+  this.peerServer = createServer((_, res) => res.writeHead(404).end())
+  await new Promise<void>(resolve => this.peerServer!.listen(0, loopback, resolve))
+  this.peerClient = new PeerClient()
+  const { port } = this.peerServer.address() as AddressInfo
+  this.told = await this.peerClient.tellNotices({ node: 'older', host: loopback, port }, { notices: [] }).then(() => true, () => false)
 })
 
 Then('it is not told', function (this: PeersWorld) { assert.equal(this.told, false) })
