--- a/packages/bench/src/lib/guards.ts
+++ b/packages/bench/src/lib/guards.ts
@@ -353,5 +353,13 @@
     replace: 'if (false)',
     feature: 'platform/src/test/ended-entries.feature',
     scenario: 'an entry that orders engines is killed'
+  },
+  {
+    promise: 'loads: one whose order had no answer is asked after',
+    file: 'packages/decisions/dist/lib/adapter-plan.js',
+    find: "state: 'unknown', orderedAt: now, readyAt: now",
+    replace: "state: 'unknown', orderedAt: 0, readyAt: Infinity",
+    feature: 'packages/decisions/src/test/adapter-plan.feature',
+    scenario: 'a load whose answers are all lost'
   }
 ]
