Let a report to those that count come to an end

Cause: entries that answer pings and take no reports (of another version, say) were cleared of suspicion while the report went on to the next ones, and came first again: it went round without an end, and this entry never counted by itself.

Evidence: nine entries that refuse reports after 150 ms: in 3 s the first two were asked five times each, five were never asked.

Change: a report asks each entry once, and none once this entry has ended.

--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -61,6 +61,7 @@
   private _limitedSince: Ms | undefined
   /** When the last limit ended. */
   private _endedAt: Ms = -Infinity
+  private _stopped = false
   private readonly _startedAt: Ms
 
   constructor (private readonly _options: UsageDeskOptions) {
@@ -82,6 +83,7 @@
   }
 
   stop (): void {
+    this._stopped = true
     this._suspects.stop()
     for (const line of this._lines.values()) line.stop()
   }
@@ -137,9 +139,10 @@
    */
   private async _report (shard: number, report: UsageReport): Promise<readonly UsageGrant[]> {
     let { covers } = report
+    const failed = new Set<string>()
     for (let asked = 1; ; asked *= 2) {
-      const [keeper, ...next] = this._keepersBefore(shard).slice(0, asked)
-      if (keeper === undefined) return this.report({ ...report, covers, shard })
+      const [keeper, ...next] = this._keepersBefore(shard).filter(({ node }) => !failed.has(node)).slice(0, asked)
+      if (keeper === undefined || this._stopped) return this.report({ ...report, covers, shard })
       const probes = next.map(peer => this._probe(peer))
       try {
         return this._complete(report, await this._options.report(keeper, { ...report, covers, shard }))
@@ -148,6 +151,7 @@
         if (!(error instanceof NoAnswer && !error.sent)) covers = 0
         this._options.log.info('usage', 'keeper does not answer.', { kind: this._options.kind, keeper: keeper.node, shard, cause: (error as Error).message })
         this._suspects.add(keeper)
+        failed.add(keeper.node)
       }
       await Promise.all(probes)
     }
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -50,5 +50,10 @@
     When an organisation is known to an entry, and not yet to the one that counts
     Then its first 20 requests are let in, with 3 messages at most
 
+  Scenario: entries that answer, and do not count
+    Guards against a report that goes round without an end, also at an entry that has ended.
+    When none of 9 entries that should count takes reports, though all answer, and the entry ends after 3000 ms
+    Then each was asked 3 times at most, and none from then on
+
   Scenario: what another version tells
     Then whatever a peer reports or lends is amounts that can be counted, or nothing
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
-import { FakeClock, type Ms, silentLog } from '@hazelford/core'
+import { FakeClock, type Ms, silentLog, sleep } from '@hazelford/core'
 import { rendezvousOrder, type UsageBounds } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import fc from 'fast-check'
@@ -158,6 +158,54 @@
   assert.ok(this.messages <= messages, `${this.messages} messages`)
 })
 
+interface UncountedWorld { asked: Map<string, number>, askedLater: number }
+
+const refusedAfterMs = 150
+
+When('none of {int} entries that should count takes reports, though all answer, and the entry ends after {int} ms', async function (this: UncountedWorld, others: number, endsAfter: number) {
+  const names = rendezvousOrder('usage/0', Array.from({ length: others + 1 }, (_, n) => `entry-${n}`))
+  const peers = names.map((node, n) => ({ node, host: '127.0.0.1', port: n + 1 }))
+  const clock = new FakeClock()
+  const asked = new Map<string, number>()
+  const desk = new UsageDesk({
+    node: names.at(-1)!,
+    clock,
+    log: silentLog,
+    bounds: () => limitBounds,
+    entries: () => peers,
+    entryCount: () => peers.length,
+    kind: 'usage',
+    isPatient: true,
+    limits: () => usageLimits([newcomer]),
+    untold: grantUntold,
+    report: async ({ node }) => {
+      asked.set(node, (asked.get(node) ?? 0) + 1)
+      await sleep(clock, refusedAfterMs)
+      throw new Error('The keeper answered 404.')
+    },
+    ping: async () => {}
+  })
+  const pass = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed++) {
+      clock.advance(1)
+      await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+  desk.limitsChanged()
+  await pass(endsAfter)
+  desk.stop()
+  this.asked = new Map(asked)
+  await pass(refusedAfterMs)
+  const before = [...asked.values()].reduce((sum, times) => sum + times, 0)
+  await pass(endsAfter)
+  this.askedLater = [...asked.values()].reduce((sum, times) => sum + times, 0) - before
+})
+
+Then('each was asked {int} times at most, and none from then on', function (this: UncountedWorld, most: number) {
+  assert.ok(Math.max(...this.asked.values()) <= most, [...this.asked].join(' '))
+  assert.equal(this.askedLater, 0)
+})
+
 Then('whatever a peer reports or lends is amounts that can be counted, or nothing', () => {
   const anything = fc.oneof(fc.jsonValue(), fc.record({ shard: fc.jsonValue(), entry: fc.jsonValue(), covers: fc.jsonValue(), rows: fc.array(fc.record({ account: fc.string(), holding: fc.jsonValue(), first: fc.integer(), waiting: fc.integer(), ahead: fc.jsonValue(), returned: fc.integer() })) }))
   fc.assert(fc.property(anything, value => {
