--- a/packages/direct/src/test/peers.steps.ts
+++ b/packages/direct/src/test/peers.steps.ts
@@ -23,11 +23,11 @@
 
 interface PeersWorld { clock: FakeClock, tables: readonly PeerTable[], peerServer?: Server, slowLink?: SlowLink, peerClient?: PeerClient, answers: readonly FeedAnswer[], config: string, body: unknown, told: boolean }
 
-/** A configuration as operators write it. */
+/** A configuration of a size and a variety that operators' have. */
 function largeConfig (routes: number): string {
   return JSON.stringify({
     version: 3,
-    routes: Array.from({ length: routes }, (_, n) => ({ name: `route-${n}`, host: `host-${n * 7919 % 997}.example`, 'path-prefix': `/team-${n * 104729 % 8191}/service-${n}/`, kind: 'read_only', 'timeout-ms': 3_000 + n % 7, 'target-latency-ms': 200, priority: n % 3, service: `service-${n % 11}`, 'max-attempts': 2, sticky: false, resumable: false, 'gap-aim-ms': 300 }))
+    routes: Array.from({ length: routes }, (_, n) => ({ name: `route-${n}`, host: `host-${n * 7919 % 997}.example`, pathPrefix: `/team-${n * 104729 % 8191}/service-${n}/`, kind: 'read-only', targets: [{ service: `service-${n % 11}`, weight: 100 }], timeout: 3_000 + n % 7, latencyTarget: 200, priority: n % 3, maxAttempts: 2, resumable: false, public: false, gapTarget: 300 }))
   })
 }
 
@@ -45,7 +45,7 @@
 
 When('{int} entries ask one for changes, over its link of {int} Mbit\\/s, and a configuration of {int} routes is among them', async function (this: PeersWorld, entries: number, megabits: number, routes: number) {
   this.config = largeConfig(routes)
-  const event = { kind: 'put', item: { key: 'op/config', value: this.config, revision: 2 } } as const
+  const event = { kind: 'put', item: { key: 'config', value: this.config, revision: 2 } } as const
   const port = await serve(this, { changes: async () => ({ kind: 'changes', events: [event], revision: 2, age: 0, viewAge: 0 }) })
   this.slowLink = new SlowLink(port, megabits * 1e6 / bitsPerByte)
   await this.slowLink.listen()
