--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -3,13 +3,14 @@
  */
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
-import { FakeClock, type Ms, silentLog, sleep } from '@hazelford/core'
+import { type Clock, FakeClock, type Ms, silentLog, sleep } from '@hazelford/core'
 import { rendezvousOrder, type UsageBounds } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import fc from 'fast-check'
 import { limitBounds } from '../lib/notice-desk.js'
 import { grantUntold, usageLimits, usageOf } from '../lib/organisation-usage.js'
-import { UsageDesk } from '../lib/usage-desk.js'
+import type { PeerAddress } from '../lib/peer-table.js'
+import { UsageDesk, type UsageDeskOptions } from '../lib/usage-desk.js'
 import type { Admission } from '../lib/usage-line.js'
 import { readUsageGrants, readUsageMessage } from '../lib/usage-messages.js'
 import { playUsage, type UsageDemand, type UsageFault, type UsageLoad } from './support/usage-play.js'
@@ -122,34 +123,43 @@
 
 const newcomer: Organisation = { name: 'newcomer', keys: [], limit: { unit: 'requests', rate: 50, burst: 50, plainTokens: 0 } }
 
+/** Entries in the order in which they should count. */
+function rankedEntries (count: number): readonly PeerAddress[] {
+  const names = Array.from({ length: count }, (_, n) => `entry-${n}`)
+  return rendezvousOrder('usage/0', names).map((node, n) => ({ node, host: '127.0.0.1', port: n + 1 }))
+}
+
+/** One entry's desk among others that all answer pings. */
+function deskAmong (entries: readonly PeerAddress[], node: string, clock: Clock, organisations: readonly Organisation[], report: UsageDeskOptions['report']): UsageDesk {
+  const desk = new UsageDesk({
+    node,
+    clock,
+    log: silentLog,
+    bounds: () => ({ window: 8_000, overage: 0.1, slack: 0 }),
+    entries: () => entries,
+    entryCount: () => entries.length,
+    kind: 'usage',
+    isPatient: true,
+    limits: () => usageLimits(organisations),
+    untold: grantUntold,
+    report,
+    ping: async () => {}
+  })
+  desk.limitsChanged()
+  return desk
+}
+
 When('an organisation is known to an entry, and not yet to the one that counts', function (this: NewcomerWorld) {
-  const names = rendezvousOrder('usage/0', ['entry-1', 'entry-2'])
-  const entries = names.map((node, n) => ({ node, host: '127.0.0.1', port: n + 1 }))
+  const entries = rankedEntries(2)
+  const [first, second] = entries
   const clock = new FakeClock()
-  const bounds = { window: 8_000, overage: 0.1, slack: 0 }
   this.messages = 0
-  const create = (node: string, organisations: readonly Organisation[], keeper?: UsageDesk): UsageDesk => {
-    const desk = new UsageDesk({
-      node,
-      clock,
-      log: silentLog,
-      bounds: () => bounds,
-      entries: () => entries,
-      entryCount: () => entries.length,
-      kind: 'usage',
-      isPatient: true,
-      limits: () => usageLimits(organisations),
-      untold: grantUntold,
-      report: async (_, msg) => {
-        this.messages++
-        return keeper!.report(msg)
-      },
-      ping: async () => {}
-    })
-    desk.limitsChanged()
-    return desk
-  }
-  this.desk = create(names[1]!, [newcomer], create(names[0]!, []))
+  const unasked = async (): Promise<never> => { throw new Error('The first counts by itself.') }
+  const keeper = deskAmong(entries, first!.node, clock, [], unasked)
+  this.desk = deskAmong(entries, second!.node, clock, [newcomer], async (_, msg) => {
+    this.messages++
+    return keeper.report(msg)
+  })
 })
 
 Then('its first {int} requests are let in, with {int} messages at most', async function (this: NewcomerWorld, requests: number, messages: number) {
@@ -163,27 +173,13 @@
 const refusedAfterMs = 150
 
 When('none of {int} entries that should count takes reports, though all answer, and the entry ends after {int} ms', async function (this: UncountedWorld, others: number, endsAfter: number) {
-  const names = rendezvousOrder('usage/0', Array.from({ length: others + 1 }, (_, n) => `entry-${n}`))
-  const peers = names.map((node, n) => ({ node, host: '127.0.0.1', port: n + 1 }))
+  const peers = rankedEntries(others + 1)
   const clock = new FakeClock()
   const asked = new Map<string, number>()
-  const desk = new UsageDesk({
-    node: names.at(-1)!,
-    clock,
-    log: silentLog,
-    bounds: () => limitBounds,
-    entries: () => peers,
-    entryCount: () => peers.length,
-    kind: 'usage',
-    isPatient: true,
-    limits: () => usageLimits([newcomer]),
-    untold: grantUntold,
-    report: async ({ node }) => {
-      asked.set(node, (asked.get(node) ?? 0) + 1)
-      await sleep(clock, refusedAfterMs)
-      throw new Error('The keeper answered 404.')
-    },
-    ping: async () => {}
+  const desk = deskAmong(peers, peers.at(-1)!.node, clock, [newcomer], async ({ node }) => {
+    asked.set(node, (asked.get(node) ?? 0) + 1)
+    await sleep(clock, refusedAfterMs)
+    throw new Error('The keeper answered 404.')
   })
   const pass = async (ms: number): Promise<void> => {
     for (let passed = 0; passed < ms; passed++) {
@@ -191,7 +187,6 @@
       await new Promise(resolve => setImmediate(resolve))
     }
   }
-  desk.limitsChanged()
   await pass(endsAfter)
   desk.stop()
   this.asked = new Map(asked)
