Comments on compression and on keepers: the reason alone

Comments only: type check, linter, check of wire names, and the five scenarios of peers.feature were run by hand.

--- a/packages/direct/src/lib/serve-peers.ts
+++ b/packages/direct/src/lib/serve-peers.ts
@@ -18,10 +18,7 @@
 const longestFeedWait: Ms = 2_000
 /** An entry may have requests open on some hundred adapters of an engine, and tell of as many upstreams. */
 const maxBody = 128 * 1024
-/**
- * Longer answers are compressed. A configuration of two thousand routes is half a megabyte, which takes most of a second on a
- * link of some Mbit/s, and a twentieth of that compressed.
- */
+/** Bytes from which answers are compressed: a large configuration takes longer than callers wait on a slow link. */
 const compressFrom = 16 * 1024
 
 const compress = promisify(gzip)
--- a/packages/direct/src/lib/usage-desk.ts
+++ b/packages/direct/src/lib/usage-desk.ts
@@ -134,8 +134,8 @@
   /**
    * Reports to the first keeper that answers; at last to this entry itself.
    *
-   * Callers wait for the answer. After each failure twice as many are asked whether they answer, so that an entry that is cut
-   * off from hundreds knows it after some ten timeouts.
+   * Callers wait for the answer. After each failure twice as many are asked whether they answer: timeouts grow with the logarithm
+   * of the entries.
    */
   private async _report (shard: number, report: UsageReport): Promise<readonly UsageGrant[]> {
     let { covers } = report
