End a sidecar's writes of claims with the sidecar

Cause: a sidecar that had recorded a claim on a key while the key-value service was away tried again for good, also after its end. In a process of its own that ends with the process; in a test run it goes on until the last scenario. Five scenarios of bookings left such sidecars, each calling the port of its former key-value service once or twice a second. The kernel gives that port to another server in time, and a server of the tests counts whatever it doesn't know as a run. Four strays in the 2.8 s of the failed scenario fit two calls a second.

That the failed run was this and no other one can't be shown any more: it kept no paths of its runs.

Ruled out: entries that have ended connect once at most after their end in that trial, and processes of the soak end with it.

Change: claims are recorded and removed only until their sidecar has stopped.

--- a/packages/bench/src/test/bookings.feature
+++ b/packages/bench/src/test/bookings.feature
@@ -138,3 +138,12 @@
     And a booking "two" is sent with the key "one"
     Then the caller is told "not-run" with status 422 and code "key-in-use"
     And booking "two" ran 0 times
+
+  Scenario: sidecars that have ended
+    Guards against sidecars that go on calling the key-value service after their end.
+    Given a system with 2 booking services and 1 entry
+    And the key-value service is down
+    When a booking "one" is sent with its key through entry 0
+    And all entries and sidecars end
+    And the key-value service is back
+    Then it gets no call for 1500 ms
--- a/packages/bench/src/test/bookings.steps.ts
+++ b/packages/bench/src/test/bookings.steps.ts
@@ -120,3 +120,15 @@
 Then('booking {string} has run once in the end', async function (this: SystemWorld, token: string) {
   await until('it ran', () => this.system.plains[0]!.bookings.get(token) === 1)
 })
+
+When('all entries and sidecars end', function (this: SystemWorld) {
+  for (const { entry } of this.system.entries) entry.stop()
+  for (const sidecar of this.system.sidecars.values()) sidecar.stop()
+})
+
+Then('it gets no call for {int} ms', async function (this: SystemWorld, ms: number) {
+  const { calls } = this.system.kv
+  const before = { ...calls }
+  await new Promise(resolve => { setTimeout(resolve, ms) })
+  assert.deepEqual(calls, before)
+})
--- a/packages/sidecar/src/lib/claims.ts
+++ b/packages/sidecar/src/lib/claims.ts
@@ -2,7 +2,7 @@
  * Claims on idempotency keys: each keyed call runs once, whichever sidecar gets it.
  */
 import { createHash } from 'node:crypto'
-import { type Clock, type EventRing, type Log, newId, type Ms } from '@hazelford/core'
+import { type Clock, type EventRing, type Log, newId, type Ms, sleep } from '@hazelford/core'
 import type { AnswerHeader } from '@hazelford/engine'
 import { type KvClient, type KvRead, settledWrite } from '@hazelford/consul'
 
@@ -55,6 +55,8 @@
   readonly service: string
   readonly sidecar: string
   readonly incarnation: string
+  /** Whether the sidecar has ended; nothing is recorded or removed from then on. */
+  readonly stopped: () => boolean
 }
 
 interface Held {
@@ -230,9 +232,7 @@
   }
 
   private async _untilDone (step: () => Promise<boolean>): Promise<void> {
-    const { clock } = this._options
-    while (!await step()) {
-      await new Promise<void>(resolve => { clock.after(settleRetryMs, resolve) })
-    }
+    const { clock, stopped } = this._options
+    while (!stopped() && !await step()) await sleep(clock, settleRetryMs)
   }
 }
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -179,7 +179,7 @@
     const { client, kv, clock, log, events, name, upstream } = this._options
     if (client.kind === 'model') return createModelRunner(client.engine, model!.slots, runnerEvents)
     const service = (): string => this._upstream()?.service ?? upstream
-    const claims = new Claims({ kv, clock, log, events, get service () { return service() }, sidecar: name, incarnation: this.incarnation })
+    const claims = new Claims({ kv, clock, log, events, get service () { return service() }, sidecar: name, incarnation: this.incarnation, stopped: () => this._stopped })
     return createPlainRunner(client.plain, claims, runnerEvents, events)
   }
 
--- a/packages/sidecar/src/test/claims.steps.ts
+++ b/packages/sidecar/src/test/claims.steps.ts
@@ -17,7 +17,7 @@
 
 function claimsOf (kv: KvClient, sidecar: string, incarnation = 'one'): Claims {
   const events = new EventRing(new HybridClock(clock))
-  return new Claims({ kv, clock, log: silentLog, events, service: 'booking', sidecar, incarnation })
+  return new Claims({ kv, clock, log: silentLog, events, service: 'booking', sidecar, incarnation, stopped: () => false })
 }
 
 let kv: FakeKv
