Try an upstream that failed lately before a caller is refused for the limits of the others

Cause: an entry leaves upstreams that failed alone while others can have its requests, and uses them all again when none is left. One at its limit counted as left: it can't have the request, and those that could were not asked.

Evidence: the scenario beside 24 busy processes, with all lines: 29 times "upstream ejected", 55 answers lost for "No first byte within 600 ms.", then the refusals. Reproduced alone: "a server at its limit, and one that failed lately": 503 for a stock check, a booking and a draft, 3 of 3 failed before.

Looked for elsewhere: upstreams that want rest are left out before that choice, so those that failed are used beside them; likewise those that leave.

Change: when the upstreams that an entry prefers are all at their limits, the others are ranked and tried, within the caller's patience.

Nothing else changes where no upstream names a limit: the second try comes after an answer over-limit only.

--- a/packages/bench/src/lib/guards/shared-guards.ts
+++ b/packages/bench/src/lib/guards/shared-guards.ts
@@ -78,5 +78,13 @@
     replace: 'false',
     feature: 'packages/direct/src/test/peers.feature',
     scenario: 'a large configuration over a slow link'
+  },
+  {
+    promise: 'limits of upstreams: those that failed lately are tried before callers are refused',
+    file: 'packages/direct/dist/lib/placer.js',
+    find: 'if (!isLimited || ',
+    replace: 'if (true || ',
+    feature: 'platform/src/test/notices.feature',
+    scenario: 'a server at its limit, and one that failed lately'
   }
 ]
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -124,10 +124,21 @@
   stay (service: string): Ms { return this._stays.get(service)?.value ?? 0 }
 
   async place (query: PlaceQuery): Promise<Placed> {
-    const ranked = this._ranked(query)
+    const startedAt = this._now
+    const { healthy, ejected } = this._open(query)
+    const ranked = this._withAgain(query, this._rankedOf(query, healthy.length > 0 ? healthy : ejected))
     if (ranked.length === 0) return this._unplaced(query)
-    if (query.want === undefined) return this._placePlain(ranked)
-    return this._placeAdapter(query, query.want, ranked.slice(0, maxTried))
+    const placed = await this._placeAmong(query, ranked)
+    const isLimited = placed.kind === 'unplaced' && placed.cause === 'upstream-limit'
+    if (!isLimited || healthy.length === 0 || ejected.length === 0) return placed
+    // One that failed lately may answer; those that did not take no more requests now.
+    const patience = query.patience - (this._now - startedAt)
+    const further = await this._placeAmong({ ...query, patience }, this._rankedOf(query, ejected))
+    return further.kind === 'placed' ? further : placed
+  }
+
+  private _placeAmong (query: PlaceQuery, ranked: readonly Upstream[]): Promise<Placed> {
+    return query.want === undefined ? this._placePlain(ranked) : this._placeAdapter(query, query.want, ranked.slice(0, maxTried))
   }
 
   /** Tells when the first of those that want rest can be asked again, if there are any. */
@@ -233,19 +244,21 @@
       upstream.leavesAt > this._now + leavingMargin
   }
 
-  private _ranked (query: PlaceQuery): readonly Upstream[] {
-    const again = query.again === undefined ? undefined : this._options.members.get(query.again)
+  private _withAgain ({ again: id }: PlaceQuery, ranked: readonly Upstream[]): readonly Upstream[] {
+    const again = id === undefined ? undefined : this._options.members.get(id)
     // The upstream that lacked the adapter goes first: it is on its way there.
-    const first = again !== undefined && this._isOpen(again) ? [again] : []
-    return [...first, ...this._rankedOthers(query)]
+    return again !== undefined && this._isOpen(again) ? [again, ...ranked] : ranked
   }
 
-  private _rankedOthers (query: PlaceQuery): readonly Upstream[] {
+  /** Upstreams that take new requests now, and whether this entry would rather leave them alone. */
+  private _open ({ service, avoid }: PlaceQuery): { readonly healthy: readonly Upstream[], readonly ejected: readonly Upstream[] } {
     const now = this._now
-    const serving = this._options.members.serving(query.service)
-      .filter(upstream => !query.avoid.has(upstream.id) && this._isOpen(upstream) && upstream.pool.hasRoom)
-    const healthy = serving.filter(upstream => upstream.health.accepts(now))
-    const open = healthy.length > 0 ? healthy : serving
+    const open = this._options.members.serving(service)
+      .filter(upstream => !avoid.has(upstream.id) && this._isOpen(upstream) && upstream.pool.hasRoom)
+    return { healthy: open.filter(({ health }) => health.accepts(now)), ejected: open.filter(({ health }) => !health.accepts(now)) }
+  }
+
+  private _rankedOf (query: PlaceQuery, open: readonly Upstream[]): readonly Upstream[] {
     const holding = query.want === undefined ? open : this._withModel(open, query.want.model)
     return this._rank(query, holding.length > 0 ? holding : open)
   }
