Reject the calls of an entry that has ended to other entries

Cause: the client of peers ended its connections and opened new ones when asked. Whoever forgets to look after a wait calls on. The same class of fault as claims after their sidecar's end.

Change: a closed client rejects every call, as not sent.

--- a/packages/direct/src/lib/peer-client.ts
+++ b/packages/direct/src/lib/peer-client.ts
@@ -5,7 +5,7 @@
 import type { Ms } from '@hazelford/core'
 import type { UsageGrant } from '@hazelford/decisions'
 import { type FeedAnswer, readFeedAnswer } from './change-feed.js'
-import { callJson } from './json-client.js'
+import { callJson, type JsonAnswer, type JsonCall, NoAnswer } from './json-client.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
 import { type AnsweredQuery, type AskMessage, type AskReply, type ChangesMessage, type EndsMessage, type HeldMessage, type LimitReply, type LimitReport, type PeerAskOutcome, peerPaths, type TakenMessage, type UseMessage } from './peer-messages.js'
 import type { ConfigAge, PeerState } from './peer-state.js'
@@ -22,6 +22,7 @@
 /** Calls other entries. */
 export class PeerClient {
   private readonly _agent = new Agent({ keepAlive: true, maxSockets: 16 })
+  private _closed = false
 
   /**
    * Asks for an adapter.
@@ -33,7 +34,7 @@
    */
   async ask (peer: PeerAddress, msg: AskMessage, now: () => Ms): Promise<PeerAskOutcome> {
     const sentAt = now()
-    const answer = await callJson(this._agent, { host: peer.host, port: peer.port, method: 'POST', path: peerPaths.ask, body: msg, timeout: msg.answerIn + answerMargin })
+    const answer = await this._call({ host: peer.host, port: peer.port, method: 'POST', path: peerPaths.ask, body: msg, timeout: msg.answerIn + answerMargin })
     if (answer.status !== 200) throw new Error(`The holder answered ${answer.status}.`)
     const reply = answer.body as AskReply
     const loads = reply.loads ?? []
@@ -46,7 +47,7 @@
   /** Asks for changes in the store after a revision; rejects when no answer came in time. */
   async changes ({ host, port }: PeerAddress, after: number, wait: Ms): Promise<FeedAnswer> {
     const body: ChangesMessage = { after, wait }
-    const answer = await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.changes, body, compressed: true, timeout: wait + changesMargin })
+    const answer = await this._call({ host, port, method: 'POST', path: peerPaths.changes, body, compressed: true, timeout: wait + changesMargin })
     if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
     const changes = readFeedAnswer(answer.body)
     if (changes === undefined) throw new Error('The peer\'s answer can not be read.')
@@ -55,14 +56,14 @@
 
   /** Asks for configuration and upstreams. */
   async state ({ host, port }: { readonly host: string, readonly port: number }): Promise<PeerState> {
-    const answer = await callJson(this._agent, { host, port, method: 'GET', path: peerPaths.state, compressed: true, timeout: stateTimeout })
+    const answer = await this._call({ host, port, method: 'GET', path: peerPaths.state, compressed: true, timeout: stateTimeout })
     if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
     return answer.body as PeerState
   }
 
   /** Reports usage to the entry that counts it; rejects when it does not answer. */
   async reportUsage ({ host, port }: PeerAddress, msg: UsageMessage): Promise<readonly UsageGrant[]> {
-    const { status, body } = await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.usage, body: msg, timeout: answerMargin })
+    const { status, body } = await this._call({ host, port, method: 'POST', path: peerPaths.usage, body: msg, timeout: answerMargin })
     const grants = readUsageGrants(body)
     if (status !== 200 || grants === undefined) throw new Error(`The keeper answered ${status}.`)
     return grants
@@ -70,7 +71,7 @@
 
   /** Reports what is used of upstreams' limits to the entry that counts it; rejects when it does not answer. */
   async reportLimits ({ host, port }: PeerAddress, msg: LimitReport): Promise<LimitReply> {
-    const { status, body } = await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.limits, body: msg, timeout: answerMargin })
+    const { status, body } = await this._call({ host, port, method: 'POST', path: peerPaths.limits, body: msg, timeout: answerMargin })
     const [grants, notices] = [readUsageGrants(body), readNotices(body)]
     if (status !== 200 || grants === undefined || notices === undefined) throw new Error(`The keeper answered ${status}.`)
     return { grants, notices }
@@ -81,14 +82,14 @@
 
   /** Asks as of when a peer knows the configuration; undefined when it does not say. */
   async configAge ({ host, port }: PeerAddress): Promise<ConfigAge | undefined> {
-    const { status, body } = await callJson(this._agent, { host, port, method: 'GET', path: peerPaths.configAge, timeout: answerMargin })
+    const { status, body } = await this._call({ host, port, method: 'GET', path: peerPaths.configAge, timeout: answerMargin })
     const { version, viewAge } = (body ?? {}) as Partial<ConfigAge>
     return status === 200 && typeof version === 'number' && typeof viewAge === 'number' ? { version, viewAge } : undefined
   }
 
   /** Tells whether a peer answers; rejects when it does not. */
   async ping ({ host, port }: PeerAddress): Promise<void> {
-    await callJson(this._agent, { host, port, method: 'GET', path: peerPaths.ping, timeout: answerMargin })
+    await this._call({ host, port, method: 'GET', path: peerPaths.ping, timeout: answerMargin })
   }
 
   /** Tells a holder what this entry still uses. */
@@ -102,7 +103,7 @@
 
   /** Asks an entry which of some requests it has answered lately; rejects when it does not answer. */
   async askAnswered ({ host, port }: PeerAddress, query: AnsweredQuery): Promise<readonly string[]> {
-    const answer = await callJson(this._agent, { host, port, method: 'POST', path: peerPaths.answered, body: query, timeout: answerMargin })
+    const answer = await this._call({ host, port, method: 'POST', path: peerPaths.answered, body: query, timeout: answerMargin })
     if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
     return (answer.body as { readonly answered: readonly string[] }).answered
   }
@@ -110,11 +111,20 @@
   /** Tells an entry which requests are held back; rejects when it does not answer. */
   tellHeld (peer: PeerAddress, msg: HeldMessage): Promise<void> { return this._tell(peer, peerPaths.held, msg) }
 
-  close (): void { this._agent.destroy() }
+  /** Ends calls that are under way; later ones are rejected. */
+  close (): void {
+    this._closed = true
+    this._agent.destroy()
+  }
+
+  private async _call (call: JsonCall): Promise<JsonAnswer> {
+    if (this._closed) throw new NoAnswer('This entry has ended.', false)
+    return await callJson(this._agent, call)
+  }
 
   /** One of another version may not know what it is told; nothing was told then. */
   private async _tell ({ host, port }: PeerAddress, path: string, body: object): Promise<void> {
-    const { status } = await callJson(this._agent, { host, port, method: 'POST', path, body, timeout: answerMargin })
+    const { status } = await this._call({ host, port, method: 'POST', path, body, timeout: answerMargin })
     if (status !== 200) throw new Error(`The peer answered ${status}.`)
   }
 }
--- a/packages/direct/src/test/peers.feature
+++ b/packages/direct/src/test/peers.feature
@@ -25,3 +25,8 @@
   Scenario: entries that have left
     When 22 entries that know each other hear of themselves alone for 6000 ms
     Then each counts itself alone
+
+  Scenario: calls of an entry that has ended
+    Guards against calls of an entry that has ended, to a port that another process may have by then.
+    When an entry that has ended asks another one for its state
+    Then the other one gets no call
--- a/packages/direct/src/test/peers.steps.ts
+++ b/packages/direct/src/test/peers.steps.ts
@@ -21,7 +21,7 @@
 const feedWaitMs = 400
 const bitsPerByte = 8
 
-interface PeersWorld { clock: FakeClock, tables: readonly PeerTable[], peerServer?: Server, slowLink?: SlowLink, peerClient?: PeerClient, answers: readonly FeedAnswer[], config: string, body: unknown, told: boolean }
+interface PeersWorld { clock: FakeClock, tables: readonly PeerTable[], peerServer?: Server, slowLink?: SlowLink, peerClient?: PeerClient, answers: readonly FeedAnswer[], config: string, body: unknown, told: boolean, called: boolean }
 
 /** A configuration of a size and a variety that operators' have. */
 function largeConfig (routes: number): string {
@@ -82,6 +82,21 @@
 
 Then('it is not told', function (this: PeersWorld) { assert.equal(this.told, false) })
 
+When('an entry that has ended asks another one for its state', async function (this: PeersWorld) {
+  this.called = false
+  const port = await serve(this, {
+    state: () => {
+      this.called = true
+      return undefined
+    }
+  })
+  this.peerClient = new PeerClient()
+  this.peerClient.close()
+  await assert.rejects(this.peerClient.state({ host: loopback, port }))
+})
+
+Then('the other one gets no call', function (this: PeersWorld) { assert.equal(this.called, false) })
+
 function listed (n: number): StoreItem {
   const node = `entry-${n}`
   return { key: entryKey(node), value: JSON.stringify({ node, host: loopback, port: n + 1 }), revision: n + 1 }
