Tell callers who are refused for a limit to come back after 0.1 s at the least

Cause: the wait that a keeper names is over by the time that a request reads it; what was left, 0 ms, was told as the time to come back. The caller returned at once, was refused again, and took the place of others. The least time of 0.1 s was kept to on one of four ways only.

Change: it is kept to wherever a request is refused for a limit, of an upstream or an organisation.

--- a/packages/direct/src/lib/usage-line.ts
+++ b/packages/direct/src/lib/usage-line.ts
@@ -127,7 +127,7 @@
   }
 
   /** Spread, so that callers who were refused together don't come back together. */
-  private _refused (wait: Ms): Admission { return { kind: 'over-limit', retryAfter: wait * (1 + Math.random() * retrySpread) } }
+  private _refused (wait: Ms): Admission { return { kind: 'over-limit', retryAfter: Math.max(leastRetryAfter, wait) * (1 + Math.random() * retrySpread) } }
 
   private get _instant (): Instant { return instantOf(this._options.clock) }
 
--- a/packages/direct/src/test/support/usage-play.ts
+++ b/packages/direct/src/test/support/usage-play.ts
@@ -67,6 +67,8 @@
   readonly messages: number
   /** Longest time from a request to its decision. */
   readonly longestWait: Ms
+  /** Shortest time after which a refused request may come back; infinite when none was refused. */
+  readonly soonestReturn: Ms
 }
 
 /** Bounds of the window rule, as the deployment's sheet has them. */
@@ -119,6 +121,7 @@
   private readonly _uses = new Map<string, Use[]>()
   private _messages = 0
   private _longestWait: Ms = 0
+  private _soonestReturn: Ms = Infinity
   /** When requests came that are undecided. */
   private readonly _undecided = new Set<{ readonly since: Ms }>()
   private _asked = 0
@@ -145,7 +148,7 @@
     }
     await this._advance(1_000)
     for (const { since } of this._undecided) this._longestWait = Math.max(this._longestWait, this._clock.now() - since)
-    return { refusedBelow: this._refusedBelow(), letIn: this._used / Math.max(1, this._asked), used: this._used / Math.max(1, this._owed), worstWindow: this._worst(), messages: this._messages / (end / 1_000), longestWait: this._longestWait }
+    return { refusedBelow: this._refusedBelow(), letIn: this._used / Math.max(1, this._asked), used: this._used / Math.max(1, this._owed), worstWindow: this._worst(), messages: this._messages / (end / 1_000), longestWait: this._longestWait, soonestReturn: this._soonestReturn }
   }
 
   private async _advance (by: Ms): Promise<void> {
@@ -230,6 +233,7 @@
     const note = (admission: Admission): void => {
       this._undecided.delete(request)
       this._longestWait = Math.max(this._longestWait, this._clock.now() - request.since)
+      if (admission.kind === 'over-limit') this._soonestReturn = Math.min(this._soonestReturn, admission.retryAfter)
       if (admission.kind === 'admitted') this._note(organisation, cost)
       else if (isOwed) this._refusedOf.set(organisation, (this._refusedOf.get(organisation) ?? 0) + cost)
     }
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -57,3 +57,7 @@
 
   Scenario: what another version tells
     Then whatever a peer reports or lends is amounts that can be counted, or nothing
+
+  Scenario: when to come back after a refusal
+    Guards against callers who are told to come back at once, and are refused again.
+    Then whoever is refused for the limit of an upstream or an organisation is told to come back after 100 ms or later
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -104,6 +104,13 @@
   }), { seed: propertySeed, numRuns: 30, endOnFailure: true })
 })
 
+Then('whoever is refused for the limit of an upstream or an organisation is told to come back after {int} ms or later', async (least: number) => {
+  for (const played of [limited(1.4, 5), limited(8, 30), load({ demands: [{ ...large, asked: 600_000 }] })]) {
+    const { soonestReturn } = await playUsage(played)
+    assert.ok(soonestReturn >= least, `told ${soonestReturn} ms`)
+  }
+})
+
 async function assertWithinLimits (faults: readonly UsageFault[]): Promise<void> {
   const loads = [limited(1.4, 5), limited(8, 30), load({ demands: [{ ...large, asked: 600_000 }] })]
   const worst = await Promise.all(loads.map(async each => (await playUsage({ ...each, faults })).worstWindow))
