--- a/packages/decisions/src/lib/usage-allocator.ts
+++ b/packages/decisions/src/lib/usage-allocator.ts
@@ -188,6 +188,9 @@
   /** Time for which entries have brought their parts of all rates. */
   private _covered: Ms = 0
 
+  /** Number of entries that have reported lately. */
+  get reporters (): number { return this._reportedAt.size }
+
   /** Applies an entry's report and grants it the credit that is available. */
   report ({ entry, covers, rows }: UsageReport, context: AllocatorContext): readonly UsageGrant[] {
     this._recordReport(entry, context.now)
--- a/packages/direct/src/lib/credit-queue.ts
+++ b/packages/direct/src/lib/credit-queue.ts
@@ -3,6 +3,7 @@
  */
 import { assertNever, type CancelTimer, type Clock, type Instant, instantOf, type Log, type Ms } from '@hazelford/core'
 import { type UsageGrant, UsagePool, type UsageReport, type UsageRow } from '@hazelford/decisions'
+import type { UsageSummary } from './usage-summary.js'
 
 /** Whether a request's usage is within its account's limit. */
 export type Admission =
@@ -22,6 +23,7 @@
   readonly isNeeded: () => boolean
   /** Whether requests wait for credit that is expected soon; else they are refused once the allocator has none. */
   readonly waitsForCredit: boolean
+  readonly summary: Pick<UsageSummary, 'add'>
   /** Reports to the allocator; rejects only on an error within this entry. */
   readonly report: (report: UsageReport) => Promise<readonly UsageGrant[]>
 }
@@ -90,9 +92,9 @@
     switch (spending.kind) {
       case 'spent':
         if (pool.isLow(at)) this._reportSoon()
-        return this._admitted(pool, cost)
-      case 'closed': return this._refused(spending.retryAfter)
-      case 'held': return this._options.waitsForCredit ? this._wait(account, cost) : this._refused(spending.retryAfter)
+        return this._admitted(account, cost)
+      case 'closed': return this._refused(account, cost, spending.retryAfter)
+      case 'held': return this._options.waitsForCredit ? this._wait(account, cost) : this._refused(account, cost, spending.retryAfter)
       case 'short': {
         const admission = this._wait(account, cost)
         this._report()
@@ -107,7 +109,7 @@
       // The answer may come later than this: an entry that is cut off from its peers tries several of them in turn.
       const cancel = this._options.clock.after(longestWait, () => {
         this._waiting = this._waiting.filter(other => other !== waiter)
-        resolve(this._refused(minRetryAfter))
+        resolve(this._refused(account, cost, minRetryAfter))
       })
       const waiter: Waiter = {
         account,
@@ -121,18 +123,25 @@
     })
   }
 
-  private _admitted (pool: UsagePool, cost: number): Admission {
+  private _admitted (account: string, cost: number): Admission {
+    const pool = this._pool(account)
     let isOpen = true
+    this._options.summary.add(account, 'admitted', cost)
     return {
       kind: 'admitted',
       refund: () => {
-        if (isOpen) pool.refund(cost)
+        if (!isOpen) return
         isOpen = false
+        pool.refund(cost)
+        this._options.summary.add(account, 'admitted', -cost)
       }
     }
   }
 
-  private _refused (wait: Ms): Admission { return { kind: 'over-limit', retryAfter: Math.max(minRetryAfter, wait) * (1 + Math.random() * retrySpread) } }
+  private _refused (account: string, cost: number, wait: Ms): Admission {
+    this._options.summary.add(account, 'refused', cost)
+    return { kind: 'over-limit', retryAfter: Math.max(minRetryAfter, wait) * (1 + Math.random() * retrySpread) }
+  }
 
   private get _instant (): Instant { return instantOf(this._options.clock) }
 
@@ -201,7 +210,10 @@
 
   private _applyGrants (grants: readonly UsageGrant[], sent: Instant, reported: readonly Waiter[]): void {
     const at = this._instant
-    for (const grant of grants) this._pool(grant.account).applyGrant(grant, sent, at)
+    for (const grant of grants) {
+      this._pool(grant.account).applyGrant(grant, sent, at)
+      this._options.summary.add(grant.account, 'granted', grant.granted)
+    }
     const answered = new Set(reported)
     this._waiting = this._waiting.filter(waiter => !answered.has(waiter) || !this._decide(waiter, at))
   }
@@ -216,14 +228,14 @@
     const spending = pool.spend(cost, at)
     switch (spending.kind) {
       case 'spent':
-        decide(this._admitted(pool, cost))
+        decide(this._admitted(account, cost))
         return true
       case 'held':
         if (this._options.waitsForCredit) return false
-        decide(this._refused(spending.retryAfter))
+        decide(this._refused(account, cost, spending.retryAfter))
         return true
       case 'closed':
-        decide(this._refused(spending.retryAfter))
+        decide(this._refused(account, cost, spending.retryAfter))
         return true
       case 'short': return false
       default: return assertNever(spending)
--- a/packages/direct/src/lib/usage-coordinator.ts
+++ b/packages/direct/src/lib/usage-coordinator.ts
@@ -8,6 +8,7 @@
 import { PeerSuspects } from './peer-suspects.js'
 import type { PeerAddress } from './peer-table.js'
 import { type Admission, CreditQueue } from './credit-queue.js'
+import { UsageSummary } from './usage-summary.js'
 
 /** A report to the allocator of one shard of the accounts. */
 export interface UsageMessage extends UsageReport { readonly shard: number }
@@ -56,7 +57,10 @@
 export class UsageCoordinator {
   private readonly _queues = new Map<number, CreditQueue>()
   private readonly _allocators = new Map<number, UsageAllocator>()
+  /** Allocator that answered the last report, by shard. */
+  private readonly _answeredBy = new Map<number, string>()
   private readonly _suspects: PeerSuspects
+  private readonly _summary: UsageSummary
   /** When another entry last sent a report to this one. */
   private _peerReportAt: Ms = -Infinity
   private _limits: ReadonlyMap<string, CreditLimit> = new Map()
@@ -70,6 +74,7 @@
   constructor (private readonly _options: UsageCoordinatorOptions) {
     this._startedAt = _options.clock.now()
     this._suspects = new PeerSuspects(_options)
+    this._summary = new UsageSummary(_options)
   }
 
   /** Applies the limits that are in force now. */
@@ -88,6 +93,7 @@
   stop (): void {
     this._stopped = true
     this._suspects.stop()
+    this._summary.stop()
     for (const queue of this._queues.values()) queue.stop()
   }
 
@@ -107,7 +113,12 @@
     if (this._mayMissOthers) return report.rows.map(({ account }) => ({ account, granted: 0, wait: reportWithin }))
     const allocator = this._allocators.get(shard) ?? new UsageAllocator()
     this._allocators.set(shard, allocator)
-    return allocator.report(report, { bounds: bounds(), now: clock.now(), entries: entryCount(), limitOf: name => this._limits.get(name) })
+    const reporters = allocator.reporters
+    const entries = entryCount()
+    const grants = allocator.report(report, { bounds: bounds(), now: clock.now(), entries, limitOf: name => this._limits.get(name) })
+    if (allocator.reporters !== reporters) this._options.log.info('usage', 'number of reporting entries has changed.', { kind: this._options.kind, shard, reporters: allocator.reporters, before: reporters, entries })
+    for (const { account, granted } of grants) this._summary.add(account, 'allocated', granted)
+    return grants
   }
 
   /** Whether another entry, not known here yet, may be the allocator of the same accounts. */
@@ -132,7 +143,7 @@
     const known = this._queues.get(shard)
     if (known !== undefined) return known
     const { clock, log, node, waitsForCredit } = this._options
-    const queue = new CreditQueue({ clock, log, node, startedAt: this._startedAt, waitsForCredit, isNeeded: () => this._isNeeded, report: report => this._report(shard, report) })
+    const queue = new CreditQueue({ clock, log, node, startedAt: this._startedAt, waitsForCredit, summary: this._summary, isNeeded: () => this._isNeeded, report: report => this._report(shard, report) })
     this._queues.set(shard, queue)
     return queue
   }
@@ -148,10 +159,15 @@
     const failed = new Set<string>()
     for (let asked = 1; ; asked *= 2) {
       const [allocator, ...next] = this._allocatorsBefore(shard).filter(({ node }) => !failed.has(node)).slice(0, asked)
-      if (allocator === undefined || this._stopped) return this.report({ ...report, covers, shard })
+      if (allocator === undefined || this._stopped) {
+        this._recordAllocator(shard, this._options.node)
+        return this.report({ ...report, covers, shard })
+      }
       const probes = next.map(peer => this._probe(peer))
       try {
-        return this._complete(report, await this._options.report(allocator, { ...report, covers, shard }))
+        const grants = await this._options.report(allocator, { ...report, covers, shard })
+        this._recordAllocator(shard, allocator.node)
+        return this._complete(report, grants)
       } catch (error) {
         // The allocator may have counted the time covered before its answer was lost.
         if (!(error instanceof NoAnswer && !error.sent)) covers = 0
@@ -163,6 +179,13 @@
     }
   }
 
+  private _recordAllocator (shard: number, allocator: string): void {
+    const before = this._answeredBy.get(shard)
+    if (before === allocator) return
+    this._answeredBy.set(shard, allocator)
+    this._options.log.info('usage', 'reports to another allocator.', { kind: this._options.kind, shard, allocator, before })
+  }
+
   /** Entries before this one in the allocator order that are not suspect; the first of them is the allocator. */
   private _allocatorsBefore (shard: number): readonly PeerAddress[] {
     const { node, kind, entries } = this._options
@@ -186,6 +209,8 @@
   private _complete ({ rows }: UsageReport, grants: readonly UsageGrant[]): readonly UsageGrant[] {
     const granted = new Set(grants.map(({ account }) => account))
     const missing = rows.filter(({ account }) => !granted.has(account))
-    return [...grants, ...missing.map(row => ({ account: row.account, ...this._options.defaultGrant(row) }))]
+    const assumed = missing.map(row => ({ account: row.account, ...this._options.defaultGrant(row) }))
+    for (const { account, granted } of assumed) this._summary.add(account, 'assumed', granted)
+    return [...grants, ...assumed]
   }
 }
