Let no entry allocate usage before it has a configuration

Callers saw: an organisation got 198 to 209 requests through in 8 s where its limit allows 197, and other organisations less.

Cause: a process that starts during an outage of the store has no configuration for 0.7 s. It handled usage reports all the same, knew no limit, and left every account out of its answers. The sender takes a missing account as one without a limit and grants itself all it asks for.

Change: an entry without a configuration answers 503. The sender reports to the next allocator, and keeps the time that the rejected report covers.

--- a/packages/bench/src/lib/guards/shared-guards.ts
+++ b/packages/bench/src/lib/guards/shared-guards.ts
@@ -86,5 +86,13 @@
     replace: 'if (true || ',
     feature: 'platform/src/test/notices.feature',
     scenario: 'a server at its limit, and one that failed recently'
+  },
+  {
+    guarantee: 'usage limits: an entry without a configuration does not allocate',
+    file: 'packages/direct/dist/lib/usage-coordinator.js',
+    find: '!isConfigured()',
+    replace: 'false',
+    feature: 'packages/direct/src/test/usage.feature',
+    scenario: 'an allocator that has started and has no configuration yet'
   }
 ]
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -204,6 +204,7 @@
       waitsForCredit: true,
       entries: () => this.peers.entries,
       entryCount: () => this.peers.entryCount,
+      isConfigured: () => this.config.table !== undefined,
       limits: () => usageLimits(this.config.table?.organisations ?? []),
       defaultGrant: grantInFull,
       report: (peer, msg) => this._client.reportUsage(peer, msg),
--- a/packages/direct/src/lib/notice-coordinator.ts
+++ b/packages/direct/src/lib/notice-coordinator.ts
@@ -73,6 +73,8 @@
       waitsForCredit: false,
       entries,
       entryCount,
+      // The notices in a report name the limits of its accounts.
+      isConfigured: () => true,
       limits: () => this._limitsInForce(),
       defaultGrant: () => ({ granted: 0, wait: unknownUpstreamPause }),
       report: async (peer, msg) => this._applyReply(await client.reportLimits(peer, { ...msg, notices: this._noticeRows() })),
@@ -103,7 +105,7 @@
   /** Handles another entry's report of its usage and of upstreams' notices. */
   report ({ notices, ...report }: LimitReport): LimitReply {
     this.applyNotices({ notices })
-    return { grants: this._limits.report(report), notices: this._noticeRows() }
+    return { grants: this._limits.report(report) ?? [], notices: this._noticeRows() }
   }
 
   /** Applies upstreams' notices that another entry received. */
--- a/packages/direct/src/lib/peer-client.ts
+++ b/packages/direct/src/lib/peer-client.ts
@@ -7,10 +7,10 @@
 import { type FeedAnswer, readFeedAnswer } from './change-feed.js'
 import { callJson, type JsonAnswer, type JsonCall, NoAnswer } from './json-client.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
-import { type AnsweredQuery, type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type TerminationsMessage, type QuarantinedMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, type UseMessage } from './peer-messages.js'
+import { type AnsweredQuery, type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type TerminationsMessage, type QuarantinedMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
 import type { ConfigAge, PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
-import type { UsageMessage } from './usage-coordinator.js'
+import { ReportRejected, type UsageMessage } from './usage-coordinator.js'
 import { readUsageGrants } from './usage-messages.js'
 
 /**
@@ -64,10 +64,11 @@
     return answer.body as PeerState
   }
 
-  /** Reports usage to its allocator; rejects when the allocator does not answer. */
+  /** Reports usage to its allocator; rejects when the allocator does not answer, or does not allocate yet. */
   async reportUsage ({ host, port }: PeerAddress, msg: UsageMessage): Promise<readonly UsageGrant[]> {
     const { status, body } = await this._call({ host, port, method: 'POST', path: peerPaths.usage, body: msg, timeout: answerMargin })
     const grants = readUsageGrants(body)
+    if (status === unavailableStatus) throw new ReportRejected('The entry does not allocate usage yet.')
     if (status !== 200 || grants === undefined) throw new Error(`The allocator answered ${status}.`)
     return grants
   }
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -27,6 +27,9 @@
   ping: '/ping'
 } as const
 
+/** Status of an answer of an entry that can't handle a call yet, and has not acted on it. */
+export const unavailableStatus = 503
+
 /** A load request to the holder of an engine. */
 export interface LoadRequestMessage extends LoadRequest {
   readonly upstream: string
--- a/packages/direct/src/lib/serve-peers.ts
+++ b/packages/direct/src/lib/serve-peers.ts
@@ -9,7 +9,7 @@
 import type { FeedAnswer } from './change-feed.js'
 import { compression, readJson } from './json-client.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
-import { type AnsweredQuery, type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type TerminationsMessage, type QuarantinedMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, type UseMessage } from './peer-messages.js'
+import { type AnsweredQuery, type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type TerminationsMessage, type QuarantinedMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
 import type { ConfigAge, PeerState } from './peer-state.js'
 import type { UsageMessage } from './usage-coordinator.js'
 import { readUsageMessage } from './usage-messages.js'
@@ -47,7 +47,7 @@
   /** Age of the configuration, for a peer that can't verify its own. */
   readonly configAge: () => ConfigAge | undefined
   /** Grants an entry credit of organisations whose allocator this entry is. */
-  readonly reportUsage: (msg: UsageMessage) => readonly UsageGrant[]
+  readonly reportUsage: (msg: UsageMessage) => readonly UsageGrant[] | undefined
   /** Grants an entry requests to upstreams that announce a limit. */
   readonly reportLimits: (msg: LimitReport) => LimitReply
   /** Handles notices that another entry has received from upstreams. */
@@ -62,7 +62,7 @@
 
 /** Answers with the state, or with 503 while there is none yet. */
 function stateOrUnavailable (body: object | undefined): PeerAnswer {
-  return body === undefined ? { status: 503, body: { error: 'No state is known here yet.' } } : ok(body)
+  return body === undefined ? { status: unavailableStatus, body: { error: 'No state is known here yet.' } } : ok(body)
 }
 
 function answerGet (service: PeerService, path: string): PeerAnswer | undefined {
@@ -81,7 +81,9 @@
 
 function answerUsage (service: PeerService, body: unknown): PeerAnswer {
   const msg = readUsageMessage(body)
-  return msg === undefined ? malformed('The body is not a usage report.') : ok({ grants: service.reportUsage(msg) })
+  if (msg === undefined) return malformed('The body is not a usage report.')
+  const grants = service.reportUsage(msg)
+  return stateOrUnavailable(grants && { grants })
 }
 
 function answerNotices (service: PeerService, body: unknown): PeerAnswer {
--- a/packages/direct/src/lib/usage-coordinator.ts
+++ b/packages/direct/src/lib/usage-coordinator.ts
@@ -13,6 +13,9 @@
 /** A report to the allocator of one shard of the accounts. */
 export interface UsageMessage extends UsageReport { readonly shard: number }
 
+/** An entry's answer that it does not allocate usage; it has not counted the report. */
+export class ReportRejected extends Error {}
+
 /** What the coordinator needs of its entry. */
 export interface UsageCoordinatorOptions {
   readonly node: string
@@ -27,10 +30,13 @@
   readonly entries: () => readonly PeerAddress[]
   /** Number of entries that share each limit. */
   readonly entryCount: () => number
+  /** Whether {@link limits} are known. An entry has no configuration at first, and then can't tell which accounts have a limit. */
+  readonly isConfigured: () => boolean
   /** Limits in force, by account. */
   readonly limits: () => ReadonlyMap<string, CreditLimit>
   /** Grant to assume for an account that the allocator's answer leaves out. */
   readonly defaultGrant: (row: UsageRow) => Omit<UsageGrant, 'account'>
+  /** Rejects with {@link ReportRejected} when the entry does not allocate. */
   readonly report: (peer: PeerAddress, msg: UsageMessage) => Promise<readonly UsageGrant[]>
   readonly ping: (peer: PeerAddress) => Promise<void>
 }
@@ -53,6 +59,9 @@
  */
 const reportAfterEnd: Ms = 2_000
 
+/** Whether a report that failed has certainly not been counted by the entry that it was sent to. */
+function isUncounted (error: unknown): boolean { return error instanceof ReportRejected || (error instanceof NoAnswer && !error.sent) }
+
 /** One entry's part of the usage limits: its own credit, and what it grants to others as an allocator. */
 export class UsageCoordinator {
   private readonly _queues = new Map<number, CreditQueue>()
@@ -106,9 +115,14 @@
     return this._limits.has(account) ? this._queue(this._shardOf(account)).admit(account, cost) : { kind: 'admitted', refund: () => {} }
   }
 
-  /** Handles, as an allocator, a report of another entry or of this entry itself. */
-  report ({ shard, ...report }: UsageMessage): readonly UsageGrant[] {
-    const { clock, bounds, node, entryCount } = this._options
+  /**
+   * Handles, as an allocator, a report of another entry or of this entry itself.
+   *
+   * @returns undefined when this entry does not allocate, since it does not know the limits yet
+   */
+  report ({ shard, ...report }: UsageMessage): readonly UsageGrant[] | undefined {
+    const { clock, bounds, node, entryCount, isConfigured } = this._options
+    if (!isConfigured()) return undefined
     if (report.entry !== node) this._peerReportAt = clock.now()
     if (this._mayMissOthers) return report.rows.map(({ account }) => ({ account, granted: 0, wait: reportWithin }))
     const allocator = this._allocators.get(shard) ?? new UsageAllocator()
@@ -161,7 +175,7 @@
       const [allocator, ...next] = this._allocatorsBefore(shard).filter(({ node }) => !failed.has(node)).slice(0, asked)
       if (allocator === undefined || this._stopped) {
         this._recordAllocator(shard, this._options.node)
-        return this.report({ ...report, covers, shard })
+        return this.report({ ...report, covers, shard }) ?? []
       }
       const probes = next.map(peer => this._probe(peer))
       try {
@@ -170,7 +184,7 @@
         return this._complete(report, grants)
       } catch (error) {
         // The allocator may have counted the time covered before its answer was lost.
-        if (!(error instanceof NoAnswer && !error.sent)) covers = 0
+        if (!isUncounted(error)) covers = 0
         this._options.log.info('usage', 'allocator does not answer.', { kind: this._options.kind, keeper: allocator.node, shard, cause: (error as Error).message })
         this._suspects.add(allocator)
         failed.add(allocator.node)
--- a/packages/direct/src/test/support/usage-simulation.ts
+++ b/packages/direct/src/test/support/usage-simulation.ts
@@ -2,11 +2,11 @@
  * Simulates organisations with usage limits at many entries, in virtual time, with the real usage coordinators.
  */
 import { FakeClock, type Ms, silentLog, sleep } from '@hazelford/core'
-import type { UsageBounds } from '@hazelford/decisions'
+import type { UsageBounds, UsageGrant } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import { grantInFull, usageLimits } from '../../lib/organisation-usage.js'
 import { type PeerAddress, PeerTable } from '../../lib/peer-table.js'
-import { UsageCoordinator } from '../../lib/usage-coordinator.js'
+import { ReportRejected, UsageCoordinator } from '../../lib/usage-coordinator.js'
 import type { Admission } from '../../lib/credit-queue.js'
 import { seededRandom } from './seeded-random.js'
 
@@ -19,8 +19,8 @@
   | { readonly kind: 'cut', readonly entry: number, readonly at: Ms, readonly until: Ms }
   /** All leases in the store lapse: each entry lists only itself until the others have registered again. */
   | { readonly kind: 'lapse', readonly at: Ms, readonly until: Ms }
-  /** The entry stops and starts again without its state. */
-  | { readonly kind: 'restart', readonly entry: number, readonly at: Ms }
+  /** The entry stops and starts again without its state; it has no configuration for `unconfigured` ms, by default 0. */
+  | { readonly kind: 'restart', readonly entry: number, readonly at: Ms, readonly unconfigured?: Ms }
 
 /** One organisation's callers. */
 export interface UsageDemand {
@@ -117,6 +117,8 @@
   private readonly _coordinators: UsageCoordinator[] = []
   /** The peer table of each entry, with the length of the list that it was filled from. */
   private readonly _tables: { readonly table: PeerTable, readonly listing: number }[] = []
+  /** Time from which each entry has a configuration. Until then it refuses its callers. */
+  private readonly _configuredAt: Ms[] = []
   private readonly _equalParts: Map<string, ReferenceBucket>[] = []
   private readonly _uses = new Map<string, Use[]>()
   private _messages = 0
@@ -142,7 +144,7 @@
     const references = new Map(this._workload.demands.map(({ organisation, limit, burst = limit }) => [organisation, new ReferenceBucket(limit, Math.max(1, burst))]))
     const end = startupTime + this._workload.length
     for (let now = this._clock.now(); now < end; now = this._clock.now()) {
-      for (const fault of this._workload.faults) if (fault.kind === 'restart' && fault.at + startupTime >= now && fault.at + startupTime < now + step) this._start(fault.entry)
+      for (const fault of this._workload.faults) if (fault.kind === 'restart' && fault.at + startupTime >= now && fault.at + startupTime < now + step) this._start(fault.entry, fault.unconfigured)
       for (const demand of this._workload.demands) this._drawArrivals(demand, references.get(demand.organisation)!)
       await this._advance(step)
     }
@@ -158,8 +160,9 @@
     }
   }
 
-  private _start (n: number): void {
+  private _start (n: number, unconfigured: Ms = 0): void {
     this._coordinators[n]?.stop()
+    this._configuredAt[n] = this._clock.now() + unconfigured
     this._tables[n] = { table: new PeerTable(this._clock, () => {}), listing: 0 }
     const coordinator = new UsageCoordinator({
       node: this._peers[n]!.node,
@@ -168,15 +171,17 @@
       bounds: () => this._workload.bounds ?? organisationBounds,
       entries: () => this._peerTable(n).entries,
       entryCount: () => this._peerTable(n).entryCount,
+      isConfigured: () => this._isConfigured(n),
       kind: 'usage',
       waitsForCredit: this._workload.waitsForCredit ?? true,
       limits: () => usageLimits(this._organisations),
       defaultGrant: grantInFull,
-      report: async ({ port }, msg) => await this._deliver(n, port - 1, () => this._coordinators[port - 1]!.report(msg)),
+      report: async ({ port }, msg) => await this._deliver(n, port - 1, () => readGrants(this._coordinators[port - 1]!.report(msg))),
       ping: async ({ port }) => { await this._deliver(n, port - 1, () => []) }
     })
     this._coordinators[n] = coordinator
-    coordinator.limitsChanged()
+    if (unconfigured === 0) coordinator.limitsChanged()
+    else this._clock.after(unconfigured, () => coordinator.limitsChanged())
     this._equalParts[n] = new Map(this._workload.demands.map(({ organisation, limit }) => [organisation, new ReferenceBucket(limit / this._workload.entries, limit / this._workload.entries)]))
   }
 
@@ -206,6 +211,8 @@
     return this._workload.faults.some(fault => fault.kind === 'cut' && fault.entry === entry && now >= fault.at && now < fault.until)
   }
 
+  private _isConfigured (entry: number): boolean { return this._clock.now() >= this._configuredAt[entry]! }
+
   private _hasLapsed (): boolean {
     const now = this._clock.now() - startupTime
     return this._workload.faults.some(fault => fault.kind === 'lapse' && now >= fault.at && now < fault.until)
@@ -218,7 +225,8 @@
       // Callers keep their connections, and some entries have many more of them than others.
       const entry = Math.floor(this._random() ** 2 * demand.entries)
       const cost = demand.cost === 1 ? 1 : Math.ceil(demand.cost * (0.4 + 1.2 * this._random()))
-      this._request(demand, entry, cost, reference.take(cost, this._clock.now()))
+      const isReferenceAdmitted = reference.take(cost, this._clock.now())
+      if (this._isConfigured(entry)) this._request(demand, entry, cost, isReferenceAdmitted)
     }
   }
 
@@ -266,5 +274,11 @@
   }
 }
 
+/** What a report's sender reads from the answer of another entry. */
+function readGrants (grants: readonly UsageGrant[] | undefined): readonly UsageGrant[] {
+  if (grants === undefined) throw new ReportRejected('The entry does not allocate usage yet.')
+  return grants
+}
+
 /** Simulates a workload. */
 export function simulateUsage (workload: UsageWorkload): Promise<UsageResult> { return new UsageSimulation(workload).run() }
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -43,6 +43,10 @@
     Guards against a newly started entry granting itself the whole of a limit, because it does not know the other entries yet.
     Then use stays within the limits of an upstream and an organisation in every window, while entries start in 1500 ms in which each entry lists only itself
 
+  Scenario: an allocator that has started and has no configuration yet
+    Guards against requests beyond a limit, because an allocator without a configuration leaves out every account, as if none had a limit.
+    Then use stays within the limits of an upstream and an organisation in every window, whichever entry starts and has no configuration for 900 ms
+
   Scenario: an organisation that the allocator does not know yet
     Symptom: callers of a newly added organisation get 429 for a second, and entries send each other requests in a loop.
     Events: an organisation is added with a limit; the allocating entry learns of it a second after the others.
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -126,6 +126,16 @@
   return assertWithinLimits([lapse(lasts), ...starts])
 })
 
+Then('use stays within the limits of an upstream and an organisation in every window, whichever entry starts and has no configuration for {int} ms', async (unconfigured: Ms) => {
+  for (const entry of [0, 1, 2]) {
+    const starts: UsageFault[] = [{ kind: 'restart', entry, at: 3_000, unconfigured }]
+    const organisation: UsageDemand = { organisation: 'flooding', limit: 20, requested: 60, entries: 3, cost: 1, burst: 10 }
+    const workloads = [limited(8, 3), workload({ entries: 3, demands: [organisation], bounds: { window: 8_000, overage: 0.1, slack: 10 } })]
+    const worst = await Promise.all(workloads.map(async each => (await simulateUsage({ ...each, faults: starts })).worstWindow))
+    assert.ok(Math.max(...worst) <= 1, `entry ${entry}: worst windows ${worst.join()}`)
+  }
+})
+
 interface NewcomerWorld { coordinator: UsageCoordinator, messages: number }
 
 const newcomer: Organisation = { name: 'newcomer', keys: [], limit: { unit: 'requests', rate: 50, burst: 50, plainTokens: 0 } }
@@ -145,6 +155,7 @@
     bounds: () => ({ window: 8_000, overage: 0.1, slack: 0 }),
     entries: () => entries,
     entryCount: () => entries.length,
+    isConfigured: () => true,
     kind: 'usage',
     waitsForCredit: true,
     limits: () => usageLimits(organisations),
@@ -165,7 +176,7 @@
   const allocator = coordinatorAmong(entries, first!.node, clock, [], unexpectedReport)
   this.coordinator = coordinatorAmong(entries, second!.node, clock, [newcomer], async (_, msg) => {
     this.messages++
-    return allocator.report(msg)
+    return allocator.report(msg)!
   })
 })
 
