Bound what several allocators keep of one entry's part of a limit

Callers could see: an organisation gets more than its limit after a pause, while connections between entries are refused now and then.

Cause: an allocator keeps the credit that may be used at once for all entries that have reported to it within 1.5 s. An entry whose messages are refused or lost reports to several allocators in that time, and each kept the whole credit of its part. An allocator that had just started also counted the entries by its own list alone, and a report could bring 1 s of a part at once.

Change: a report says how many other allocators its sender has reported to lately, and how many entries it knows. The only allocator keeps the whole part, each further one half as much again of the overage and slack that are not granted otherwise, so the sum stays within what a window allows. A report brings 600 ms of a part at most.

Reports without the new fields, of older builds, are handled as before.

--- a/packages/bench/src/lib/guards/shared-guards.ts
+++ b/packages/bench/src/lib/guards/shared-guards.ts
@@ -94,5 +94,13 @@
     replace: 'false',
     feature: 'packages/direct/src/test/usage.feature',
     scenario: 'an allocator that has started and has no configuration yet'
+  },
+  {
+    guarantee: 'usage limits: allocators share what they keep of an entry that reports to several of them',
+    file: 'packages/decisions/dist/lib/usage-allocator.js',
+    find: 'others === 0 ? most',
+    replace: 'true ? most',
+    feature: 'packages/direct/src/test/usage.feature',
+    scenario: 'entries that report to several allocators by turns'
   }
 ]
--- a/packages/decisions/src/lib/usage-allocator.ts
+++ b/packages/decisions/src/lib/usage-allocator.ts
@@ -27,6 +27,13 @@
   readonly entry: string
   /** Ms since its last report to any allocator, or since its process started. */
   readonly covers: Ms
+  /** Number of entries that it knows of, itself included; undefined in a report of an older version. */
+  readonly entries?: number
+  /**
+   * Number of other allocators that it has reported to within {@link reportTtl}: they may still keep credit of its part.
+   * Undefined in a report of an older version.
+   */
+  readonly others?: number
   readonly rows: readonly UsageRow[]
 }
 
@@ -63,13 +70,11 @@
  */
 export const reportTtl: Ms = 1_500
 /**
- * Longest time that one report covers: after a longer silence, no entry has used the credit that would have accrued.
- */
-const maxCoveredTime: Ms = 1_000
-/**
- * Shares of the allowed overage and slack that may be used at once; the rest covers what two allocators grant at the
- * same time.
+ * Longest time that one report covers. All entries may report again at the same time, after none of them could; the
+ * credit that has accrued meanwhile is then used at once.
  */
+const maxCoveredTime: Ms = 600
+/** Shares of the allowed overage and slack that one allocator grants at once. */
 const overageAtOnce = 0.45
 const slackAtOnce = 0.7
 /**
@@ -77,6 +82,9 @@
  * limit, not a little less.
  */
 const overageSpread = 0.25
+/** Shares of the overage and slack that allocators may keep of entries that have lately reported to other ones too. */
+const overageElsewhere = 1 - overageAtOnce - overageSpread
+const slackElsewhere = 1 - slackAtOnce
 /** Least share of a limit's burst that can be used at once. */
 const minBurstShare = 0.5
 /** Age up to which the waiting requests in an entry's report are counted: each entry has reported again by then. */
@@ -89,6 +97,9 @@
 /** Factor on an entry's proportional share, so that a bucket that refills is not left half full. */
 const levelShareFactor = 1.5
 
+/** An entry that has reported lately. */
+interface Reporter { readonly at: Ms, readonly entries: number, readonly others: number }
+
 interface EntryReport { readonly holding: number, readonly waiting: number, readonly at: Ms }
 
 /** Credit of one account that can be granted. */
@@ -157,18 +168,41 @@
   }
 }
 
+/** How an account's limit is granted. */
+interface GrantTerms {
+  readonly rate: number
+  /** Most that an allocator keeps when all entries report to it alone. */
+  readonly most: number
+  /** Most that all allocators together keep in addition, of entries that have lately reported to several of them. */
+  readonly mostElsewhere: number
+}
+
 /**
- * Rate at which a limit is granted, and the most that is granted at once.
+ * Rate at which a limit is granted, and the most that is granted at once. The usage allowed in a window is the rate over
+ * the window and both amounts.
  *
  * The usage allowed in a window is the rate over all of it, and the burst. Granted at once, the burst is used up in a
  * moment; an account that then continually uses a little more than the rate is refused although the window's sum allows
  * it. So the burst is spread over the window, as far as the allowed overage is large enough to replace it.
  */
-function grantTerms ({ rate, burst }: CreditLimit, { window, overage, slack }: UsageBounds): { readonly rate: number, readonly most: number } {
+function grantTerms ({ rate, burst }: CreditLimit, { window, overage, slack }: UsageBounds): GrantTerms {
   const over = overage * (rate * window / 1_000 + burst)
   const allowed = over * overageAtOnce + slack * slackAtOnce
   const ofBurst = Math.max(0, burst * minBurstShare - allowed)
-  return { rate: rate + (burst - ofBurst + over * overageSpread) / window * 1_000, most: ofBurst + allowed }
+  return {
+    rate: rate + (burst - ofBurst + over * overageSpread) / window * 1_000,
+    most: ofBurst + allowed,
+    mostElsewhere: over * overageElsewhere + slack * slackElsewhere
+  }
+}
+
+/**
+ * Most that an allocator keeps of an entry's part, as a multiple of that part. The allocators that the entry has
+ * reported to may keep what the limit allows at once only one time together: the first of them keeps all of it, and each
+ * further one half as much of the rest as the one before.
+ */
+function mostKept ({ most, mostElsewhere }: GrantTerms, others: number): number {
+  return others === 0 ? most : mostElsewhere / 2 ** others
 }
 
 /**
@@ -178,32 +212,34 @@
  * need, so that an entry decides alone, without a message per request. Entries that can't reach the allocator ask the
  * next one in a sequence that all share, and finally themselves, so several allocators may grant at a time without
  * knowing of each other. Each report brings its allocator the entry's part of the rate, for the time since that entry's
- * last report. Whichever allocator an entry reports to, each part is granted once. An allocator starts with empty
- * buckets, since the previous one may have granted everything a moment ago.
+ * last report. Whichever allocator an entry reports to, each part is granted once. What an allocator keeps is bounded by
+ * the parts of the entries that report to it; the part of an entry that has just come from another allocator counts
+ * little, since that one may still keep credit for it. An allocator starts with empty buckets, since the previous one
+ * may have granted everything a moment ago.
  */
 export class UsageAllocator {
-  /** Time of each entry's last report. */
-  private readonly _reportedAt = new Map<string, Ms>()
+  private readonly _reporters = new Map<string, Reporter>()
   private readonly _buckets = new Map<string, Bucket>()
   /** Time for which entries have brought their parts of all rates. */
   private _covered: Ms = 0
 
   /** Number of entries that have reported lately. */
-  get reporters (): number { return this._reportedAt.size }
+  get reporters (): number { return this._reporters.size }
 
   /** Applies an entry's report and grants it the credit that is available. */
-  report ({ entry, covers, rows }: UsageReport, context: AllocatorContext): readonly UsageGrant[] {
-    this._recordReport(entry, context.now)
-    const entries = Math.max(1, context.entries, this._reportedAt.size)
-    const share = this._reportedAt.size / entries
+  report (report: UsageReport, context: AllocatorContext): readonly UsageGrant[] {
+    const { entry, covers, rows } = report
+    this._recordReport(report, context.now)
+    const entries = this._countEntries(context.entries)
+    const share = this._reporters.size / entries
     this._covered += Math.min(covers, maxCoveredTime) / entries
     return rows.flatMap(row => {
       const limit = context.limitOf(row.account)
       if (limit === undefined) return []
       const bucket = this._bucket(row.account)
-      const { rate, most } = grantTerms(limit, context.bounds)
-      bucket.refill(rate, most * share, row.first, this._covered, context.now)
-      return [{ account: row.account, ...bucket.grant(entry, row, rate * share, context.now) }]
+      const terms = grantTerms(limit, context.bounds)
+      bucket.refill(terms.rate, this._cap(terms, entries), row.first, this._covered, context.now)
+      return [{ account: row.account, ...bucket.grant(entry, row, terms.rate * share, context.now) }]
     })
   }
 
@@ -212,13 +248,25 @@
     for (const account of [...this._buckets.keys()]) if (isFree(account)) this._buckets.delete(account)
   }
 
-  private _recordReport (entry: string, now: Ms): void {
-    for (const [other, at] of this._reportedAt) if (now - at >= reportTtl) this._reportedAt.delete(other)
-    if (this._reportedAt.size === 0) {
+  private _recordReport ({ entry, entries = 0, others = 0 }: UsageReport, now: Ms): void {
+    for (const [other, { at }] of this._reporters) if (now - at >= reportTtl) this._reporters.delete(other)
+    if (this._reporters.size === 0) {
       this._buckets.clear()
       this._covered = 0
     }
-    this._reportedAt.set(entry, now)
+    this._reporters.set(entry, { at: now, entries, others })
+  }
+
+  /** Number of entries that share each limit. An entry that has just started may not know all of them itself. */
+  private _countEntries (known: number): number {
+    return Math.max(1, known, this._reporters.size, ...[...this._reporters.values()].map(({ entries }) => entries))
+  }
+
+  /** Most that may be kept here, granted credit included. */
+  private _cap (terms: GrantTerms, entries: number): number {
+    let sum = 0
+    for (const { others } of this._reporters.values()) sum += mostKept(terms, others)
+    return sum / entries
   }
 
   private _bucket (account: string): Bucket {
--- a/packages/direct/src/lib/usage-coordinator.ts
+++ b/packages/direct/src/lib/usage-coordinator.ts
@@ -66,6 +66,8 @@
 export class UsageCoordinator {
   private readonly _queues = new Map<number, CreditQueue>()
   private readonly _allocators = new Map<number, UsageAllocator>()
+  /** When each allocator of a shard may last have counted a report of this entry. */
+  private readonly _countedAt = new Map<number, Map<string, Ms>>()
   /** Allocator that answered the last report, by shard. */
   private readonly _answeredBy = new Map<number, string>()
   private readonly _suspects: PeerSuspects
@@ -175,16 +177,19 @@
       const [allocator, ...next] = this._allocatorsBefore(shard).filter(({ node }) => !failed.has(node)).slice(0, asked)
       if (allocator === undefined || this._stopped) {
         this._recordAllocator(shard, this._options.node)
-        return this.report({ ...report, covers, shard }) ?? []
+        return this.report(this._message(shard, this._options.node, report, covers)) ?? []
       }
       const probes = next.map(peer => this._probe(peer))
       try {
-        const grants = await this._options.report(allocator, { ...report, covers, shard })
+        const grants = await this._options.report(allocator, this._message(shard, allocator.node, report, covers))
         this._recordAllocator(shard, allocator.node)
         return this._complete(report, grants)
       } catch (error) {
         // The allocator may have counted the time covered before its answer was lost.
-        if (!isUncounted(error)) covers = 0
+        if (!isUncounted(error)) {
+          covers = 0
+          this._recordCounted(shard, allocator.node)
+        }
         this._options.log.info('usage', 'allocator does not answer.', { kind: this._options.kind, keeper: allocator.node, shard, cause: (error as Error).message })
         this._suspects.add(allocator)
         failed.add(allocator.node)
@@ -193,7 +198,25 @@
     }
   }
 
+  private _message (shard: number, allocator: string, report: UsageReport, covers: Ms): UsageMessage {
+    return { ...report, covers, shard, entries: this._options.entryCount(), others: this._countOthers(shard, allocator) }
+  }
+
+  /** Number of allocators beside this one that may keep credit of this entry's part. */
+  private _countOthers (shard: number, allocator: string): number {
+    const now = this._options.clock.now()
+    const counted = [...this._countedAt.get(shard) ?? []].filter(([other, at]) => other !== allocator && now - at < reportTtl)
+    // The process before this one may have reported to an allocator just before its end.
+    return Math.max(counted.length, now - this._startedAt < reportTtl ? 1 : 0)
+  }
+
+  private _recordCounted (shard: number, allocator: string): void {
+    const counted = this._countedAt.get(shard) ?? new Map<string, Ms>()
+    this._countedAt.set(shard, counted.set(allocator, this._options.clock.now()))
+  }
+
   private _recordAllocator (shard: number, allocator: string): void {
+    this._recordCounted(shard, allocator)
     const before = this._answeredBy.get(shard)
     if (before === allocator) return
     this._answeredBy.set(shard, allocator)
--- a/packages/direct/src/lib/usage-messages.ts
+++ b/packages/direct/src/lib/usage-messages.ts
@@ -10,6 +10,8 @@
   return typeof account === 'string' && [holding, first, waiting, ahead, returned].every(isNonNegativeNumber)
 }
 
+function isOptionalNumber (value: unknown): value is number | undefined { return value === undefined || isNonNegativeNumber(value) }
+
 function isGrant (value: unknown): value is UsageGrant {
   const { account, granted, wait } = (value ?? {}) as Record<string, unknown>
   return typeof account === 'string' && isNonNegativeNumber(granted) && isNonNegativeNumber(wait)
@@ -25,9 +27,10 @@
  * @returns undefined when it is not a usage report
  */
 export function readUsageMessage (value: unknown): UsageMessage | undefined {
-  const { shard, entry, covers, rows } = (value ?? {}) as Record<string, unknown>
+  const { shard, entry, covers, entries, others, rows } = (value ?? {}) as Record<string, unknown>
   if (!isNonNegativeNumber(shard) || !isNonNegativeNumber(covers) || typeof entry !== 'string' || !Array.isArray(rows) || !rows.every(isRow)) return undefined
-  return { shard, entry, covers, rows }
+  if (!isOptionalNumber(entries) || !isOptionalNumber(others)) return undefined
+  return { shard, entry, covers, ...(entries === undefined ? {} : { entries }), ...(others === undefined ? {} : { others }), rows }
 }
 
 /** Reads an allocator's answer; undefined when the value is not one. */
--- a/packages/direct/src/test/support/usage-simulation.ts
+++ b/packages/direct/src/test/support/usage-simulation.ts
@@ -5,6 +5,7 @@
 import type { UsageBounds, UsageGrant } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import { grantInFull, usageLimits } from '../../lib/organisation-usage.js'
+import { NoAnswer } from '../../lib/json-client.js'
 import { type PeerAddress, PeerTable } from '../../lib/peer-table.js'
 import { ReportRejected, UsageCoordinator } from '../../lib/usage-coordinator.js'
 import type { Admission } from '../../lib/credit-queue.js'
@@ -17,6 +18,12 @@
 export type UsageFault =
   /** Messages from and to the entry are lost. */
   | { readonly kind: 'cut', readonly entry: number, readonly at: Ms, readonly until: Ms }
+  /** Each message is lost with a probability of `share`, and its answer with the same probability. */
+  | { readonly kind: 'loss', readonly share: number, readonly at: Ms, readonly until: Ms }
+  /** Each message is refused with a probability of `share`, before it is sent. */
+  | { readonly kind: 'refusal', readonly share: number, readonly at: Ms, readonly until: Ms }
+  /** The list of one entry lacks another one. */
+  | { readonly kind: 'unlisted', readonly entry: number, readonly by: number, readonly at: Ms, readonly until: Ms }
   /** All leases in the store lapse: each entry lists only itself until the others have registered again. */
   | { readonly kind: 'lapse', readonly at: Ms, readonly until: Ms }
   /** The entry stops and starts again without its state; it has no configuration for `unconfigured` ms, by default 0. */
@@ -35,6 +42,8 @@
   readonly cost: number
   /** Units that may be used at once on top of the rate; defaults to those of one second. */
   readonly burst?: number
+  /** Callers send only in the second half of each period of this length; without it, all the time. */
+  readonly period?: Ms
 }
 
 /** The simulated traffic and faults. */
@@ -115,8 +124,8 @@
   private readonly _peers: readonly PeerAddress[]
   private readonly _organisations: readonly Organisation[]
   private readonly _coordinators: UsageCoordinator[] = []
-  /** The peer table of each entry, with the length of the list that it was filled from. */
-  private readonly _tables: { readonly table: PeerTable, readonly listing: number }[] = []
+  /** The peer table of each entry, with the names in the list that it was filled from. */
+  private readonly _tables: { readonly table: PeerTable, readonly listing: string }[] = []
   /** Time from which each entry has a configuration. Until then it refuses its callers. */
   private readonly _configuredAt: Ms[] = []
   private readonly _equalParts: Map<string, ReferenceBucket>[] = []
@@ -163,7 +172,7 @@
   private _start (n: number, unconfigured: Ms = 0): void {
     this._coordinators[n]?.stop()
     this._configuredAt[n] = this._clock.now() + unconfigured
-    this._tables[n] = { table: new PeerTable(this._clock, () => {}), listing: 0 }
+    this._tables[n] = { table: new PeerTable(this._clock, () => {}), listing: '' }
     const coordinator = new UsageCoordinator({
       node: this._peers[n]!.node,
       clock: this._clock,
@@ -188,24 +197,42 @@
   /** The peer table of an entry, brought up to date with the list of entries. */
   private _peerTable (n: number): PeerTable {
     const { table, listing } = this._tables[n]!
-    const listed = this._hasLapsed() ? [this._peers[n]!] : this._peers
-    if (listing !== listed.length) table.follow(listed, [])
-    this._tables[n] = { table, listing: listed.length }
+    const listed = this._peers.filter((_, other) => this._isListed(other, n))
+    const names = listed.map(({ node }) => node).join()
+    if (listing !== names) table.follow(listed, [])
+    this._tables[n] = { table, listing: names }
     return table
   }
 
+  private _isListed (entry: number, by: number): boolean {
+    if (entry === by) return true
+    const now = this._clock.now() - startupTime
+    return !this._hasLapsed() && !this._workload.faults.some(fault => fault.kind === 'unlisted' && fault.entry === entry && fault.by === by && now >= fault.at && now < fault.until)
+  }
+
   private async _deliver<T> (from: number, to: number, call: () => T): Promise<T> {
     this._messages++
+    if (this._isDropped('refusal')) throw new NoAnswer('The connection was refused.', false)
     await sleep(this._clock, latency)
-    if (!this._isCut(from) && !this._isCut(to)) {
+    if (!this._isLost(from, to)) {
       const answer = call()
       await sleep(this._clock, latency)
-      if (!this._isCut(from) && !this._isCut(to)) return answer
+      if (!this._isLost(from, to)) return answer
     }
     await sleep(this._clock, peerTimeout)
     throw new Error('peer did not answer')
   }
 
+  /** Whether a message that arrives now is lost on its way. */
+  private _isLost (from: number, to: number): boolean {
+    return this._isDropped('loss') || this._isCut(from) || this._isCut(to)
+  }
+
+  private _isDropped (kind: 'loss' | 'refusal'): boolean {
+    const now = this._clock.now() - startupTime
+    return this._workload.faults.some(fault => fault.kind === kind && now >= fault.at && now < fault.until && this._random() < fault.share)
+  }
+
   private _isCut (entry: number): boolean {
     const now = this._clock.now() - startupTime
     return this._workload.faults.some(fault => fault.kind === 'cut' && fault.entry === entry && now >= fault.at && now < fault.until)
@@ -219,6 +246,8 @@
   }
 
   private _drawArrivals (demand: UsageDemand, reference: ReferenceBucket): void {
+    const { period } = demand
+    if (period !== undefined && this._clock.now() % period < period / 2) return
     const expected = demand.requested / demand.cost * step / 1_000
     for (let left = expected; left > 0; left--) {
       if (this._random() >= left) continue
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -47,6 +47,12 @@
     Guards against requests beyond a limit, because an allocator without a configuration leaves out every account, as if none had a limit.
     Then use stays within the limits of an upstream and an organisation in every window, whichever entry starts and has no configuration for 900 ms
 
+  Scenario: entries that report to several allocators by turns
+    Guards against use beyond a limit, because each allocator keeps the full credit of entries that report to others too.
+    Then use stays within the limit in every window, while 4 in 10 messages among 3 entries are refused
+    And use stays within the limit in every window, whichever of 2 to 10 entries answer, restart, or are missing in lists
+    And without faults, at least 178 of the 197 requests are used that a window allows
+
   Scenario: an organisation that the allocator does not know yet
     Symptom: callers of a newly added organisation get 429 for a second, and entries send each other requests in a loop.
     Events: an organisation is added with a limit; the allocating entry learns of it a second after the others.
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -136,6 +136,55 @@
   }
 })
 
+/** An organisation of three times its limit, in requests, as upstreams and callers see it. */
+const flooding: UsageDemand = { organisation: 'flooding', limit: 20, requested: 300, entries: 3, cost: 1, burst: 10 }
+const floodingBounds: UsageBounds = { window: 8_000, overage: 0.1, slack: 10 }
+/** Its callers send nothing for 10 s, in which credit accrues, and then more than a window. */
+const pauseThenFlood = 20_000
+const lengthWithFlood = 16_500
+
+const messageFault: fc.Arbitrary<UsageFault> = fc.record({ kind: fc.constantFrom('refusal' as const, 'loss' as const), share: fc.double({ min: 0.02, max: 0.5, noNaN: true }), at: fc.constantFrom(0, 4_000), until: fc.constant(lengthWithFlood) })
+
+/** Faults among a number of entries, of which each may concern any of them. */
+function faultsAmong (entries: number): fc.Arbitrary<UsageFault> {
+  const entry = fc.integer({ min: 0, max: entries - 1 })
+  const at = fc.integer({ min: 0, max: 12_000 })
+  const lasts = fc.integer({ min: 50, max: 4_000 })
+  return fc.oneof(
+    messageFault,
+    fc.record({ kind: fc.constant('cut' as const), entry, at, lasts }).map(({ lasts, ...cut }) => ({ ...cut, until: cut.at + lasts })),
+    fc.record({ kind: fc.constant('restart' as const), entry, at, unconfigured: fc.integer({ min: 0, max: 900 }) }),
+    fc.record({ kind: fc.constant('unlisted' as const), entry, by: entry, at, lasts }).map(({ lasts, ...unlisted }) => ({ ...unlisted, until: unlisted.at + lasts }))
+  )
+}
+
+function floodingAmong (count: number): UsageWorkload {
+  return workload({ entries: count, demands: [{ ...flooding, entries: count, period: pauseThenFlood }], bounds: floodingBounds, length: lengthWithFlood })
+}
+
+Then('use stays within the limit in every window, whichever of {int} to {int} entries answer, restart, or are missing in lists', async (least: number, most: number) => {
+  const cases = fc.integer({ min: least, max: most }).chain(count => fc.record({ count: fc.constant(count), seed: fc.nat(), faults: fc.array(faultsAmong(count), { minLength: 1, maxLength: 8 }) }))
+  await fc.assert(fc.asyncProperty(cases, async ({ count, seed, faults }) => {
+    const { worstWindow } = await simulateUsage({ ...floodingAmong(count), seed, faults })
+    assert.ok(worstWindow <= 1, `worst window ${worstWindow}`)
+  }), { seed: propertySeed, numRuns: 60, endOnFailure: true })
+})
+
+Then('use stays within the limit in every window, while {int} in {int} messages among {int} entries are refused', async (refused: number, of: number, count: number) => {
+  for (let seed = 1; seed <= 30; seed++) {
+    const faults: UsageFault[] = [{ kind: 'refusal', share: refused / of, at: 0, until: lengthWithFlood }]
+    const { worstWindow } = await simulateUsage({ ...floodingAmong(count), seed, faults })
+    assert.ok(worstWindow <= 1, `seed ${seed}: worst window ${worstWindow}`)
+  }
+})
+
+Then('without faults, at least {int} of the {int} requests are used that a window allows', async (least: number, allowed: number) => {
+  for (const count of [1, 3, 10]) {
+    const { worstWindow } = await simulateUsage(floodingAmong(count))
+    assert.ok(worstWindow * allowed >= least, `${count} entries: ${worstWindow * allowed}`)
+  }
+})
+
 interface NewcomerWorld { coordinator: UsageCoordinator, messages: number }
 
 const newcomer: Organisation = { name: 'newcomer', keys: [], limit: { unit: 'requests', rate: 50, burst: 50, plainTokens: 0 } }
