Notify the former holder of an engine also after its key is gone

Callers saw, or could see: an engine that does not check fencing tokens got orders of two entries by turns, and its adapter slots held what neither of them expected.

Cause: the entry that claims an engine notifies the former holder, and knows it only if it has seen its key in the store. One that started after the key had been removed (all leases ended in an outage) notified nobody; the former holder went on until a renewal of its lease was answered. Besides, the watch can bring the claim before its answer, and the former holder was looked up only then.

Change: each claim also records the claiming entry under a key without a lease, in the same transaction, so at most 10 instead of 16 engines are claimed at once. The former holder is determined before the claim is sent. New log line "loads: former holder notified."

--- a/packages/direct/src/lib/engine-coordinator.ts
+++ b/packages/direct/src/lib/engine-coordinator.ts
@@ -9,7 +9,7 @@
 import type { LoadDigest } from './load-digest.js'
 import type { TakeoverMessage } from './peer-messages.js'
 import type { Upstream } from './upstream.js'
-import { holderKey, type PeerAddress, type PeerTable } from './peer-table.js'
+import { holderKey, type HolderRecord, lastHolderKey, type PeerAddress, type PeerTable } from './peer-table.js'
 
 /** What the coordinator needs of its entry. */
 export interface EngineCoordinatorOptions {
@@ -50,8 +50,8 @@
 const handoverMargin: Ms = 1_000
 /** Pause between two handovers: all entries must have learned of a handover before the next one is decided. */
 const handoverPause: Ms = 1_000
-/** Largest number of engines claimed at once: the store limits the keys of one transaction. */
-const claimsAtOnce = 16
+/** Largest number of engines claimed at once: the store limits the keys of one transaction, and a claim needs three. */
+const claimsAtOnce = 10
 
 /** Claims, holds, releases and hands over engines for one entry. */
 export class EngineCoordinator {
@@ -246,16 +246,18 @@
     const value = JSON.stringify(self)
     const txn = {
       conditions: upstreams.map(({ id }) => ({ key: holderKey(id), revision: peers.holderRevision(id) })),
-      puts: upstreams.map(({ id }) => ({ key: holderKey(id), value, lease })),
+      puts: upstreams.flatMap(({ id }) => [{ key: holderKey(id), value, lease }, { key: lastHolderKey(id), value, lease: 0 }]),
       removals: []
     }
+    // The watch may bring this entry's own key before the answer to the claim; then no former holder is known any more.
+    const formers = upstreams.map(({ id }) => peers.former(id))
     const outcome = await store.commit(txn)
     if (outcome.isErr()) {
       // If the claim took effect after all, the watch brings this entry's key and the engine is claimed again.
       log.info('loads', 'claim unanswered.', { upstreams: upstreams.map(({ id }) => id), cause: outcome.error.message })
     } else if (outcome.value.kind === 'stored') {
       const { revision } = outcome.value
-      await Promise.all(upstreams.map(({ id }) => this._notifyFormerHolder(id, revision)))
+      await Promise.all(upstreams.map(({ id }, n) => this._notifyFormerHolder(id, revision, formers[n])))
       if (this._lease().lease === lease && !this._stopped) for (const upstream of upstreams) this._startHolding(upstream, revision)
     } else {
       log.info('loads', 'claim lost.', { upstreams: upstreams.map(({ id }) => id), outcome: outcome.value.kind })
@@ -272,13 +274,16 @@
    * a lower fencing number, and an engine that does not check fencing numbers carries out the orders of both. The former
    * holder cannot read the store, but in most cases its peers can reach it.
    */
-  private async _notifyFormerHolder (upstream: string, fence: number): Promise<void> {
-    const { peers, self, log, notifyTakeover } = this._options
-    const former = peers.former(upstream)
+  private async _notifyFormerHolder (upstream: string, fence: number, former: HolderRecord | undefined): Promise<void> {
+    const { self, log, notifyTakeover } = this._options
     if (former === undefined || former.node === self.node) return
-    await notifyTakeover(former, { upstream, fence }).catch((error: Error) => {
-      log.info('loads', 'former holder does not answer.', { upstream, fence, former: former.node, formerFence: former.fence, cause: error.message })
-    })
+    const about = { upstream, fence, former: former.node, formerFence: former.fence }
+    try {
+      await notifyTakeover(former, { upstream, fence })
+      log.info('loads', 'former holder notified.', about)
+    } catch (error) {
+      log.info('loads', 'former holder does not answer.', { ...about, cause: (error as Error).message })
+    }
   }
 
   /** Releases an engine that another entry has claimed with a higher fencing number. */
@@ -289,8 +294,18 @@
   }
 
   private _release (upstream: string, holder: EngineHolder, cause: 'held by another' | 'leaving or gone', newFence: number | undefined): void {
+    const { log } = this._options
     this._removeHolder(upstream, holder)
-    this._options.log.info('loads', 'engine released.', { upstream, fence: holder.fence, cause, newFence })
+    log.info('loads', 'engine released.', { upstream, fence: holder.fence, cause, newFence })
+    if (cause === 'held by another') return
+    this._removeRecord(upstream, holder.fence).catch((error: Error) => log.warn('loads', 'record of the last holder not removed.', { upstream, error: error.message }))
+  }
+
+  /** Removes the record that this entry held an engine that is gone; it would stay in the store for good. */
+  private async _removeRecord (upstream: string, fence: number): Promise<void> {
+    const key = lastHolderKey(upstream)
+    const outcome = await this._options.store.commit({ conditions: [{ key, revision: fence }], puts: [], removals: [key] })
+    if (outcome.isErr()) this._options.log.info('loads', 'record of the last holder not removed.', { upstream, fence, cause: outcome.error.message })
   }
 
   /** Stops the holder of an engine and starts the cooldown in which this entry does not claim the engine again. */
--- a/packages/direct/src/lib/peer-table.ts
+++ b/packages/direct/src/lib/peer-table.ts
@@ -9,6 +9,7 @@
 export const systemKeyPrefix = 'hazelford/'
 const entriesPrefix = `${systemKeyPrefix}entries/`
 const holdersPrefix = `${systemKeyPrefix}holders/`
+const lastHoldersPrefix = `${systemKeyPrefix}last-holders/`
 
 /** Where an entry listens for its peers. */
 export interface PeerAddress {
@@ -31,6 +32,12 @@
 export function entryKey (node: string): string { return `${entriesPrefix}${node}` }
 export function holderKey (upstream: string): string { return `${holdersPrefix}${upstream}` }
 
+/**
+ * Key of the entry that claimed an engine last. It has no lease: an entry that has started since the holder's lease
+ * ended could not know otherwise that the holder may still be running.
+ */
+export function lastHolderKey (upstream: string): string { return `${lastHoldersPrefix}${upstream}` }
+
 function decodeAddress (value: string): PeerAddress | undefined {
   try {
     const { node, host, port, zone } = JSON.parse(value) as Partial<PeerAddress>
@@ -57,6 +64,8 @@
   private readonly _holders = new Map<string, HolderRecord>()
   /** Holder of each engine before its key was removed, until another holder is known. */
   private readonly _former = new Map<string, HolderRecord>()
+  /** Entry that claimed each engine last. */
+  private readonly _lastHolders = new Map<string, HolderRecord>()
   /** Revisions of holders' keys that can't be read. */
   private readonly _unreadable = new Map<string, number>()
 
@@ -80,7 +89,10 @@
   get nodes (): readonly string[] { return [...this._entries.keys()] }
 
   /** Former holder of an engine that has no holder now. */
-  former (upstream: string): HolderRecord | undefined { return this._former.get(upstream) }
+  former (upstream: string): HolderRecord | undefined {
+    const [seen, recorded] = [this._former.get(upstream), this._lastHolders.get(upstream)]
+    return (recorded?.fence ?? 0) > (seen?.fence ?? 0) ? recorded : seen
+  }
 
   holder (upstream: string): HolderRecord | undefined { return this._holders.get(upstream) }
 
@@ -99,6 +111,7 @@
   reset (items: readonly StoreItem[]): void {
     this._clearEntries()
     this._unreadable.clear()
+    this._lastHolders.clear()
     for (const upstream of [...this._holders.keys()]) this._removeHolder(upstream)
     for (const item of items) this._put(item)
     this._changed()
@@ -132,6 +145,7 @@
     if (address === undefined) return this._putUnreadable(key, revision)
     if (key.startsWith(entriesPrefix)) this._setEntry(key.slice(entriesPrefix.length), address)
     else if (key.startsWith(holdersPrefix)) this._setHolder(key.slice(holdersPrefix.length), { ...address, fence: revision })
+    else if (key.startsWith(lastHoldersPrefix)) this._lastHolders.set(key.slice(lastHoldersPrefix.length), { ...address, fence: revision })
   }
 
   /** Handles a record that can't be read: it names no entry that could be called. */
@@ -143,6 +157,7 @@
   private _remove (key: string): void {
     if (key.startsWith(entriesPrefix)) this._removeEntry(key.slice(entriesPrefix.length))
     else if (key.startsWith(holdersPrefix)) this._removeHolder(key.slice(holdersPrefix.length))
+    else if (key.startsWith(lastHoldersPrefix)) this._lastHolders.delete(key.slice(lastHoldersPrefix.length))
   }
 
   private _setEntry (node: string, address: PeerAddress): void {
