Apply an upstream's notice also when the caller has left

Cause: when a caller leaves, the entry closed the connection to the upstream at once, and the refusal with its backoff was never read. The answer of a booking whose caller has left was awaited, and its notice discarded with it.

Evidence: by the entry's log, the connection was closed 2 ms after the request was sent, and the next request to that server, 32 ms later, was answered.

Change: the head of an answer is awaited for up to 40 ms after its exchange was abandoned. A refusal leaves the connection open, any other head closes it at once. The notice of any discarded answer is applied.

--- a/packages/direct/src/lib/exchange.ts
+++ b/packages/direct/src/lib/exchange.ts
@@ -65,6 +65,11 @@
 
 /** Answers up to this size are buffered until they are complete, so that a broken one can be replaced. */
 const bufferLimit = 512 * 1024
+/**
+ * Time for which the head of an answer is still awaited after the exchange was abandoned. An upstream that refuses a
+ * request answers within a few ms; its notice, such as a backoff, applies although the caller has left.
+ */
+const headGrace: Ms = 40
 const badGatewayStatus = 500
 const otherInstanceStatus = 421
 const eventStream = 'text/event-stream'
@@ -80,6 +85,8 @@
   private _over = false
   private _begun = false
   private _sent = false
+  private _abandoned = false
+  private _discarding = false
   private _cancelTimer: (() => void) | undefined
 
   constructor (
@@ -105,14 +112,19 @@
     this._watchSilence(_call.firstEventSilence, 'No first event')
   }
 
-  /** Closes the connection; the sink receives no further events. */
+  /** Closes the connection, soon if the head of the answer may be on its way; the sink receives its notice at most. */
   abandon (): void {
     if (this._over) return
     this._finish()
-    this._req.destroy()
+    this._abandoned = true
+    // On a busy host the timer may fire in the turn of the event loop in which the head is about to be read.
+    if (this._res === undefined && this._sent) this._cancelTimer = this._clock.after(headGrace, () => setImmediate(() => setImmediate(() => this._closeUnanswered())))
+    else this._req.destroy()
   }
 
-  /** Discards the answer but lets the upstream finish the request. */
+  private _closeUnanswered (): void { if (!this._discarding) this._req.destroy() }
+
+  /** Discards the answer but for its notice, and lets the upstream finish the request. */
   ignore (): void {
     if (this._over) return
     this._finish()
@@ -163,12 +175,9 @@
   }
 
   private _respond (res: IncomingMessage): void {
-    if (this._over) {
-      res.resume()
-      return
-    }
-    this._res = res
     const facts = this._codec.readAnswer(res.statusCode ?? 0, res.rawHeaders)
+    if (this._over) return this._discard(res, facts)
+    this._res = res
     // A late answer to an earlier request on the same connection can arrive in place of the answer to this one, and the
     // caller would get another caller's answer. The request id in the answer tells them apart.
     if (facts.requestId !== undefined && facts.requestId !== this._call.id) return this._endAsLost(`The answer is to request ${facts.requestId}.`)
@@ -181,6 +190,20 @@
     else this._readBody(res)
   }
 
+  /** Handles an answer that is not needed any more: only its notice applies. */
+  private _discard (res: IncomingMessage, facts: AnswerMetadata): void {
+    this._cancelTimer?.()
+    this._discarding = true
+    const isOwn = facts.requestId === undefined || facts.requestId === this._call.id
+    if (isOwn && !this._isOtherInstance(res, facts)) this._sink.noticed(facts.notice)
+    if (this._abandoned && !facts.notRun) {
+      this._req.destroy()
+      return
+    }
+    res.on('error', () => this._req.destroy())
+    res.resume()
+  }
+
   /** Whether another upstream instance answers at this address. */
   private _isOtherInstance (res: IncomingMessage, { instance }: AnswerMetadata): boolean {
     return res.statusCode === otherInstanceStatus && instance !== this._call.instance
