Reconcile engines without copying the lists of entries and holders

An entry compares the engines it holds with the store up to 50 times a second. Each time it searched the list of entries once for each entry, copied the record of each holder twice, ranked claims also when no engine is without a holder, and looked for an engine to hand over also when it holds none.

--- a/packages/direct/src/lib/engine-coordinator.ts
+++ b/packages/direct/src/lib/engine-coordinator.ts
@@ -141,9 +141,9 @@
   }
 
   private _updateListed (now: Ms): void {
-    const { nodes } = this._options.peers
-    for (const node of this._listedSince.keys()) if (!nodes.includes(node)) this._listedSince.delete(node)
-    for (const node of nodes) if (!this._listedSince.has(node)) this._listedSince.set(node, now)
+    const { peers } = this._options
+    for (const node of this._listedSince.keys()) if (peers.entry(node) === undefined) this._listedSince.delete(node)
+    for (const node of peers.nodes) if (!this._listedSince.has(node)) this._listedSince.set(node, now)
   }
 
   /** Entries that have been listed long enough to be given engines, and the holder of each engine. */
@@ -154,12 +154,16 @@
 
   /** Holders of the engines that are running. The key of an engine that is gone stays until its holder's lease ends. */
   private _knownHolders (): ReadonlyMap<string, string> {
-    const running = new Set(this._engines().map(({ id }) => id))
-    return new Map(this._options.peers.holders.filter(({ upstream }) => running.has(upstream)).map(({ upstream, node }) => [upstream, node]))
+    const holders = new Map<string, string>()
+    for (const { id } of this._engines()) {
+      const holder = this._options.peers.holder(id)
+      if (holder !== undefined) holders.set(id, holder.node)
+    }
+    return holders
   }
 
   private _startHandoverIfDue (now: Ms): void {
-    if (this._handingOver || this._claiming || now - this._lastHandoverAt < handoverPause || !this._lease().valid) return
+    if (this._holders.size === 0 || this._handingOver || this._claiming || now - this._lastHandoverAt < handoverPause || !this._lease().valid) return
     const handover = pickHandover(this._options.self.node, this._settledAssignment(now), engine => {
       const holder = this._holders.get(engine)
       return holder !== undefined && now - holder.heldSince >= this._handoverAfter
@@ -208,7 +212,8 @@
     const { peers, self, clock } = this._options
     const claimable: Upstream[] = []
     const seen = new Set<string>()
-    const sequences = claimSequences(this._unheld().map(({ id }) => id), { entries: peers.nodes, holders: this._knownHolders() })
+    const unheld = this._unheld().map(({ id }) => id)
+    const sequences = unheld.length === 0 ? new Map<string, readonly string[]>() : claimSequences(unheld, { entries: peers.nodes, holders: this._knownHolders() })
     const settling = clock.now() - this._startedAt < this._settleTime
     if (settling || !this._lease().valid) this._options.clock.after(this._settleTime / 3, () => this.scheduleReconcile())
     if (!this._lease().valid) return []
