--- a/packages/bench/src/test/leaving.steps.ts
+++ b/packages/bench/src/test/leaving.steps.ts
@@ -8,12 +8,15 @@
 import { waitUntil } from './support/local-system.js'
 import type { SystemWorld } from './support/world.js'
 
-interface TrafficWorld extends SystemWorld { runsWhenUnavailable: number }
+interface TrafficWorld extends SystemWorld { runsWhenUnavailable: number, longResults?: readonly CallerResult[] }
 
 const requestCount = 240
 const eventAfter = 60
 const gapMs = 4
 const models = ['a@1', 'b@1', 'c@1']
+/** Enough requests for some of them to run at each engine, and tokens for them to run when the sidecar starts to shut down. */
+const longRequestCount = 12
+const longRequestTokens = 150
 
 /** Sends requests at a steady rate and runs an event in the middle. */
 async function sendDuring (world: TrafficWorld, entries: () => readonly string[], event: () => Promise<void>): Promise<void> {
@@ -48,8 +51,20 @@
 
 Given('the host list lags', function (this: SystemWorld) { this.system.hostList.lag = true })
 
+/** Starts requests that outlast the beginning of a shutdown, and waits until some of them run at "m0". */
+async function startLongRequests ({ system }: SystemWorld): Promise<ReadonlyArray<Promise<CallerResult>>> {
+  const running = system.engines[0]!.running()
+  const sent = Array.from({ length: longRequestCount }, (_, i) => complete(system.entries[i % system.entries.length]!.url, models[i % models.length]!, `long${i}`, longRequestTokens, true))
+  await waitUntil('further requests run at m0', () => system.engines[0]!.running() > running)
+  return sent
+}
+
 When('requests are sent while the sidecar of "m0" shuts down', async function (this: TrafficWorld) {
-  await sendDuring(this, everyEntry(this), () => shutDownSidecar(this))
+  await sendDuring(this, everyEntry(this), async () => {
+    const long = await startLongRequests(this)
+    await shutDownSidecar(this)
+    this.longResults = await Promise.all(long)
+  })
 })
 
 When('requests are sent while the operators drain "m0"', async function (this: TrafficWorld) {
@@ -107,9 +122,9 @@
   assert.equal(this.system.plains[0]!.bookings.size, 0)
 })
 
-Then('every request is answered whole', function (this: SystemWorld) {
+Then('every request is answered whole', function (this: TrafficWorld) {
   assert.equal(this.results.length, requestCount)
-  for (const result of this.results) {
+  for (const result of [...this.results, ...this.longResults ?? []]) {
     assert.ok(result.whole && (result.status === 200 || result.status === 201), `${result.token} ${result.model}: ${result.status} ${result.verdict} ${result.code}`)
   }
   for (const plain of this.system.plains) {
