--- a/packages/direct/src/lib/usage-coordinator.ts
+++ b/packages/direct/src/lib/usage-coordinator.ts
@@ -123,7 +123,7 @@
    * @returns undefined when this entry does not allocate, since it does not know the limits yet
    */
   report ({ shard, ...report }: UsageMessage): readonly UsageGrant[] | undefined {
-    const { clock, bounds, node, entryCount, isConfigured } = this._options
+    const { clock, log, kind, bounds, node, entryCount, isConfigured } = this._options
     if (!isConfigured()) return undefined
     if (report.entry !== node) this._peerReportAt = clock.now()
     if (this._mayMissOthers) return report.rows.map(({ account }) => ({ account, granted: 0, wait: reportWithin }))
@@ -132,7 +132,7 @@
     const reporters = allocator.reporters
     const entries = entryCount()
     const grants = allocator.report(report, { bounds: bounds(), now: clock.now(), entries, limitOf: name => this._limits.get(name) })
-    if (allocator.reporters !== reporters) this._options.log.info('usage', 'number of reporting entries has changed.', { kind: this._options.kind, shard, reporters: allocator.reporters, before: reporters, entries })
+    if (allocator.reporters !== reporters) log.info('usage', 'number of reporting entries has changed.', { kind, shard, reporters: allocator.reporters, before: reporters, entries })
     for (const { account, granted } of grants) this._summary.add(account, 'allocated', granted)
     return grants
   }
@@ -199,15 +199,23 @@
   }
 
   private _message (shard: number, allocator: string, report: UsageReport, covers: Ms): UsageMessage {
+    this._expireCounted(shard)
     return { ...report, covers, shard, entries: this._options.entryCount(), others: this._countOthers(shard, allocator) }
   }
 
   /** Number of allocators beside this one that may keep credit of this entry's part. */
   private _countOthers (shard: number, allocator: string): number {
-    const now = this._options.clock.now()
-    const counted = [...this._countedAt.get(shard) ?? []].filter(([other, at]) => other !== allocator && now - at < reportTtl)
+    const { clock } = this._options
+    const others = [...this._countedAt.get(shard)?.keys() ?? []].filter(other => other !== allocator)
     // The process before this one may have reported to an allocator just before its end.
-    return Math.max(counted.length, now - this._startedAt < reportTtl ? 1 : 0)
+    return Math.max(others.length, clock.now() - this._startedAt < reportTtl ? 1 : 0)
+  }
+
+  /** Deletes the allocators that keep no credit of this entry's part any more. */
+  private _expireCounted (shard: number): void {
+    const counted = this._countedAt.get(shard)
+    const now = this._options.clock.now()
+    for (const [allocator, at] of counted ?? []) if (now - at >= reportTtl) counted!.delete(allocator)
   }
 
   private _recordCounted (shard: number, allocator: string): void {
