--- a/packages/decisions/src/lib/usage-allocator.ts
+++ b/packages/decisions/src/lib/usage-allocator.ts
@@ -197,9 +197,11 @@
 }
 
 /**
- * Most that an allocator keeps of an entry's part, as a multiple of that part. The allocators that the entry has
- * reported to may keep what the limit allows at once only one time together: the first of them keeps all of it, and each
- * further one half as much of the rest as the one before.
+ * Most that an allocator would keep if all entries reported to it as this one does. An allocator that an entry reports to
+ * alone keeps everything; of several, each further one keeps half as much as the one before, and together they keep no
+ * more than `mostElsewhere` in addition.
+ *
+ * @param others - number of other allocators that the entry has reported to lately
  */
 function mostKept ({ most, mostElsewhere }: GrantTerms, others: number): number {
   return others === 0 ? most : mostElsewhere / 2 ** others
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -136,7 +136,7 @@
   }
 })
 
-/** An organisation of three times its limit, in requests, as upstreams and callers see it. */
+/** An organisation with a limit in requests, which its callers exceed many times over. */
 const flooding: UsageDemand = { organisation: 'flooding', limit: 20, requested: 300, entries: 3, cost: 1, burst: 10 }
 const floodingBounds: UsageBounds = { window: 8_000, overage: 0.1, slack: 10 }
 /** Its callers send nothing for 10 s, in which credit accrues, and then more than a window. */
