Log how a read of the store failed, and how long changes took to apply

An outage of the store and an answer that does not fit its time limit logged the same line, 'store: lost.'. A failed read now logs its call, its cause, the bytes that had arrived and its time; changes that take 50 ms or more to apply are logged with their number. Metrics: bytes of the store's answers by outcome, and the age of the view.

No decision is changed.

--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -153,6 +153,7 @@
       restarted: upstream => this.engineCoordinator.handleRestart(upstream),
       changed: () => this.engineCoordinator.scheduleReconcile()
     })
+    _options.metrics.currentViewAge = () => this._view.viewAge
     this.engineCoordinator = new EngineCoordinator({
       self: this._self,
       store: platform.store,
--- a/packages/direct/src/lib/json-client.ts
+++ b/packages/direct/src/lib/json-client.ts
@@ -28,12 +28,17 @@
   readonly headers: IncomingMessage['headers']
   /** Ms since the call was made. */
   readonly took: Ms
+  /** Bytes of the body, as transferred. */
+  readonly bytes: number
 }
 
-/** A call without an answer. */
+/** A call without a complete answer. */
 export class NoAnswer extends Error {
-  /** @param sent - whether the call may have reached the other side */
-  constructor (message: string, readonly sent: boolean) { super(message) }
+  /**
+   * @param sent - whether the call may have reached the other side
+   * @param bytes - bytes of the answer's body that were received
+   */
+  constructor (message: string, readonly sent: boolean, readonly bytes = 0) { super(message) }
 }
 
 /** Larger answers are rejected as faulty: the largest value of the store is a megabyte, and so is a page of it. */
@@ -93,15 +98,16 @@
   return new Promise((resolve, reject) => {
     let sent = false
     let answered = false
+    let bytes = 0
     const req = request({ agent, host, port, method, path, headers: { ...call.headers, ...framing, ...accepts } })
     // On a busy host the timer may fire in the same turn of the event loop in which the answer is about to be read. A
     // call that gave up then would count as unanswered although its answer arrived in time.
-    const giveUp = (): void => { req.destroy(new Error(`No answer within ${Math.round(timeout)} ms.`)) }
+    const giveUp = (): void => { req.destroy(new Error(`No ${bytes === 0 ? '' : 'complete '}answer within ${Math.round(timeout)} ms.`)) }
     const timer = setTimeout(() => setImmediate(() => setImmediate(() => { if (!answered) giveUp() })), timeout)
     const fail = (error: Error): void => {
       clearTimeout(timer)
       req.destroy()
-      reject(new NoAnswer(error.message, sent))
+      reject(new NoAnswer(error.message, sent, bytes))
     }
     req.on('socket', socket => {
       if (socket.connecting) socket.once('connect', () => { sent = true })
@@ -109,10 +115,11 @@
     })
     req.on('error', fail)
     req.on('response', res => {
+      res.on('data', (chunk: Buffer) => { bytes += chunk.length })
       readJson(res, maxAnswerBytes).then(value => {
         clearTimeout(timer)
         answered = true
-        resolve({ status: res.statusCode ?? 0, body: value, headers: res.headers, took: performance.now() - startedAt })
+        resolve({ status: res.statusCode ?? 0, body: value, headers: res.headers, took: performance.now() - startedAt, bytes })
       }, fail)
     })
     req.end(body)
--- a/packages/direct/src/lib/metrics.ts
+++ b/packages/direct/src/lib/metrics.ts
@@ -20,6 +20,7 @@
   readonly heldRequests = this._counter('hazelford_held_requests_total', 'Requests that this entry holds back, since upstreams ended under them.', [])
   readonly notices = this._counter('hazelford_upstream_notices_total', 'Changes of what upstreams say of themselves in answers: a request limit, that they leave, that they want rest.', ['notice'])
   readonly storeCalls = this._counter('hazelford_store_calls_total', 'Calls to the store, by outcome.', ['call', 'outcome'])
+  readonly storeBytes = this._counter('hazelford_store_answer_bytes_total', 'Bytes of the answers of the store, by outcome; `none` are incomplete answers.', ['call', 'outcome'])
   readonly dropped = this._counter('hazelford_log_lines_dropped_total', 'Log lines left out.', [])
   readonly latency = this._histogram('hazelford_request_ms', 'From a request to the end of its answer.', ['kind'])
   readonly firstByte = this._histogram('hazelford_first_byte_ms', 'From a send to the first byte of its answer.', ['kind'])
@@ -27,6 +28,9 @@
   private readonly _organisationRequests = this._counter('hazelford_organisation_requests_total', 'Requests by organisation and end.', ['organisation', 'end'])
   private readonly _organisations = new Set<string>()
   readonly open = new Gauge({ name: 'hazelford_open_requests', help: 'Requests without their whole answer.', registers: [this._registry] })
+  /** Returns the age of the view in ms, at each scrape. */
+  currentViewAge: () => number = () => Infinity
+  readonly viewAge: Gauge = new Gauge({ name: 'hazelford_view_age_ms', help: 'Time for which changes in the store may have been missed.', registers: [this._registry], collect: () => this.viewAge.set(this.currentViewAge()) })
   readonly configVersion = new Gauge({ name: 'hazelford_config_version', help: 'Version of the configuration in force.', registers: [this._registry] })
 
   private _counter<L extends string> (name: string, help: string, labelNames: readonly L[]): Counter<L> {
--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -3,7 +3,7 @@
  */
 import { type Clock, type Instant, instantOf, type Log, type Ms, sleep } from '@hazelford/core'
 import { fullJitter, type StoreRole, type ViewAge } from '@hazelford/decisions'
-import type { Store, StoreChanges, StoreEvent, StoreItem, StoreListing } from '@hazelford/ports'
+import type { Store, StoreChanges, StoreEvent, StoreFailure, StoreItem, StoreListing } from '@hazelford/ports'
 import { ChangeFeed } from './change-feed.js'
 import type { FollowedChanges } from './store-follower.js'
 
@@ -40,6 +40,8 @@
 const backoff = { base: 60, cap: 600 }
 /** Margin of a watch for the transfer of the store's answer and for a busy host. */
 const answerMargin: Ms = 150
+/** Time to apply the changes of one answer from which it is logged: requests wait meanwhile. */
+const slowApply: Ms = 50
 /** Consecutive failed calls after which the store counts as lost. */
 const lostAfter = 2
 
@@ -135,7 +137,7 @@
   private async _list (): Promise<'heard' | 'failed'> {
     const asked = this._instant
     const listing = await this._options.store.list(allKeysPrefix)
-    if (listing.isErr()) return 'failed'
+    if (listing.isErr()) return this._readFailed('list', listing.error, asked)
     this._applyListing(listing.value)
     this._recordVerified(asked, 0)
     return 'heard'
@@ -152,9 +154,12 @@
   }
 
   private _applyChanges ({ events, revision }: StoreChanges): void {
+    const startedAt = this._options.clock.now()
     for (const event of events) this._listener.changed(event)
     this._revision = Math.max(this._revision, revision)
     this.feed.add(events, revision)
+    const took = this._options.clock.now() - startedAt
+    if (took > slowApply) this._options.log.info('store', 'changes took long to apply.', { revision, events: events.length, took: Math.round(took) })
   }
 
   private _applyListing (listing: StoreListing): void {
@@ -180,6 +185,12 @@
       this._known = false
       return 'heard'
     }
+    return this._readFailed('watch', changes.error, asked)
+  }
+
+  /** Logs a read that failed: whether its answer was absent or incomplete tells an outage from a slow link. */
+  private _readFailed (call: 'list' | 'watch', { message, bytes }: StoreFailure, asked: Instant): 'failed' {
+    this._options.log.info('store', 'read failed.', { call, revision: this._revision, cause: message, bytes, took: Math.round(this._instant.now - asked.now) })
     return 'failed'
   }
 
--- a/packages/ports/src/lib/store.ts
+++ b/packages/ports/src/lib/store.ts
@@ -61,6 +61,8 @@
 export interface StoreFailure {
   readonly kind: 'not-applied' | 'unknown' | 'history-lost' | 'no-lease'
   readonly message: string
+  /** Bytes of an incomplete answer that were received. */
+  readonly bytes?: number
 }
 
 /** A lease as granted. */
