Limit the pauses of a growing answer in place of its whole time

What callers saw: entries that refuse added routes for good, or answer 503 since their start, once the configuration is large for their link to the store.

Cause: a listing had 600 ms for the whole answer and a watch 600 ms beyond its wait, however steadily the answer arrived. An answer that did not fit was thrown away and requested again from the same revision, with all versions since: it only grew, so the outage outlived its load. The same held for states and changes that entries fetch from each other (1 s, 0.7 s).

Calls with answers of a fixed size keep a limit for the whole.

--- a/packages/direct/src/lib/json-client.ts
+++ b/packages/direct/src/lib/json-client.ts
@@ -5,9 +5,10 @@
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
 import type { Ms } from '@hazelford/core'
+import { AnswerDeadline, type AnswerLimits } from './answer-deadline.js'
 
-/** One call. */
-export interface JsonCall {
+/** One call. The limits on its answer are what shows a connection that has become silent. */
+export interface JsonCall extends AnswerLimits {
   readonly host: string
   readonly port: number
   readonly method: string
@@ -16,8 +17,6 @@
   readonly body?: object
   /** Whether the answer may be long, and is requested in compressed form. */
   readonly compressed?: boolean
-  /** Ms until the answer must be complete; a silent connection is noticed only by this. */
-  readonly timeout: Ms
 }
 
 /** A complete answer. */
@@ -90,22 +89,18 @@
  * @returns rejects with {@link NoAnswer} when no complete answer arrived in time
  */
 export function callJson (agent: Agent, call: JsonCall): Promise<JsonAnswer> {
-  const { host, port, method, path, timeout } = call
+  const { host, port, method, path } = call
   const body = call.body === undefined ? undefined : JSON.stringify(call.body)
   const framing = body === undefined ? {} : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }
   const accepts = call.compressed === true ? { 'Accept-Encoding': compression } : {}
   const startedAt = performance.now()
   return new Promise((resolve, reject) => {
     let sent = false
-    let answered = false
     let bytes = 0
     const req = request({ agent, host, port, method, path, headers: { ...call.headers, ...framing, ...accepts } })
-    // On a busy host the timer may fire in the same turn of the event loop in which the answer is about to be read. A
-    // call that gave up then would count as unanswered although its answer arrived in time.
-    const giveUp = (): void => { req.destroy(new Error(`No ${bytes === 0 ? '' : 'complete '}answer within ${Math.round(timeout)} ms.`)) }
-    const timer = setTimeout(() => setImmediate(() => setImmediate(() => { if (!answered) giveUp() })), timeout)
+    const deadline = new AnswerDeadline(call, cause => { req.destroy(new Error(cause)) })
     const fail = (error: Error): void => {
-      clearTimeout(timer)
+      deadline.stop()
       req.destroy()
       reject(new NoAnswer(error.message, sent, bytes))
     }
@@ -115,10 +110,13 @@
     })
     req.on('error', fail)
     req.on('response', res => {
-      res.on('data', (chunk: Buffer) => { bytes += chunk.length })
+      deadline.progress()
+      res.on('data', (chunk: Buffer) => {
+        bytes += chunk.length
+        deadline.progress()
+      })
       readJson(res, maxAnswerBytes).then(value => {
-        clearTimeout(timer)
-        answered = true
+        deadline.stop()
         resolve({ status: res.statusCode ?? 0, body: value, headers: res.headers, took: performance.now() - startedAt, bytes })
       }, fail)
     })
--- a/packages/direct/src/lib/peer-client.ts
+++ b/packages/direct/src/lib/peer-client.ts
@@ -4,6 +4,7 @@
 import { Agent } from 'node:http'
 import type { Ms } from '@hazelford/core'
 import type { UsageGrant } from '@hazelford/decisions'
+import type { TransferLimits } from './answer-deadline.js'
 import { type FeedAnswer, readFeedAnswer } from './change-feed.js'
 import { callJson, type JsonAnswer, type JsonCall, NoAnswer } from './json-client.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
@@ -19,8 +20,10 @@
  */
 const answerMargin: Ms = 150
 const stateTimeout: Ms = 1_000
-/** Margin for an answer with many changes over a link of 7 Mbit/s, and a watcher on a fifth of a core. */
+/** Margin for an answer with changes from a watcher on a fifth of a core. */
 const changesMargin: Ms = 300
+/** Answers with changes or a whole state grow with the deployment and its configuration. */
+const stateTransfer: TransferLimits = { pause: 300, total: 5_000 }
 
 /** Calls other entries. */
 export class PeerClient {
@@ -50,7 +53,7 @@
   /** Polls for changes in the store after a revision; rejects when no answer arrived in time. */
   async changes ({ host, port }: PeerAddress, after: number, wait: Ms): Promise<FeedAnswer> {
     const body: ChangesMessage = { after, wait }
-    const answer = await this._call({ host, port, method: 'POST', path: peerPaths.changes, body, compressed: true, timeout: wait + changesMargin })
+    const answer = await this._call({ host, port, method: 'POST', path: peerPaths.changes, body, compressed: true, timeout: wait + changesMargin, transfer: stateTransfer })
     if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
     const changes = readFeedAnswer(answer.body)
     if (changes === undefined) throw new Error('The peer\'s answer can not be read.')
@@ -59,7 +62,7 @@
 
   /** Fetches configuration and upstreams. */
   async state ({ host, port }: { readonly host: string, readonly port: number }): Promise<PeerState> {
-    const answer = await this._call({ host, port, method: 'GET', path: peerPaths.state, compressed: true, timeout: stateTimeout })
+    const answer = await this._call({ host, port, method: 'GET', path: peerPaths.state, compressed: true, timeout: stateTimeout, transfer: stateTransfer })
     if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
     return answer.body as PeerState
   }
