Read the newest values of the store when its changes outgrow them

What callers saw: entries whose routes stay behind for as long as a large configuration changes faster than their link carries its versions; with ten entries, also those whose own links were idle, since watchers fell behind.

Cause: a watch returns every version of a value since its revision. The longer an answer takes, the more versions the next one has. Watchers kept and passed on all of them, 1,000 changes of any size (up to a gigabyte of values).

Change: an answer of a watch is read up to the size of a listing, which has the latest values alone; beyond that the store is listed. Values that the next change of their key replaces are neither decoded nor kept nor passed on, and a watcher keeps 4 MB of values. A listing that took long replaces the pause after it.

--- a/packages/direct/src/lib/change-feed.ts
+++ b/packages/direct/src/lib/change-feed.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock, Ms } from '@hazelford/core'
 import type { StoreChanges, StoreEvent } from '@hazelford/ports'
+import { dropSuperseded } from './superseded-events.js'
 
 /** Changes after a revision. */
 export interface FeedChanges extends StoreChanges {
@@ -17,6 +18,8 @@
 
 /** Number of events kept: about 20 s of changes of a hundred upstreams. A follower polls several times a second. */
 const maxEvents = 1_000
+/** Characters of values kept: a follower that lacks more than this lists the store instead. */
+const maxValueLength = 4 << 20
 
 function isEvent (value: unknown): value is StoreEvent {
   const { kind, key, revision, item } = (value ?? {}) as Record<string, unknown>
@@ -47,7 +50,19 @@
 
 function revisionOf (event: StoreEvent): number { return event.kind === 'put' ? event.item.revision : event.revision }
 
-/** The latest changes. */
+function valueLength (event: StoreEvent): number { return event.kind === 'put' ? event.item.value.length : 0 }
+
+/** Number of the oldest events to drop, so that the others are within both limits. */
+function surplusOf (events: readonly StoreEvent[]): number {
+  let length = 0
+  for (let n = events.length - 1; n >= 0; n--) {
+    length += valueLength(events[n]!)
+    if (events.length - n > maxEvents || length > maxValueLength) return n + 1
+  }
+  return 0
+}
+
+/** The latest changes, without values that were replaced since. */
 export class ChangeFeed {
   private _events: StoreEvent[] = []
   /** Changes up to this revision are not kept. */
@@ -72,9 +87,9 @@
   /** Adds changes up to a revision. */
   add (events: readonly StoreEvent[], revision: number): void {
     if (revision <= this._revision) return
-    this._events.push(...events)
+    this._events = [...dropSuperseded([...this._events, ...events])]
     this._revision = revision
-    const surplus = this._events.splice(0, Math.max(0, this._events.length - maxEvents))
+    const surplus = this._events.splice(0, surplusOf(this._events))
     if (surplus.length > 0) this._droppedUpTo = Math.max(this._droppedUpTo, revisionOf(surplus.at(-1)!))
     this._wake()
   }
--- a/packages/direct/src/lib/json-client.ts
+++ b/packages/direct/src/lib/json-client.ts
@@ -17,6 +17,8 @@
   readonly body?: object
   /** Whether the answer may be long, and is requested in compressed form. */
   readonly compressed?: boolean
+  /** A larger answer is not read; {@link maxAnswerBytes} by default. */
+  readonly maxBytes?: number
 }
 
 /** A complete answer. */
@@ -31,13 +33,23 @@
   readonly bytes: number
 }
 
+/**
+ * Why a call has no complete answer: none arrived in time, or it is larger than the caller accepts.
+ */
+export type NoAnswerKind = 'not-received' | 'too-large'
+
 /** A call without a complete answer. */
 export class NoAnswer extends Error {
   /**
    * @param sent - whether the call may have reached the other side
    * @param bytes - bytes of the answer's body that were received
    */
-  constructor (message: string, readonly sent: boolean, readonly bytes = 0) { super(message) }
+  constructor (message: string, readonly sent: boolean, readonly bytes = 0, readonly kind: NoAnswerKind = 'not-received') { super(message) }
+}
+
+/** A message that is larger than its limit. */
+class MessageTooLarge extends Error {
+  constructor () { super('The message is too large.') }
 }
 
 /** Larger answers are rejected as faulty: the largest value of the store is a megabyte, and so is a page of it. */
@@ -72,7 +84,7 @@
     let size = 0
     source.on('data', (chunk: Buffer) => {
       size += chunk.length
-      if (size > limit) source.destroy(new Error('The message is too large.'))
+      if (size > limit) source.destroy(new MessageTooLarge())
       else chunks.push(chunk)
     })
     source.on('end', () => resolve(Buffer.concat(chunks)))
@@ -89,7 +101,7 @@
  * @returns rejects with {@link NoAnswer} when no complete answer arrived in time
  */
 export function callJson (agent: Agent, call: JsonCall): Promise<JsonAnswer> {
-  const { host, port, method, path } = call
+  const { host, port, method, path, maxBytes = maxAnswerBytes } = call
   const body = call.body === undefined ? undefined : JSON.stringify(call.body)
   const framing = body === undefined ? {} : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }
   const accepts = call.compressed === true ? { 'Accept-Encoding': compression } : {}
@@ -102,7 +114,7 @@
     const fail = (error: Error): void => {
       deadline.stop()
       req.destroy()
-      reject(new NoAnswer(error.message, sent, bytes))
+      reject(new NoAnswer(error.message, sent, bytes, error instanceof MessageTooLarge ? 'too-large' : 'not-received'))
     }
     req.on('socket', socket => {
       if (socket.connecting) socket.once('connect', () => { sent = true })
@@ -115,7 +127,8 @@
         bytes += chunk.length
         deadline.progress()
       })
-      readJson(res, maxAnswerBytes).then(value => {
+      if (Number(res.headers['content-length'] ?? 0) > maxBytes) return fail(new MessageTooLarge())
+      readJson(res, maxBytes).then(value => {
         deadline.stop()
         resolve({ status: res.statusCode ?? 0, body: value, headers: res.headers, took: performance.now() - startedAt, bytes })
       }, fail)
--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -6,6 +6,7 @@
 import type { Store, StoreChanges, StoreEvent, StoreFailure, StoreItem, StoreListing } from '@hazelford/ports'
 import { ChangeFeed } from './change-feed.js'
 import type { FollowedChanges } from './store-follower.js'
+import { dropSuperseded } from './superseded-events.js'
 
 /** Receives the contents of the store and their changes. */
 export interface StoreMirrorListener {
@@ -42,6 +43,12 @@
 const answerMargin: Ms = 150
 /** Time to apply the changes of one answer from which it is logged: requests wait meanwhile. */
 const slowApply: Ms = 50
+/**
+ * Answers of a watch are read up to the size of a listing, and at least up to this many bytes. A watch returns every
+ * version that a value has had; the listing has the latest ones only, so its size does not grow with the time since the
+ * last answer. While answers exceed that size, they are read up to this minimum, as the next one is likely to exceed it.
+ */
+const minWatchBytes = 128 * 1024
 /** Consecutive failed calls after which the store counts as lost. */
 const lostAfter = 2
 
@@ -75,6 +82,12 @@
   private _isLost = false
   private _stopped = false
   private _answeredAt: Ms = -Infinity
+  /** Size of the last listing in bytes. */
+  private _listingBytes = 0
+  /** Whether the last answer of a watch was too large. */
+  private _isOvertaken = false
+  /** Ms that the last call took, if it was a listing. Changes come together during that time as in a pause. */
+  private _listingTook: Ms = 0
   /** Changes for the entries that follow this one. */
   readonly feed: ChangeFeed
 
@@ -109,7 +122,7 @@
       const turn = this._known && !this._isRelistDue ? await this._follow() || await this._watch() : await this._list()
       if (turn === 'failed') await this._pause(this._failed())
       if (turn === 'heard') this._recordAnswer(this._options.clock.now())
-      if (this._known && turn === 'heard') await this._pause(this._watchPause)
+      if (this._known && turn === 'heard') await this._pause(this._watchPause - this._listingTook)
     }
   }
 
@@ -139,6 +152,7 @@
     const listing = await this._options.store.list(allKeysPrefix)
     if (listing.isErr()) return this._readFailed('list', listing.error, asked)
     this._applyListing(listing.value)
+    this._listingTook = this._instant.now - asked.now
     this._recordVerified(asked, 0)
     return 'heard'
   }
@@ -153,8 +167,9 @@
     return 'followed'
   }
 
-  private _applyChanges ({ events, revision }: StoreChanges): void {
+  private _applyChanges ({ events: all, revision }: StoreChanges): void {
     const startedAt = this._options.clock.now()
+    const events = dropSuperseded(all)
     for (const event of events) this._listener.changed(event)
     this._revision = Math.max(this._revision, revision)
     this.feed.add(events, revision)
@@ -166,14 +181,17 @@
     this._known = true
     this._isRelistDue = false
     this._revision = listing.revision
+    this._listingBytes = listing.bytes
     this.feed.reset(listing.revision)
     this._listener.reset(listing.items)
   }
 
-  private async _watch (): Promise<'heard' | 'failed'> {
+  private async _watch (): Promise<'heard' | 'failed' | 'overtaken'> {
     const asked = this._instant
-    const changes = await this._options.store.watch(allKeysPrefix, this._revision, this._watchWait)
+    this._listingTook = 0
+    const changes = await this._options.store.watch(allKeysPrefix, this._revision, this._watchWait, this._maxWatchBytes)
     if (changes.isOk()) {
+      this._isOvertaken = false
       this._applyChanges(changes.value)
       this._recordVerified(asked, 0)
       return 'heard'
@@ -185,6 +203,12 @@
       this._known = false
       return 'heard'
     }
+    if (changes.error.kind === 'too-large') {
+      this._options.log.info('store', 'changes are larger than the whole store, listing it.', { revision: this._revision, listing: this._listingBytes })
+      this.scheduleRelist()
+      this._isOvertaken = true
+      return 'overtaken'
+    }
     return this._readFailed('watch', changes.error, asked)
   }
 
@@ -194,6 +218,8 @@
     return 'failed'
   }
 
+  private get _maxWatchBytes (): number { return this._isOvertaken ? minWatchBytes : Math.max(minWatchBytes, this._listingBytes) }
+
   private get _instant (): Instant { return instantOf(this._options.clock) }
 
   /** Records that the view contains all changes up to an answer; `asked`: when its call was sent. */
--- a/packages/ports/src/lib/store.ts
+++ b/packages/ports/src/lib/store.ts
@@ -21,6 +21,8 @@
 export interface StoreListing {
   readonly items: readonly StoreItem[]
   readonly revision: number
+  /** Size of the store's answer in bytes. */
+  readonly bytes: number
 }
 
 /** Changes after a revision, and the revision from which the next watch continues. */
@@ -57,9 +59,10 @@
  * - `unknown`: no reply was received; the call may have taken effect, or may still do so.
  * - `history-lost`: a watch asked for changes that the store no longer keeps.
  * - `no-lease`: the lease has expired or was ended.
+ * - `too-large`: the answer of a watch is larger than the caller accepts.
  */
 export interface StoreFailure {
-  readonly kind: 'not-applied' | 'unknown' | 'history-lost' | 'no-lease'
+  readonly kind: 'not-applied' | 'unknown' | 'history-lost' | 'no-lease' | 'too-large'
   readonly message: string
   /** Bytes of an incomplete answer that were received. */
   readonly bytes?: number
@@ -75,8 +78,11 @@
 export interface Store {
   /** Reads all items under a prefix, linearizably. */
   readonly list: (prefix: string) => ResultAsync<StoreListing, StoreFailure>
-  /** Waits at most `wait` ms until something under the prefix changes after `revision`. */
-  readonly watch: (prefix: string, revision: number, wait: Ms) => ResultAsync<StoreChanges, StoreFailure>
+  /**
+   * Waits at most `wait` ms until something under the prefix changes after `revision`. An answer of more than `maxBytes`
+   * is not read.
+   */
+  readonly watch: (prefix: string, revision: number, wait: Ms, maxBytes: number) => ResultAsync<StoreChanges, StoreFailure>
   readonly commit: (txn: StoreTransaction) => ResultAsync<TransactionOutcome, StoreFailure>
   readonly grantLease: (ttl: Ms) => ResultAsync<StoreLease, StoreFailure>
   readonly renewLease: (lease: number) => ResultAsync<void, StoreFailure>
