Let the entries with the fastest links of a zone watch the store

What callers saw: with configurations of some hundred kilobytes, routes that entries on fast links refused for seconds, since the watcher of their zone read the store over the slowest one.

Cause: watchers were elected by hash alone. A watcher reads uncompressed answers of the store; its followers receive changes from it, compressed to a tenth.

Change: entries register the rate of their link (setting link_mbps), and the fastest of a zone are its watchers; the hash decides among equals. Entries of a version without the rate come last, as do those that don't know it.

--- a/packages/decisions/src/lib/store-role.ts
+++ b/packages/decisions/src/lib/store-role.ts
@@ -8,6 +8,8 @@
   readonly node: string
   /** Availability zone; undefined for an entry of a version that does not report it. */
   readonly zone?: string
+  /** Rate of its link in Mbit/s; undefined where it is not known. */
+  readonly linkMbps?: number
 }
 
 /** How an entry learns of changes in the store. */
@@ -30,13 +32,20 @@
  */
 const electionKey = 'store-watch'
 
-function watchersOf (nodes: readonly string[]): readonly string[] {
-  return rendezvousOrder(electionKey, nodes).slice(0, Math.ceil(nodes.length / entriesPerWatcher))
+/**
+ * Chooses the watchers of a zone: those with the fastest links, as a watcher reads uncompressed answers of the store and
+ * its followers receive changes only after it has.
+ */
+function watchersOf (entries: readonly ListedEntry[]): readonly string[] {
+  const rateOf = new Map(entries.map(({ node, linkMbps = 0 }) => [node, linkMbps]))
+  return [...rendezvousOrder(electionKey, [...rateOf.keys()])]
+    .sort((a, b) => rateOf.get(b)! - rateOf.get(a)!)
+    .slice(0, Math.ceil(entries.length / entriesPerWatcher))
 }
 
-function byZone (entries: readonly ListedEntry[]): ReadonlyMap<string, readonly string[]> {
-  const zones = new Map<string, string[]>()
-  for (const { node, zone = '' } of entries) zones.set(zone, [...(zones.get(zone) ?? []), node])
+function byZone (entries: readonly ListedEntry[]): ReadonlyMap<string, readonly ListedEntry[]> {
+  const zones = new Map<string, ListedEntry[]>()
+  for (const entry of entries) zones.set(entry.zone ?? '', [...(zones.get(entry.zone ?? '') ?? []), entry])
   return zones
 }
 
@@ -56,7 +65,7 @@
   if (own === undefined || entries.length <= allWatchUpTo) return { kind: 'watch', watchers: Math.max(1, entries.length), hasFollowers: false }
   const sameZone: string[] = []
   const otherZones: string[] = []
-  for (const [zone, nodes] of byZone(entries)) (zone === (own.zone ?? '') ? sameZone : otherZones).push(...watchersOf(nodes))
+  for (const [zone, listed] of byZone(entries)) (zone === (own.zone ?? '') ? sameZone : otherZones).push(...watchersOf(listed))
   if (sameZone.includes(self)) return { kind: 'watch', watchers: sameZone.length + otherZones.length, hasFollowers: true }
   // The followers of a zone are spread over its watchers; watchers of other zones are the last resort.
   return { kind: 'follow', watchersToAsk: [...rendezvousOrder(self, sameZone), ...rendezvousOrder(self, otherZones)] }
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -98,7 +98,7 @@
   private readonly _usage: UsageCoordinator
   private readonly _notices: NoticeCoordinator
   private readonly _servers: Server[] = []
-  private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, port: number }
+  private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, readonly linkMbps: number, port: number }
   private _settings: DirectSettings
   private _peerPort = 0
   private _closing = false
@@ -109,7 +109,7 @@
   constructor (private readonly _options: DirectEntryOptions) {
     const { settings, platform, clock, log } = _options
     this._settings = settings
-    this._self = { node: settings.name, host: settings.host, port: settings.peer_port, zone: settings.zone }
+    this._self = { node: settings.name, host: settings.host, port: settings.peer_port, zone: settings.zone, linkMbps: settings.link_mbps }
     this._quarantine = new QuarantineCoordinator({
       node: settings.name,
       clock,
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -40,6 +40,8 @@
   budget_window_s: z._default(atLeast(0.1), 10),
   /** Ms within which an accepted change of the configuration must be in force; also limits how often the store is polled. */
   apply_within_ms: z._default(atLeast(100), 2_000),
+  /** Rate of the host's link in Mbit/s, 0 where it is not known; entries with fast links are the first to watch the store. */
+  link_mbps: z._default(atLeast(0), 0),
   /**
    * Ms after the withdrawal of a key within which every entry refuses it, also an entry that is cut off; 0 lets such an
    * entry go on with the configuration that it has.
@@ -80,7 +82,7 @@
 }
 
 /** Settings that take effect only at a start: sockets are open, and peers know the addresses. */
-export const addressSettings = ['name', 'zone', 'host', 'store', 'listen_callers', 'listen_ready', 'listen_control', 'peer_port', 'advertised_peer_port', 'metrics_port'] as const
+export const addressSettings = ['name', 'zone', 'host', 'store', 'listen_callers', 'listen_ready', 'listen_control', 'peer_port', 'advertised_peer_port', 'metrics_port', 'link_mbps'] as const
 
 /** Picks the address settings of a running process. */
 export function pickAddresses (settings: DirectSettings): Pick<DirectSettings, typeof addressSettings[number]> {
--- a/packages/direct/src/lib/peer-table.ts
+++ b/packages/direct/src/lib/peer-table.ts
@@ -18,6 +18,8 @@
   readonly port: number
   /** Its availability zone; undefined for an entry of a version that does not send it. */
   readonly zone?: string
+  /** Rate of its link in Mbit/s; undefined where it is not known. */
+  readonly linkMbps?: number
 }
 
 /** The holder of an engine. */
@@ -40,9 +42,10 @@
 
 function decodeAddress (value: string): PeerAddress | undefined {
   try {
-    const { node, host, port, zone } = JSON.parse(value) as Partial<PeerAddress>
+    const { node, host, port, zone, linkMbps } = JSON.parse(value) as Partial<PeerAddress>
     const isAddress = typeof node === 'string' && node !== '' && typeof host === 'string' && isIPv4(host) && Number.isInteger(port) && port! > 0 && port! < 65_536
-    return isAddress ? { node, host, port: port!, ...(typeof zone === 'string' ? { zone } : {}) } : undefined
+    if (!isAddress) return undefined
+    return { node, host, port: port!, ...(typeof zone === 'string' ? { zone } : {}), ...(typeof linkMbps === 'number' ? { linkMbps } : {}) }
   } catch {
     // Not written by this version of the program, so the record has no address that this entry could call.
     return undefined
