List the store when a peer's view was applied during a watch or a poll

What callers could see: requests to upstreams that have left, for as long as a record that a watch replays stands over the newer one of a peer's view.

Cause: a relist that became due while a watcher was polled was followed by a watch from the old revision, and the answer of a watch under way was applied.

Change: both are followed by a listing, and the answer is dropped.

--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -119,13 +119,20 @@
 
   private async _run (): Promise<void> {
     while (!this._stopped) {
-      const turn = this._known && !this._isRelistDue ? await this._follow() || await this._watch() : await this._list()
+      const turn = await this._turn()
       if (turn === 'failed') await this._pause(this._failed())
       if (turn === 'heard') this._recordAnswer(this._options.clock.now())
       if (this._known && turn === 'heard') await this._pause(this._watchPause - this._listingTook)
     }
   }
 
+  private async _turn (): Promise<'heard' | 'failed' | 'followed' | 'overtaken'> {
+    if (!this._known || this._isRelistDue) return await this._list()
+    const followed = await this._follow()
+    if (followed !== undefined) return followed
+    return this._isRelistDue ? await this._list() : await this._watch()
+  }
+
   /** Longest ms between two answers of a healthy store. */
   get maxAnswerInterval (): Ms { return this._watchWait + this._watchPause }
 
@@ -192,6 +199,8 @@
     const changes = await this._options.store.watch(allKeysPrefix, this._revision, this._watchWait, this._maxWatchBytes)
     if (changes.isOk()) {
       this._isOvertaken = false
+      // A peer's view was applied meanwhile, which may be newer than these changes.
+      if (this._isRelistDue) return 'overtaken'
       this._applyChanges(changes.value)
       this._recordVerified(asked, 0)
       return 'heard'
