Give followers the differences when a watcher lists the store

What callers saw: with large configurations in quick succession, routes that all entries of a zone refused for seconds, though the watcher of the zone knew them.

Change: the differences between a listing and the last known contents are the changes.

--- a/packages/direct/src/lib/change-feed.ts
+++ b/packages/direct/src/lib/change-feed.ts
@@ -2,7 +2,7 @@
  * Changes in the store as one entry has received them, for the entries that follow it.
  */
 import type { Clock, Ms } from '@hazelford/core'
-import type { StoreChanges, StoreEvent } from '@hazelford/ports'
+import type { StoreChanges, StoreEvent, StoreItem } from '@hazelford/ports'
 import { dropSuperseded } from './superseded-events.js'
 
 /** Changes after a revision. */
@@ -68,6 +68,8 @@
   /** Changes up to this revision are not kept. */
   private _droppedUpTo = Infinity
   private _revision = 0
+  /** Keys that exist. */
+  private readonly _keys = new Set<string>()
   private _waiters = new Set<() => void>()
 
   /**
@@ -76,7 +78,20 @@
    */
   constructor (private readonly _clock: Clock, private readonly _age: () => Ms, private readonly _viewAge: () => Ms) {}
 
-  /** Starts over after the whole store was read: the changes before that are unknown. */
+  /**
+   * Continues with a listing of the whole store, of which the differences from the last known contents are the changes.
+   * Followers go on from there; otherwise each of them would list the store as well.
+   */
+  relist (items: readonly StoreItem[], revision: number): void {
+    if (this._droppedUpTo === Infinity) this.reset(revision)
+    const puts = items.filter(item => item.revision > this._revision).map((item): StoreEvent => ({ kind: 'put', item }))
+    const listed = new Set(items.map(({ key }) => key))
+    const removals = [...this._keys].filter(key => !listed.has(key)).map((key): StoreEvent => ({ kind: 'removed', key, revision }))
+    for (const key of listed) this._keys.add(key)
+    this.add([...puts, ...removals].sort((a, b) => revisionOf(a) - revisionOf(b)), revision)
+  }
+
+  /** Starts over: the changes up to a revision are unknown. */
   reset (revision: number): void {
     this._events = []
     this._droppedUpTo = revision
@@ -87,6 +102,10 @@
   /** Adds changes up to a revision. */
   add (events: readonly StoreEvent[], revision: number): void {
     if (revision <= this._revision) return
+    for (const event of events) {
+      if (event.kind === 'put') this._keys.add(event.item.key)
+      else this._keys.delete(event.key)
+    }
     this._events = [...dropSuperseded([...this._events, ...events])]
     this._revision = revision
     const surplus = this._events.splice(0, surplusOf(this._events))
--- a/packages/direct/src/lib/json-client.ts
+++ b/packages/direct/src/lib/json-client.ts
@@ -19,6 +19,8 @@
   readonly compressed?: boolean
   /** A larger answer is not read; {@link maxAnswerBytes} by default. */
   readonly maxBytes?: number
+  /** Is called whenever a part of the answer has arrived. */
+  readonly onData?: () => void
 }
 
 /** A complete answer. */
@@ -101,7 +103,7 @@
  * @returns rejects with {@link NoAnswer} when no complete answer arrived in time
  */
 export function callJson (agent: Agent, call: JsonCall): Promise<JsonAnswer> {
-  const { host, port, method, path, maxBytes = maxAnswerBytes } = call
+  const { host, port, method, path, maxBytes = maxAnswerBytes, onData = () => {} } = call
   const body = call.body === undefined ? undefined : JSON.stringify(call.body)
   const framing = body === undefined ? {} : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }
   const accepts = call.compressed === true ? { 'Accept-Encoding': compression } : {}
@@ -126,6 +128,7 @@
       res.on('data', (chunk: Buffer) => {
         bytes += chunk.length
         deadline.progress()
+        onData()
       })
       if (Number(res.headers['content-length'] ?? 0) > maxBytes) return fail(new MessageTooLarge())
       readJson(res, maxBytes).then(value => {
--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -189,14 +189,14 @@
     this._isRelistDue = false
     this._revision = listing.revision
     this._listingBytes = listing.bytes
-    this.feed.reset(listing.revision)
+    this.feed.relist(listing.items, listing.revision)
     this._listener.reset(listing.items)
   }
 
   private async _watch (): Promise<'heard' | 'failed' | 'overtaken'> {
     const asked = this._instant
     this._listingTook = 0
-    const changes = await this._options.store.watch(allKeysPrefix, this._revision, this._watchWait, this._maxWatchBytes)
+    const changes = await this._options.store.watch(allKeysPrefix, this._revision, this._watchWait, { maxBytes: this._maxWatchBytes })
     if (changes.isOk()) {
       this._isOvertaken = false
       // A peer's view was applied meanwhile, which may be newer than these changes.
--- a/packages/ports/src/lib/store.ts
+++ b/packages/ports/src/lib/store.ts
@@ -74,15 +74,24 @@
   readonly ttl: Ms
 }
 
+/** How to read an answer of the store. */
+export interface ReadOptions {
+  /** Is called whenever a part of the answer has arrived. */
+  readonly onData?: () => void
+}
+
+/** How to read the answer of a watch. */
+export interface WatchOptions extends ReadOptions {
+  /** A larger answer is not read. */
+  readonly maxBytes: number
+}
+
 /** Operations of the store. */
 export interface Store {
   /** Reads all items under a prefix, linearizably. */
-  readonly list: (prefix: string) => ResultAsync<StoreListing, StoreFailure>
-  /**
-   * Waits at most `wait` ms until something under the prefix changes after `revision`. An answer of more than `maxBytes`
-   * is not read.
-   */
-  readonly watch: (prefix: string, revision: number, wait: Ms, maxBytes: number) => ResultAsync<StoreChanges, StoreFailure>
+  readonly list: (prefix: string, options?: ReadOptions) => ResultAsync<StoreListing, StoreFailure>
+  /** Waits at most `wait` ms until something under the prefix changes after `revision`. */
+  readonly watch: (prefix: string, revision: number, wait: Ms, options: WatchOptions) => ResultAsync<StoreChanges, StoreFailure>
   readonly commit: (txn: StoreTransaction) => ResultAsync<TransactionOutcome, StoreFailure>
   readonly grantLease: (ttl: Ms) => ResultAsync<StoreLease, StoreFailure>
   readonly renewLease: (lease: number) => ResultAsync<void, StoreFailure>
