Read at most a quarter of a listing's size of a watch's answer

What callers saw: entries whose watchers were cut off or frozen were late with a large configuration.

Cause: an entry that turns to the store has missed several versions. It read their answer up to the size of a listing, dropped it and then listed the store: twice the time, where the store's answer does not declare its length.

Change: a quarter of the listing's size, 128 KB at least. A single version that is most of the listing is listed, too.

--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -44,10 +44,11 @@
 /** Time to apply the changes of one answer from which it is logged: requests wait meanwhile. */
 const slowApply: Ms = 50
 /**
- * Answers of a watch are read up to the size of a listing, and at least up to this many bytes. A watch returns every
- * version that a value has had; the listing has the latest ones only, so its size does not grow with the time since the
- * last answer. While answers exceed that size, they are read up to this minimum, as the next one is likely to exceed it.
+ * Answers of a watch are read up to this share of the size of a listing, and at least up to this many bytes; beyond that
+ * the store is listed. A watch returns every version that a value has had, a listing the latest ones only, so its size
+ * does not grow with the time since the last answer. What was read of the watch's answer is lost.
  */
+const maxWatchShare = 1 / 4
 const minWatchBytes = 128 * 1024
 /** Consecutive failed calls after which the store counts as lost. */
 const lostAfter = 2
@@ -84,8 +85,6 @@
   private _answeredAt: Ms = -Infinity
   /** Size of the last listing in bytes. */
   private _listingBytes = 0
-  /** Whether the last answer of a watch was too large. */
-  private _isOvertaken = false
   /** Ms that the last call took, if it was a listing. Changes come together during that time as in a pause. */
   private _listingTook: Ms = 0
   /** Changes for the entries that follow this one. */
@@ -198,7 +197,6 @@
     this._listingTook = 0
     const changes = await this._options.store.watch(allKeysPrefix, this._revision, this._watchWait, { maxBytes: this._maxWatchBytes })
     if (changes.isOk()) {
-      this._isOvertaken = false
       // A peer's view was applied meanwhile, which may be newer than these changes.
       if (this._isRelistDue) return 'overtaken'
       this._applyChanges(changes.value)
@@ -213,9 +211,8 @@
       return 'heard'
     }
     if (changes.error.kind === 'too-large') {
-      this._options.log.info('store', 'changes are larger than the whole store, listing it.', { revision: this._revision, listing: this._listingBytes })
+      this._options.log.info('store', 'changes are too large, listing the store.', { revision: this._revision, listing: this._listingBytes })
       this.scheduleRelist()
-      this._isOvertaken = true
       return 'overtaken'
     }
     return this._readFailed('watch', changes.error, asked)
@@ -227,7 +224,7 @@
     return 'failed'
   }
 
-  private get _maxWatchBytes (): number { return this._isOvertaken ? minWatchBytes : Math.max(minWatchBytes, this._listingBytes) }
+  private get _maxWatchBytes (): number { return Math.max(minWatchBytes, this._listingBytes * maxWatchShare) }
 
   private get _instant (): Instant { return instantOf(this._options.clock) }
 
