Count an answer that is arriving as a sign that the store answers

What callers saw: with large configurations, entries that turned from their watcher to the store, each over its own link, while the watcher was about to have the change.

Cause: the age of a view counted from the last complete answer.

Change: parts of an answer count, for half of the time in which a change must be in force. The age by which withdrawn keys are judged counts from the question, as before.

--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -41,6 +41,8 @@
 const backoff = { base: 60, cap: 600 }
 /** Margin of a watch for the transfer of the store's answer and for a busy host. */
 const answerMargin: Ms = 150
+/** Time for which an answer that is still arriving counts as one, as a share of the time in which a change must be in force. */
+const maxTransferShare = 1 / 2
 /** Time to apply the changes of one answer from which it is logged: requests wait meanwhile. */
 const slowApply: Ms = 50
 /**
@@ -83,6 +85,8 @@
   private _isLost = false
   private _stopped = false
   private _answeredAt: Ms = -Infinity
+  /** When a part of an answer arrived that is not complete yet. */
+  private _receivedAt: Ms = -Infinity
   /** Size of the last listing in bytes. */
   private _listingBytes = 0
   /** Ms that the last call took, if it was a listing. Changes come together during that time as in a pause. */
@@ -109,8 +113,8 @@
   /** Whether the last calls failed. */
   get lost (): boolean { return this._isLost }
 
-  /** Ms since the store last answered. */
-  age (now: Ms): Ms { return now - this._answeredAt }
+  /** Ms since the store last answered, or a part of an answer arrived. */
+  age (now: Ms): Ms { return now - Math.max(this._answeredAt, this._receivedAt) }
 
   start (): void { this._run().catch((error: Error) => this._options.log.warn('store', 'mirror stopped.', { error: error.message })) }
 
@@ -155,7 +159,7 @@
 
   private async _list (): Promise<'heard' | 'failed'> {
     const asked = this._instant
-    const listing = await this._options.store.list(allKeysPrefix)
+    const listing = await this._options.store.list(allKeysPrefix, { onData: this._trackAnswer() })
     if (listing.isErr()) return this._readFailed('list', listing.error, asked)
     this._applyListing(listing.value)
     this._listingTook = this._instant.now - asked.now
@@ -195,7 +199,7 @@
   private async _watch (): Promise<'heard' | 'failed' | 'overtaken'> {
     const asked = this._instant
     this._listingTook = 0
-    const changes = await this._options.store.watch(allKeysPrefix, this._revision, this._watchWait, { maxBytes: this._maxWatchBytes })
+    const changes = await this._options.store.watch(allKeysPrefix, this._revision, this._watchWait, { maxBytes: this._maxWatchBytes, onData: this._trackAnswer() })
     if (changes.isOk()) {
       // A peer's view was applied meanwhile, which may be newer than these changes.
       if (this._isRelistDue) return 'overtaken'
@@ -226,6 +230,20 @@
 
   private get _maxWatchBytes (): number { return Math.max(minWatchBytes, this._listingBytes * maxWatchShare) }
 
+  /**
+   * Returns a function that records the parts of one answer as they arrive. An entry that receives a large answer is not
+   * cut off; for a limited time, since peers may have a complete one by then.
+   */
+  private _trackAnswer (): () => void {
+    const { clock, applyWithin } = this._options
+    let beganAt: Ms | undefined
+    return () => {
+      const now = clock.now()
+      beganAt ??= now
+      if (now - beganAt < applyWithin() * maxTransferShare) this._receivedAt = now
+    }
+  }
+
   private get _instant (): Instant { return instantOf(this._options.clock) }
 
   /** Records that the view contains all changes up to an answer; `asked`: when its call was sent. */
