Let no request wait for credit beyond its route's timeout

Cause: the wait for credit precedes the timer of the route.

Change: the request's remaining time bounds the wait; it is refused with 429 then.

Evidence: the scenario failed before (refused after 1,000 ms with 300 ms left).

--- a/packages/direct/src/lib/credit-queue.ts
+++ b/packages/direct/src/lib/credit-queue.ts
@@ -82,8 +82,12 @@
     for (const { decide } of free) decide({ kind: 'admitted', refund: () => {} })
   }
 
-  /** Takes a request's usage from an account's credit; synchronous unless the request has to wait for credit. */
-  admit (account: string, cost: number): Admission | Promise<Admission> {
+  /**
+   * Takes a request's usage from an account's credit; synchronous unless the request has to wait for credit.
+   *
+   * @param patience - ms that the request may wait
+   */
+  admit (account: string, cost: number, patience: Ms = longestWait): Admission | Promise<Admission> {
     const at = this._instant
     const pool = this._pool(account)
     pool.count(cost, at.now)
@@ -94,9 +98,9 @@
         if (pool.isLow(at)) this._reportSoon()
         return this._admitted(account, cost)
       case 'closed': return this._refused(account, cost, spending.retryAfter)
-      case 'held': return this._options.waitsForCredit ? this._wait(account, cost) : this._refused(account, cost, spending.retryAfter)
+      case 'held': return this._options.waitsForCredit ? this._wait(account, cost, patience) : this._refused(account, cost, spending.retryAfter)
       case 'short': {
-        const admission = this._wait(account, cost)
+        const admission = this._wait(account, cost, patience)
         this._report()
         return admission
       }
@@ -104,10 +108,10 @@
     }
   }
 
-  private _wait (account: string, cost: number): Promise<Admission> {
+  private _wait (account: string, cost: number, patience: Ms): Promise<Admission> {
     return new Promise(resolve => {
       // The answer may come later than this: an entry that is cut off from its peers tries several of them in turn.
-      const cancel = this._options.clock.after(longestWait, () => {
+      const cancel = this._options.clock.after(Math.min(longestWait, patience), () => {
         this._waiting = this._waiting.filter(other => other !== waiter)
         resolve(this._refused(account, cost, minRetryAfter))
       })
--- a/packages/direct/src/lib/request-intake.ts
+++ b/packages/direct/src/lib/request-intake.ts
@@ -38,8 +38,11 @@
   readonly viewAge: () => Ms
   /** Ms within which an accepted change must be in force. */
   readonly applyWithin: () => Ms
-  /** Takes a request's usage from its organisation's credit; synchronous unless the request has to wait for credit. */
-  readonly admit: (organisation: Organisation, tokens: number | undefined) => Admission | Promise<Admission>
+  /**
+   * Takes a request's usage from its organisation's credit; synchronous unless the request has to wait for credit, for
+   * `patience` ms at most.
+   */
+  readonly admit: (organisation: Organisation, tokens: number | undefined, patience: Ms) => Admission | Promise<Admission>
   readonly relay: (admitted: AdmittedCall) => void
 }
 
@@ -149,7 +152,7 @@
 
   /** Takes the request's usage, and admits it if it is within its organisation's limit. */
   private _charge (incoming: IncomingRequest, route: Route, organisation: Organisation, facts: CallMetadata, relay: (refund: () => void) => void): void {
-    const { admit, log, metrics } = this._options
+    const { admit, clock, log, metrics } = this._options
     const decided = (admission: Admission): void => {
       if (admission.kind === 'admitted') {
         if (incoming.isGone()) admission.refund()
@@ -162,7 +165,8 @@
       metrics.countOrganisation(organisation.name, 'over-limit')
       incoming.answer.fail({ kind: 'over-limit', organisation: organisation.name, retryAfter })
     }
-    const admission = admit(organisation, facts.declaresTokens ? facts.promptTokens + facts.maxOutputTokens : undefined)
+    const patience = incoming.arrivedAt + Math.min(facts.patience ?? Infinity, route.timeout) - clock.now()
+    const admission = admit(organisation, facts.declaresTokens ? facts.promptTokens + facts.maxOutputTokens : undefined, patience)
     // This is the turn of the event loop in which the request was read, so a close of its connection can't have been
     // missed.
     if (!(admission instanceof Promise)) decided(admission)
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -53,6 +53,11 @@
     And use stays within the limit in every window, whichever of 2 to 10 entries answer, restart, or are missing in lists
     And without faults, at least 178 of the 197 requests are used that a window allows
 
+  Scenario: a request whose caller does not wait as long as others wait for credit
+    Guards against a request that is held past its route's timeout, since it waits for credit of an allocator that does not answer.
+    When a request with 300 ms left waits for credit of an allocator that does not answer
+    Then it is refused after 300 ms
+
   Scenario: an organisation that the allocator does not know yet
     Symptom: callers of a newly added organisation get 429 for a second, and entries send each other requests in a loop.
     Events: an organisation is added with a limit; the allocating entry learns of it a second after the others.
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -11,7 +11,7 @@
 import { grantInFull, usageLimits, usageOf } from '../lib/organisation-usage.js'
 import type { PeerAddress } from '../lib/peer-table.js'
 import { UsageCoordinator, type UsageCoordinatorOptions } from '../lib/usage-coordinator.js'
-import type { Admission } from '../lib/credit-queue.js'
+import { type Admission, CreditQueue } from '../lib/credit-queue.js'
 import { readUsageGrants, readUsageMessage } from '../lib/usage-messages.js'
 import { simulateUsage, type UsageDemand, type UsageFault, type UsageWorkload } from './support/usage-simulation.js'
 
@@ -277,3 +277,24 @@
   const good = { shard: 0, entry: 'e', covers: 400, rows: [{ account: 'o', holding: 1, first: 0, waiting: 0, ahead: 2.5, returned: 0 }] }
   assert.deepEqual(readUsageMessage(good), good)
 })
+
+interface WaitingWorld { waitedMs: Ms, admission: Admission }
+
+When('a request with {int} ms left waits for credit of an allocator that does not answer', async function (this: WaitingWorld, patience: number) {
+  const clock = new FakeClock()
+  const queue = new CreditQueue({ clock, log: silentLog, node: 'entry', startedAt: 0, isNeeded: () => true, waitsForCredit: true, summary: { add: () => {} }, report: () => new Promise(() => {}) })
+  const stepMs = 50
+  const admission = Promise.resolve(queue.admit('organisation', 1, patience)).then(decided => { this.admission = decided })
+  while (this.admission === undefined) {
+    clock.advance(stepMs)
+    await new Promise(resolve => setImmediate(resolve))
+  }
+  await admission
+  this.waitedMs = clock.now()
+  queue.stop()
+})
+
+Then('it is refused after {int} ms', function (this: WaitingWorld, ms: number) {
+  assert.equal(this.admission.kind, 'over-limit')
+  assert.equal(this.waitedMs, ms)
+})
