Answer a request whose body does not arrive within its route's timeout

Cause: the timer of a request started when it had been read completely, and reading had no limit but that of the headers.

Change: 408 at the route's timeout, counted from the head, and the connection is closed; nothing has been passed on.

--- a/packages/direct/src/lib/caller-answer.ts
+++ b/packages/direct/src/lib/caller-answer.ts
@@ -12,6 +12,7 @@
   | { readonly kind: 'bad-request', readonly message: string }
   | { readonly kind: 'no-route' }
   | { readonly kind: 'body-too-large' }
+  | { readonly kind: 'body-incomplete' }
   | { readonly kind: 'no-config', readonly retryAfter: Ms }
   | { readonly kind: 'unauthorised', readonly cause: UnauthorisedCause }
   | { readonly kind: 'over-limit', readonly organisation: string, readonly retryAfter: Ms }
@@ -34,6 +35,7 @@
     case 'bad-request': return 400
     case 'no-route': return 404
     case 'body-too-large': return 413
+    case 'body-incomplete': return 408
     case 'unauthorised': return 401
     case 'over-limit': return 429
     case 'no-config':
@@ -49,6 +51,7 @@
     case 'bad-request': return error.message
     case 'no-route': return 'No route matches this host and path.'
     case 'body-too-large': return 'The body is larger than the configuration allows.'
+    case 'body-incomplete': return 'The body did not arrive within the time limit of its route. The request did not run.'
     case 'no-config': return 'No configuration is known yet. Send the request again later.'
     case 'unauthorised': return `The request has no valid key for this route (${error.cause}). Send the key of your organisation as "Authorization: Bearer KEY".`
     case 'over-limit': return `The usage limit of ${error.organisation} is used up for now. The request did not run; send it again later.`
--- a/packages/direct/src/lib/caller-server.ts
+++ b/packages/direct/src/lib/caller-server.ts
@@ -4,7 +4,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Clock, type Ms } from '@hazelford/core'
 import type { CallerLimits } from '@hazelford/ports'
-import { CallerAnswer } from './caller-answer.js'
+import { CallerAnswer, type EntryError } from './caller-answer.js'
 
 /** A request that was read completely, with the answer to write. */
 export interface IncomingRequest {
@@ -25,6 +25,8 @@
 export interface CallerServerOptions {
   readonly clock: Clock
   readonly maxBodyBytes: () => number
+  /** Ms within which a request to this host and target must have been read. */
+  readonly bodyTimeout: (host: string, target: string) => Ms
   readonly closing: () => boolean
   readonly handle: (incoming: IncomingRequest) => void
 }
@@ -100,18 +102,21 @@
     const chunks: Buffer[] = []
     let size = 0
     const limit = this._options.maxBodyBytes()
+    const fail = (error: EntryError): void => {
+      // The rest of the body is not read, so the connection can't be used again.
+      res.setHeader('Connection', 'close')
+      answer.fail(error)
+    }
+    const cancelTimeout = clock.after(this._options.bodyTimeout(req.headers.host ?? '', req.url ?? '/'), () => { if (!answer.ended) fail({ kind: 'body-incomplete' }) })
+    res.on('close', cancelTimeout)
     req.on('data', (chunk: Buffer) => {
       size += chunk.length
       if (answer.ended) return
-      if (size > limit) {
-        // The rest of the body is not read, so the connection can't be used again.
-        res.setHeader('Connection', 'close')
-        answer.fail({ kind: 'body-too-large' })
-        return
-      }
+      if (size > limit) return fail({ kind: 'body-too-large' })
       chunks.push(chunk)
     })
     req.on('end', () => {
+      cancelTimeout()
       if (!answer.ended) this._handle(req, res, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), arrivedAt, answer)
     })
     // The caller broke off within its body. Nothing was passed on, and the close of its connection decrements the
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -59,6 +59,8 @@
 /** Part of the grace period that is left for the process itself to exit. */
 const graceMargin: Ms = 700
 const defaultMaxBody = 4 << 20
+/** Time for a request without a known route to be read. */
+const defaultBodyTimeout: Ms = 10_000
 /** Time for a connection to open to an upstream that may have terminated; one on a far link or a slow host takes some tens of ms. */
 const probeTimeout: Ms = 600
 
@@ -189,6 +191,7 @@
     this._callers = new CallerServer({
       clock,
       maxBodyBytes: () => this.config.table?.config.limits.maxBodyBytes ?? defaultMaxBody,
+      bodyTimeout: (host, target) => this.config.table?.match(host, target)?.timeout ?? defaultBodyTimeout,
       closing: () => this._closesConnections,
       handle: incoming => this._intake.handle(incoming)
     })
