Limit the pauses of answers of the key-value service, too

The same cause in the form with sidecars: a read of the configuration had one second for the whole answer, so an entry on a slow link never starts with a configuration of a megabyte, and reads it again and again; the list of hosts, two seconds.

Change: both are limited by their progress. The limits move to the core package.

--- a/packages/consul/src/lib/host-list.ts
+++ b/packages/consul/src/lib/host-list.ts
@@ -4,10 +4,11 @@
  * Protocol: Consul's `/v1/health/service/:name` with blocking queries. A host that
  * is not `passing` is leaving.
  */
-import type { Ms } from '@hazelford/core'
+import type { Ms, TransferLimits } from '@hazelford/core'
 import { ResultAsync } from 'neverthrow'
 import { Pool } from 'undici'
 import type { KvFailure } from './kv-client.js'
+import { requestText } from './request-text.js'
 
 /** A host as the platform lists it. The list may be out of date. */
 export interface Host {
@@ -37,6 +38,8 @@
 export const hostServiceName = 'hazelford'
 
 const callTimeout: Ms = 2_000
+/** The list grows with the number of hosts, so it is limited by its progress. */
+const listTransfer: TransferLimits = { pause: callTimeout, total: 15_000 }
 
 function decodeHost (wire: WireHost): Host {
   const { ID, Address, Port, Meta } = wire.Service
@@ -65,15 +68,11 @@
 export function createHostListClient (url: string): HostListClient {
   const pool = new Pool(url, { connections: 2, headersTimeout: 0, bodyTimeout: 0 })
   const load = async (index: number, wait: Ms, signal?: AbortSignal): Promise<HostList> => {
-    const timeoutSignal = AbortSignal.timeout(wait + callTimeout)
-    const res = await pool.request({
-      method: 'GET',
-      path: `/v1/health/service/${hostServiceName}?index=${index}&wait=${wait}ms`,
-      signal: signal === undefined ? timeoutSignal : AbortSignal.any([timeoutSignal, signal])
-    })
-    if (res.statusCode !== 200) throw new Error(`The host list answered ${res.statusCode}.`)
-    const wires = await res.body.json() as WireHost[]
-    return { hosts: wires.map(decodeHost), index: Number(res.headers['x-consul-index'] ?? 0) }
+    const req = { method: 'GET', path: `/v1/health/service/${hostServiceName}?index=${index}&wait=${wait}ms` } as const
+    const { status, headers, text } = await requestText(pool, req, { timeout: wait + callTimeout, transfer: listTransfer }, signal)
+    if (status !== 200) throw new Error(`The host list answered ${status}.`)
+    const wires = JSON.parse(text) as WireHost[]
+    return { hosts: wires.map(decodeHost), index: Number(headers['x-consul-index'] ?? 0) }
   }
   return {
     watch: (index, wait, signal) => ResultAsync.fromPromise(load(index, wait, signal), error =>
--- a/packages/consul/src/lib/kv-client.ts
+++ b/packages/consul/src/lib/kv-client.ts
@@ -4,9 +4,10 @@
  * Protocol: the HTTP interface of Consul's KV store (`/v1/kv/:key` with `?cas`,
  * `?index` and `?wait`), as published in its documentation.
  */
-import type { Ms } from '@hazelford/core'
+import type { AnswerLimits, Ms, TransferLimits } from '@hazelford/core'
 import { ResultAsync } from 'neverthrow'
 import { type Dispatcher, Pool } from 'undici'
+import { requestText, type TextAnswer } from './request-text.js'
 
 /** A stored value with the index for a compare-and-swap. */
 export interface KvEntry {
@@ -52,6 +53,8 @@
 interface WireEntry { readonly Key: string, readonly Value: string | null, readonly ModifyIndex: number }
 
 const callTimeout: Ms = 1_000
+/** Longest ms for which an answer may arrive. */
+const longestTransfer: Ms = 15_000
 const connectionsLimit = 16
 
 /** Codes of connection failures that occur before any byte of the call is sent. */
@@ -74,29 +77,25 @@
  * Creates a client. Connections are opened on first use.
  *
  * @param url - base URL of the service
- * @param timeout - time-out of a call in ms
+ * @param timeout - ms until the answer of a call begins, and longest pause within it
  */
 export function createKvClient (url: string, timeout: Ms = callTimeout): KvClient {
   const pool = new Pool(url, { connections: connectionsLimit, connect: { timeout }, headersTimeout: 0, bodyTimeout: 0 })
 
-  async function call (method: Dispatcher.HttpMethod, path: string, limit: Ms, body?: string, signal?: AbortSignal): Promise<Dispatcher.ResponseData> {
-    const timeoutSignal = AbortSignal.timeout(limit)
-    const res = await pool.request({ method, path, body, signal: signal === undefined ? timeoutSignal : AbortSignal.any([timeoutSignal, signal]) })
-    if (res.statusCode >= 500) {
-      await res.body.dump()
-      throw new ServiceError(`The key-value service answered ${res.statusCode}.`)
-    }
-    return res
+  // A configuration grows with the deployment, so reads of it are limited by their progress.
+  const transfer: TransferLimits = { pause: timeout, total: longestTransfer }
+
+  async function call (method: Dispatcher.HttpMethod, path: string, limits: AnswerLimits, body?: string, signal?: AbortSignal): Promise<TextAnswer> {
+    const answer = await requestText(pool, { method, path, body }, limits, signal)
+    if (answer.status >= 500) throw new ServiceError(`The key-value service answered ${answer.status}.`)
+    return answer
   }
 
   async function readEntries (path: string, limit: Ms, signal?: AbortSignal): Promise<{ entries: KvEntry[], index: number }> {
-    const res = await call('GET', path, limit, undefined, signal)
-    const index = Number(res.headers['x-consul-index'] ?? 0)
-    if (res.statusCode === 404) {
-      await res.body.dump()
-      return { entries: [], index }
-    }
-    const wires = await res.body.json() as WireEntry[]
+    const { status, headers, text } = await call('GET', path, { timeout: limit, transfer }, undefined, signal)
+    const index = Number(headers['x-consul-index'] ?? 0)
+    if (status === 404) return { entries: [], index }
+    const wires = JSON.parse(text) as WireEntry[]
     return { entries: wires.map(decodeEntry), index }
   }
 
@@ -106,8 +105,8 @@
   }
 
   async function outcomeOf (method: 'PUT' | 'DELETE', path: string, body?: string): Promise<CasOutcome> {
-    const res = await call(method, path, timeout, body)
-    return (await res.body.text()).trim() === 'true' ? 'stored' : 'conflict'
+    const { text } = await call(method, path, { timeout }, body)
+    return text.trim() === 'true' ? 'stored' : 'conflict'
   }
 
   return {
--- /dev/null
+++ b/packages/consul/src/lib/request-text.ts
@@ -0,0 +1,38 @@
+/**
+ * Requests whose answer is read as text, with time limits.
+ */
+import { AnswerDeadline, type AnswerLimits } from '@hazelford/core'
+import type { Dispatcher, Pool } from 'undici'
+
+/** A complete answer. */
+export interface TextAnswer {
+  readonly status: number
+  readonly headers: Dispatcher.ResponseData['headers']
+  readonly text: string
+}
+
+/**
+ * Makes a request.
+ *
+ * @param pool - connections to use
+ * @param req - what to send
+ * @param limits - limits on the answer
+ * @param signal - cancels the request
+ * @returns rejects when no complete answer arrived in time
+ */
+export async function requestText (pool: Pool, req: Pick<Dispatcher.RequestOptions, 'method' | 'path' | 'body'>, limits: AnswerLimits, signal?: AbortSignal): Promise<TextAnswer> {
+  const expired = new AbortController()
+  const deadline = new AnswerDeadline(limits, cause => expired.abort(new Error(cause)))
+  try {
+    const res = await pool.request({ ...req, signal: signal === undefined ? expired.signal : AbortSignal.any([expired.signal, signal]) })
+    deadline.progress()
+    const chunks: Buffer[] = []
+    for await (const chunk of res.body) {
+      chunks.push(chunk as Buffer)
+      deadline.progress()
+    }
+    return { status: res.statusCode, headers: res.headers, text: Buffer.concat(chunks).toString('utf8') }
+  } finally {
+    deadline.stop()
+  }
+}
--- a/packages/direct/src/lib/answer-deadline.ts
+++ b/packages/core/src/lib/answer-deadline.ts
@@ -1,7 +1,7 @@
 /**
  * Time limits of an answer that is awaited or being received.
  */
-import type { Ms } from '@hazelford/core'
+import type { Ms } from './clock.js'
 
 /**
  * Limits on an answer whose size grows, such as a listing. A limit on the whole answer alone would reject it on a slow
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -3,7 +3,6 @@
  *
  * @packageDocumentation
  */
-export * from './lib/answer-deadline.js'
 export * from './lib/change-feed.js'
 export * from './lib/direct-entry.js'
 export * from './lib/entry-settings.js'
--- a/packages/direct/src/lib/json-client.ts
+++ b/packages/direct/src/lib/json-client.ts
@@ -4,8 +4,7 @@
 import { type Agent, type IncomingMessage, request } from 'node:http'
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
-import type { Ms } from '@hazelford/core'
-import { AnswerDeadline, type AnswerLimits } from './answer-deadline.js'
+import { AnswerDeadline, type AnswerLimits, type Ms } from '@hazelford/core'
 
 /** One call. The limits on its answer are what shows a connection that has become silent. */
 export interface JsonCall extends AnswerLimits {
--- a/packages/direct/src/lib/peer-client.ts
+++ b/packages/direct/src/lib/peer-client.ts
@@ -2,9 +2,8 @@
  * Calls to the other entries.
  */
 import { Agent } from 'node:http'
-import type { Ms } from '@hazelford/core'
+import type { Ms, TransferLimits } from '@hazelford/core'
 import type { UsageGrant } from '@hazelford/decisions'
-import type { TransferLimits } from './answer-deadline.js'
 import { type FeedAnswer, readFeedAnswer } from './change-feed.js'
 import { callJson, type JsonAnswer, type JsonCall, NoAnswer } from './json-client.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
