--- a/packages/direct/src/lib/json-client.ts
+++ b/packages/direct/src/lib/json-client.ts
@@ -18,7 +18,7 @@
   readonly compressed?: boolean
   /** A larger answer is not read; {@link maxAnswerBytes} by default. */
   readonly maxBytes?: number
-  /** Is called whenever a part of the answer has arrived. */
+  /** Is called whenever a part of an answer with status 200 has arrived. */
   readonly onData?: () => void
 }
 
@@ -127,7 +127,7 @@
       res.on('data', (chunk: Buffer) => {
         bytes += chunk.length
         deadline.progress()
-        onData()
+        if (res.statusCode === 200) onData()
       })
       if (Number(res.headers['content-length'] ?? 0) > maxBytes) return fail(new MessageTooLarge())
       readJson(res, maxBytes).then(value => {
--- a/packages/ports/src/lib/store.ts
+++ b/packages/ports/src/lib/store.ts
@@ -76,7 +76,7 @@
 
 /** How to read an answer of the store. */
 export interface ReadOptions {
-  /** Is called whenever a part of the answer has arrived. */
+  /** Is called whenever a part of a successful answer has arrived. */
   readonly onData?: () => void
 }
 
