--- a/packages/direct/src/lib/store-view.ts
+++ b/packages/direct/src/lib/store-view.ts
@@ -54,6 +54,7 @@
   private readonly _mirror: StoreMirror
   private readonly _follower: PeerFollower
   private _configRead: Promise<void> | undefined
+  private _peerRead: Promise<void> | undefined
 
   constructor (private readonly _options: StoreViewOptions, private readonly _listener: StoreViewListener) {
     const { platform, clock, log, client, node } = _options
@@ -123,11 +124,14 @@
     const asked = this._instant
     const answer = await client.configAge(peer)
     if (answer === undefined) return
-    // The peer's complete state has hundreds of routes, so it is requested only when the version is newer.
+    // The peer's complete state has hundreds of routes, so it is requested only when the version is newer, and once for
+    // all queries that overlap.
     if (answer.version === this.config.table?.version) this._viewAge.recordAnswer(asked, answer.viewAge, this._instant)
-    else if (answer.version > (this.config.table?.version ?? 0)) this._applyConfig(await client.state(peer), asked)
+    else if (answer.version > (this.config.table?.version ?? 0)) await (this._peerRead ??= this._readPeer(peer, asked).finally(() => { this._peerRead = undefined }))
   }
 
+  private async _readPeer (peer: PeerAddress, asked: Instant): Promise<void> { this._applyConfig(await this._options.client.state(peer), asked) }
+
   private get _instant (): Instant { return instantOf(this._options.clock) }
 
   private get _age (): Ms { return this._mirror.age(this._options.clock.now()) }
