--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -61,6 +61,78 @@
     feature: 'platform/src/test/store.feature',
     scenario: 'lost history'
   },
+  {
+    guarantee: 'large configuration: an answer that arrives steadily is received',
+    file: 'packages/core/dist/lib/answer-deadline.js',
+    find: 'this._dueAt = Math.min(now + transfer.pause, this._endAt);',
+    replace: '',
+    feature: 'platform/src/test/large-configurations.feature',
+    scenario: 'starts with the largest'
+  },
+  {
+    guarantee: 'large configuration: the store is listed when its changes are too large',
+    file: 'packages/direct/dist/lib/store-mirror.js',
+    find: 'Math.max(minWatchBytes, this._listingBytes * maxWatchShare)',
+    replace: 'Infinity',
+    feature: 'platform/src/test/large-configurations.feature',
+    scenario: 'more changes than'
+  },
+  {
+    guarantee: 'large configuration: followers get the differences of a listing',
+    file: 'packages/direct/dist/lib/store-mirror.js',
+    find: 'this.feed.relist(listing.items, listing.revision)',
+    replace: 'this.feed.reset(listing.revision)',
+    feature: 'packages/direct/src/test/propagation.feature',
+    scenario: 'slow links and a few'
+  },
+  {
+    guarantee: 'large configuration: parts of an answer are signs that the store answers',
+    file: 'packages/direct/dist/lib/store-mirror.js',
+    find: 'this._receivedAt = now;',
+    replace: '',
+    feature: 'packages/direct/src/test/propagation.feature',
+    scenario: 'each of which watches'
+  },
+  {
+    guarantee: 'large configuration: an answer that turns a watcher away is none',
+    file: 'packages/direct/dist/lib/json-client.js',
+    find: 'if (res.statusCode === 200)',
+    replace: '',
+    feature: 'platform/src/test/followers.feature',
+    scenario: 'turns the watchers away'
+  },
+  {
+    guarantee: 'large configuration: the fastest links watch',
+    file: 'packages/decisions/dist/lib/store-role.js',
+    find: 'rateOf.get(b) - rateOf.get(a)',
+    replace: '0',
+    feature: 'platform/src/test/followers.feature',
+    scenario: 'watchers with fast links'
+  },
+  {
+    guarantee: 'store order: the answer of a watch is dropped after a peer\'s view',
+    file: 'packages/direct/dist/lib/store-mirror.js',
+    find: 'if (this._isRelistDue)\n                return \'overtaken\';',
+    replace: '',
+    feature: 'packages/direct/src/test/store-mirror.feature',
+    scenario: 'while a watch is under way'
+  },
+  {
+    guarantee: 'route timeout: no request waits longer for credit',
+    file: 'packages/direct/dist/lib/credit-queue.js',
+    find: 'Math.min(longestWait, patience)',
+    replace: 'longestWait',
+    feature: 'packages/direct/src/test/usage.feature',
+    scenario: 'does not wait as long'
+  },
+  {
+    guarantee: 'route timeout: a request that is not read completely is answered',
+    file: 'packages/direct/dist/lib/caller-server.js',
+    find: 'fail({ kind: \'body-incomplete\' });',
+    replace: ';',
+    feature: 'platform/src/test/answers.feature',
+    scenario: 'does not finish its request'
+  },
   {
     guarantee: 'adapters: an adapter reserved for a request stays loaded',
     file: 'packages/decisions/dist/lib/adapter-plan.js',
