Keep a failure within a listing from ending the process

The promise on a listing's end, which verifications wait for, had no handler for an error while the listing is applied; found by reading the diff. Also a scenario for answers that are larger than accepted, with and without a declared length.

--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -163,7 +163,8 @@
 
   private _list (): Promise<'heard' | 'failed'> {
     const listed = this._readListing()
-    this._listing = listed.then(() => { this._listing = undefined })
+    const ended = (): void => { this._listing = undefined }
+    this._listing = listed.then(ended, ended)
     return listed
   }
 
--- a/packages/direct/src/test/store-mirror.steps.ts
+++ b/packages/direct/src/test/store-mirror.steps.ts
@@ -2,12 +2,15 @@
  * Steps on the order in which an entry applies answers of the store and of peers.
  */
 import assert from 'node:assert/strict'
+import { Agent, createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { FakeClock, silentLog } from '@hazelford/core'
 import { type StoreRole, ViewAge } from '@hazelford/decisions'
 import type { Store, StoreChanges, StoreEvent, StoreFailure, StoreListing } from '@hazelford/ports'
 import { ok, type Result, ResultAsync } from 'neverthrow'
 import type { FollowedChanges } from '../lib/store-follower.js'
+import { callJson, NoAnswer } from '../lib/json-client.js'
 import { StoreMirror } from '../lib/store-mirror.js'
 
 const watcher: StoreRole = { kind: 'watch', watchers: 1, hasFollowers: false }
@@ -15,6 +18,8 @@
 const longerThanPauseMs = 1_000
 const lateChange: StoreEvent = { kind: 'put', item: { key: 'servers/i-1', value: 'outdated', revision: 6 } }
 
+interface ReadWorld { failure: unknown }
+
 interface MirrorWorld {
   clock: FakeClock
   mirror: StoreMirror
@@ -90,3 +95,25 @@
   assert.deepEqual(this.applied, [])
   assert.equal(this.calls[2], 'list')
 })
+
+When(/^an entry reads an answer of (\d+) bytes of which it accepts (\d+), and its length is (declared|not declared)$/, async function (this: ReadWorld, size: string, maxBytes: string, length: string) {
+  const body = Buffer.alloc(Number(size), ' ')
+  const server = createServer((_, res) => {
+    res.on('error', () => {})
+    res.writeHead(200, length === 'declared' ? { 'content-length': size } : {})
+    res.end(body)
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  const read = callJson(new Agent(), { host: '127.0.0.1', port, method: 'GET', path: '/', timeout: 1_000, maxBytes: Number(maxBytes) })
+  this.failure = await read.then(() => undefined, (error: unknown) => error)
+  server.closeAllConnections()
+  server.close()
+  await settle()
+})
+
+Then('the read fails as too large after at most {int} bytes', function (this: ReadWorld, most: number) {
+  assert.ok(this.failure instanceof NoAnswer)
+  assert.equal(this.failure.kind, 'too-large')
+  assert.ok(this.failure.bytes <= most, `${this.failure.bytes} bytes`)
+})
