--- a/packages/direct/src/lib/store-mirror.ts
+++ b/packages/direct/src/lib/store-mirror.ts
@@ -87,6 +87,7 @@
   private _answeredAt: Ms = -Infinity
   /** When a part of an answer arrived that is not complete yet. */
   private _receivedAt: Ms = -Infinity
+  /** Resolves at the end of the listing that is under way. */
   private _listing: Promise<void> | undefined
   /** Size of the last listing in bytes. */
   private _listingBytes = 0
--- a/packages/direct/src/test/support/propagation-simulation.ts
+++ b/packages/direct/src/test/support/propagation-simulation.ts
@@ -38,11 +38,14 @@
 const configKey = 'config'
 const stepMs = 5
 const callLatency: Ms = 4
+/** Size in a listing of everything but the configuration. */
 const otherBytes = 30_000
+/** Size of the record of an upstream. */
 const eventBytes = 300
 /** Longest time until an answer of the store begins, beyond the wait of a watch. */
 const storeMargin: Ms = 600
 const pollMargin: Ms = 300
+/** Ratio by which answers between entries are compressed. */
 const compression = 10
 const bitsPerByte = 8
 const settleTime: Ms = 3_000
