Log the prompt parts of requests, and report parts lost at several upstreams

The logs of the incident can't tell a prompt part that crashes engines from an adapter or a kind of request that does: no line names the parts. request: taken. and request: answer lost. now carry the parts that several requests may have in common, and hazelford report counts, for each part, the upstreams that lost an answer to it beside the requests with it that were answered. No decision changes.

--- a/packages/cli/src/lib/queries/report-load.ts
+++ b/packages/cli/src/lib/queries/report-load.ts
@@ -6,6 +6,7 @@
 import { loadPage, type Series } from './load-page.js'
 import { type LogLine, mergeLogs } from './log-lines.js'
 import { organisationTables, usesByOrganisation } from './organisation-table.js'
+import { partLosses, partTable } from './part-losses.js'
 import { lossTable, repeatedLosses } from './repeated-losses.js'
 
 /** The time span of the logs to report on, in ms from their first line. */
@@ -193,12 +194,14 @@
   const routes = waitsByRoute(lines)
   const loads = loadsByOrigin(lines)
   const losses = repeatedLosses(lines)
-  const tables = [waitTable(routes), endTable(routes), ...organisationTables(lines), causeTable(lines), lossTable(losses), loadTable(loads), holderTable(lines, first.time)]
+  const parts = partLosses(lines)
+  const tables = [waitTable(routes), endTable(routes), ...organisationTables(lines), causeTable(lines), lossTable(losses), partTable(parts), loadTable(loads), holderTable(lines, first.time)]
   const data = {
     routes: [...routes].map(([route, { sent, forAdapter, atDoor, atEngine, ends }]) => ({ route, sent: sent.length, before: quantiles(sent), forAdapter: quantiles(forAdapter), atDoor: quantiles(atDoor), atEngine: quantiles(atEngine), ends: Object.fromEntries(ends) })),
     organisations: usesByOrganisation(lines),
     loads: [...loads].map(([origin, { count: times, took }]) => ({ origin, times, took: quantiles(took) })),
-    losses: losses.map(([fingerprint, { upstreams, attempts, route, adapter }]) => ({ fingerprint, route, adapter, answersLost: attempts, upstreams: [...upstreams] }))
+    losses: losses.map(([fingerprint, { upstreams, attempts, route, adapter }]) => ({ fingerprint, route, adapter, answersLost: attempts, upstreams: [...upstreams] })),
+    partLosses: parts
   }
   if (form === 'text') return report(exitCodes.done, tables.join('\n\n'), data)
   const steps = stepsOver(lines, plotSteps)
--- a/packages/cli/src/test/report.feature
+++ b/packages/cli/src/test/report.feature
@@ -20,6 +20,11 @@
     When the load is reported
     Then the report names that request alone, with its route, its adapter and the 3 engines
 
+  Scenario: a prompt part that is lost at several upstreams
+    Given logs of two entries, in which 3 engines terminate while running different requests with one prompt part, and one with its first part is answered
+    When the load is reported
+    Then the report names that part first, with 3 engines and no answer, and then the first part with its answer
+
   Scenario: requests of organisations
     Given logs in which "north" has one answer and two requests over its limit, and a caller uses a withdrawn key
     When the load is reported
--- a/packages/cli/src/test/report.steps.ts
+++ b/packages/cli/src/test/report.steps.ts
@@ -52,6 +52,21 @@
   assert.doesNotMatch(text, /bbb/)
 })
 
+Given('logs of two entries, in which {int} engines terminate while running different requests with one prompt part, and one with its first part is answered', function (this: ReportWorld, engines: number) {
+  const lost = Array.from({ length: engines }, (_, n) => line(1_100 + n, `e${n % 2}`, 'request: answer lost.', { request: `r-${n}`, fingerprint: `f-${n}`, upstream: `i-${n}`, parts: ['aa', 'bb'] }))
+  const answered = [
+    line(1_000, 'e1', 'request: taken.', { request: 'sound', route: 'draft', parts: ['aa', 'cc'] }),
+    line(1_200, 'e1', 'request: over.', { request: 'sound', end: 'delivered' })
+  ]
+  this.recorded = [lost.join('\n'), answered.join('\n')]
+})
+
+Then('the report names that part first, with {int} engines and no answer, and then the first part with its answer', function (this: ReportWorld, engines: number) {
+  const { text } = this.loadReport
+  assert.match(text, new RegExp(`bb +${engines} +${engines} +0\\s+aa +${engines} +${engines} +1`))
+  assert.doesNotMatch(text, /cc/)
+})
+
 When('the load is reported', function (this: ReportWorld) { this.loadReport = reportLoad(this.recorded, { from: undefined, length: undefined }) })
 
 When('the load of the first second is reported', function (this: ReportWorld) { this.loadReport = reportLoad(this.recorded, { from: 0, length: 1_000 }) })
--- a/packages/direct/src/lib/relay-runner.ts
+++ b/packages/direct/src/lib/relay-runner.ts
@@ -124,7 +124,7 @@
     budget.recordRequest(clock.now())
     placer.count(service, want)
     metrics.open.inc()
-    log.info('request', 'taken.', { request: id, route: route.name, service, kind: route.kind, organisation: call.organisation, patience, want, config: table.version, resumes: call.facts.resumes, resumedAfter: call.facts.lastEventId })
+    log.info('request', 'taken.', { request: id, route: route.name, service, kind: route.kind, organisation: call.organisation, patience, want, config: table.version, parts: call.sharedParts, resumes: call.facts.resumes, resumedAfter: call.facts.lastEventId })
     const task = new RelayTask(call, route, service, incoming.answer, {
       clock,
       log,
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -25,6 +25,8 @@
   readonly organisation: string | undefined
   /** Priority; 0 is the most urgent. */
   readonly priority: number
+  /** Ids of the parts of its prompt that other requests may have in common with it. */
+  readonly sharedParts: readonly string[]
 }
 
 /** How a request ended, for logs and metrics. */
@@ -367,7 +369,7 @@
       lost: (cause, kind) => {
         this._stall = 'none'
         close('lost')
-        log.info('request', 'answer lost.', { request: facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(clock.now() - sentAt), fingerprint: this.fingerprint })
+        log.info('request', 'answer lost.', { request: facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(clock.now() - sentAt), fingerprint: this.fingerprint, parts: this._call.sharedParts })
         // A restart that was found by its report shows nothing about this request, which came after it.
         if (kind !== 'other-software') this._reportSuspect(upstream, kind === 'broke')
         this._post({ kind: 'lost' })
--- a/packages/direct/src/lib/request-intake.ts
+++ b/packages/direct/src/lib/request-intake.ts
@@ -6,6 +6,7 @@
 import type { CallCodec, CallMetadata, Credential, Organisation, Route } from '@hazelford/ports'
 import type { IncomingRequest } from './caller-server.js'
 import type { ConfigVerifier } from './config-verifier.js'
+import { sharedPartIds } from './prompt-parts.js'
 import type { EntryMetrics } from './metrics.js'
 import type { BufferedCall } from './relay-task.js'
 import type { Admission } from './credit-queue.js'
@@ -141,7 +142,8 @@
       path: incoming.target,
       byKey: table.config.access.kind === 'by-key',
       organisation: organisation?.name,
-      priority: organisation?.priority ?? route.priority
+      priority: organisation?.priority ?? route.priority,
+      sharedParts: sharedPartIds(facts.value.promptParts)
     }
     const relay = (refund: () => void): void => {
       this._options.relay({ incoming, call, route, service, table, isAllowed: () => this._isAllowed(route, credential, organisation?.name), refund })
