Compare prompt parts by the smallest explanation of terminations

Now an explanation weighs the terminations that it leaves open and its parts more than the requests that it blames; the first part and parts with many lost requests take part only with eight terminations that are old enough for an answer to clear them; a decision follows 250 ms, not 500 ms, after the part became a candidate.

--- a/packages/decisions/src/lib/part-suspicion.ts
+++ b/packages/decisions/src/lib/part-suspicion.ts
@@ -9,12 +9,23 @@
 export interface PartTermination {
   readonly upstream: string
   readonly at: Ms
-  /** For each part, digests of the lost requests that have it. */
-  readonly parts: ReadonlyMap<string, readonly string[]>
+  readonly parts: ReadonlyMap<string, LostRequests>
+}
+
+/** Requests with one part that were lost in one termination. */
+export interface LostRequests {
+  /** Their digests. */
+  readonly requests: readonly string[]
+  /** Whether the part is the first of the prompt of any of them. */
+  readonly isFirst: boolean
 }
 
 /** A termination as far as it is known; reports of several entries are merged. */
-interface Termination { readonly upstream: string, at: Ms, readonly parts: Map<string, Set<string>> }
+interface Termination {
+  readonly upstream: string
+  readonly at: Ms
+  readonly parts: Map<string, { readonly requests: Set<string>, isFirst: boolean }>
+}
 
 /** A part and the terminations of which it may be the cause. */
 export interface PartEvidence {
@@ -35,19 +46,18 @@
 /** Different requests that must have been lost: a harmless request can be sent from one terminating upstream to the next. */
 const minRequests = 2
 /**
- * Lost requests for each termination, on average, above which a part counts as common. A common part is at nearly every
- * upstream, so it takes more terminations to suspect it.
+ * Lost requests for each termination, on average, above which a part counts as common, as does the first part of prompts.
+ * A common part is at nearly every upstream: it takes more terminations to suspect it, and they count only once they are
+ * so old that an answer could have cleared it since.
  */
-const commonFrom = 2
+const commonFrom = 3
 const commonFactor = 2
+const clearableAfter: Ms = 700
 /** Terminations from which a part may take part in an explanation, though it may be too early to quarantine it. */
 const minShared = 2
-/**
- * Costs of an explanation: one for each lost request that it blames, one for each part, and this for each termination
- * that it leaves open.
- */
-const unexplainedCost = 5
-const partCost = 1
+/** Costs of an explanation: of each termination that it leaves open and of each part, compared with each lost request that it blames. */
+const unexplainedCost = 10
+const partCost = 8
 /** Bounds on memory: terminations, parts of each, requests of each part, and parts that were answered. */
 const maxTerminations = 200
 const maxPartsOfTermination = 200
@@ -64,6 +74,7 @@
   readonly requests: number
   /** Requests with the part that were lost, summed over the terminations. */
   readonly lost: number
+  readonly isCommon: boolean
 }
 
 /** Counts the moments at which upstreams terminated. */
@@ -112,11 +123,12 @@
     const known = this._terminations.find(other => other.upstream === upstream && Math.abs(other.at - at) < sameTerminationWithin)
     const termination: Termination = known ?? { upstream, at, parts: new Map() }
     if (known === undefined) this._terminations.push(termination)
-    for (const [part, lost] of parts) {
+    for (const [part, { requests, isFirst }] of parts) {
       if (termination.parts.size >= maxPartsOfTermination && !termination.parts.has(part)) continue
-      const requests = termination.parts.get(part) ?? new Set()
-      termination.parts.set(part, requests)
-      for (const request of lost) if (requests.size < maxRequestsOfPart) requests.add(request)
+      const lost = termination.parts.get(part) ?? { requests: new Set(), isFirst: false }
+      termination.parts.set(part, lost)
+      lost.isFirst ||= isFirst
+      for (const request of requests) if (lost.requests.size < maxRequestsOfPart) lost.requests.add(request)
     }
   }
 
@@ -140,15 +152,16 @@
 
   /** Parts that may be the cause of so many terminations that they should be quarantined, unless other entries clear them. */
   candidates (now: Ms): readonly string[] {
-    return this._suspects(now).filter(suspect => this._isRipe(suspect)).map(({ part }) => part)
+    return this._suspects(now).filter(suspect => this._isRipe(suspect, now)).map(({ part }) => part)
   }
 
   /**
    * The parts to be quarantined: those of the smallest explanation of the terminations by one or two parts that are at
-   * enough of them. A part that is in most requests explains every termination, but blames many lost requests.
+   * enough of them. A part that is in most requests explains every termination, but blames many lost requests; it takes
+   * part once it could be quarantined itself.
    */
   likeliest (now: Ms): readonly PartEvidence[] {
-    const suspects = [...this._suspects(now)].sort((a, b) => b.terminations.length - a.terminations.length).slice(0, maxSuspects)
+    const suspects = this._suspects(now).filter(suspect => !suspect.isCommon || this._isRipe(suspect, now)).sort((a, b) => b.terminations.length - a.terminations.length).slice(0, maxSuspects)
     const open = new Set(suspects.flatMap(({ terminations }) => terminations))
     let best: { readonly parts: readonly PartSuspect[], readonly cost: number } = { parts: [], cost: unexplainedCost * open.size }
     for (const [n, first] of suspects.entries()) {
@@ -157,7 +170,7 @@
         if (cost < best.cost) best = { parts, cost }
       }
     }
-    return best.parts.filter(suspect => this._isRipe(suspect)).map(({ part, terminations, lost }) => ({
+    return best.parts.filter(suspect => this._isRipe(suspect, now)).map(({ part, terminations, lost }) => ({
       part,
       upstreams: terminations.map(({ upstream }) => upstream),
       since: Math.min(...terminations.map(({ at }) => at)),
@@ -175,12 +188,15 @@
   private _suspect (part: string, open: readonly Termination[]): PartSuspect {
     const clearedUntil = this._answered.get(part) ?? -Infinity
     const terminations = open.filter(({ at, parts }) => at > clearedUntil && parts.has(part))
-    const requests = terminations.flatMap(({ parts }) => [...parts.get(part)!])
-    return { part, terminations, requests: new Set(requests).size, lost: requests.length }
+    const lost = terminations.map(({ parts }) => parts.get(part)!)
+    const requests = lost.flatMap(each => [...each.requests])
+    const isCommon = requests.length > commonFrom * terminations.length || lost.some(({ isFirst }) => isFirst)
+    return { part, terminations, requests: new Set(requests).size, lost: requests.length, isCommon }
   }
 
-  private _isRipe ({ terminations, requests, lost }: PartSuspect): boolean {
-    const needed = lost > commonFrom * terminations.length ? commonFactor * this._limits.after : this._limits.after
-    return terminations.length >= needed && requests >= minRequests && countMoments(terminations) >= minMoments
+  private _isRipe ({ terminations, requests, isCommon }: PartSuspect, now: Ms): boolean {
+    const needed = isCommon ? commonFactor * this._limits.after : this._limits.after
+    const counted = isCommon ? terminations.filter(({ at }) => now - at >= clearableAfter) : terminations
+    return counted.length >= needed && requests >= minRequests && countMoments(counted) >= minMoments
   }
 }
--- a/packages/direct/src/lib/part-coordinator.ts
+++ b/packages/direct/src/lib/part-coordinator.ts
@@ -34,21 +34,29 @@
  * Time from the termination that makes a part a candidate until the decision. Requests that were lost with it are sent to
  * other upstreams meanwhile; one that is answered there clears its parts.
  */
-const settleTime: Ms = 500
+const settleTime: Ms = 250
 /** Number of times that an entry is asked which parts it has answered, and the pause before it is asked again. */
 const queryAttempts = 2
 /** Most parts that an entry is asked about. */
 const maxQueried = 50
 /** Hexadecimal digits of a fingerprint that tell requests with one part apart. */
 const digestDigits = 8
+/** Most digests of one part, and most parts, in a report: some 100 bytes a part, within the size of a message. */
+const digestsOfPart = 8
+const partsOfReport = 100
 
 /** Collects lost requests by part. */
 function groupByPart (lost: readonly InterruptedRequest[]): PartTerminationReport['parts'] {
-  const parts = new Map<string, string[]>()
+  const parts = new Map<string, { readonly requests: string[], isFirst: boolean }>()
   for (const { request, parts: own } of lost) {
-    for (const part of own) parts.set(part, [...parts.get(part) ?? [], request.slice(0, digestDigits)])
+    for (const [position, part] of own.entries()) {
+      const group = parts.get(part) ?? { requests: [], isFirst: false }
+      parts.set(part, group)
+      if (group.requests.length < digestsOfPart) group.requests.push(request.slice(0, digestDigits))
+      group.isFirst ||= position === 0
+    }
   }
-  return [...parts]
+  return [...parts].slice(0, partsOfReport)
 }
 
 /** One entry's part in the search for parts under which upstreams terminate. */
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -2,7 +2,7 @@
  * Messages between entries, and the paths of their calls.
  */
 import type { Ms } from '@hazelford/core'
-import type { UsageGrant } from '@hazelford/decisions'
+import type { LostRequests, UsageGrant } from '@hazelford/decisions'
 import type { EngineLoad } from './engine-admission.js'
 import type { LoadRequest, LoadRequestOutcome, UnavailableCause } from './engine-holder.js'
 import type { DigestRow } from './load-digest.js'
@@ -67,8 +67,8 @@
   readonly upstream: string
   /** Ms since the answers were lost. */
   readonly age: Ms
-  /** Prompt parts of the lost requests, each with digests of the requests that have it. */
-  readonly parts: ReadonlyArray<readonly [part: string, requests: readonly string[]]>
+  /** Prompt parts of the lost requests, each with the requests that have it. */
+  readonly parts: ReadonlyArray<readonly [part: string, lost: LostRequests]>
 }
 
 /** Quarantined requests and prompt parts, as `suspectKey` writes them. */
