Do not clear requests and prompt parts by answers that may have been cut short

An answer with neither a length nor chunks ends with its connection. If its engine terminates between two events, or before the first one, it looks complete: it cleared the request and the part, and nothing suspected the engine.

--- a/packages/direct/src/lib/quarantine-coordinator.ts
+++ b/packages/direct/src/lib/quarantine-coordinator.ts
@@ -38,6 +38,8 @@
  * entry were notified, the termination of a rack of engines would cost some 70 entries as many calls each.
  */
 const countersPerRequest = 3
+/** Time within which the termination of an upstream that broke off answers shows: its address is probed at once. */
+const terminationShows: Ms = 1_000
 /** Terminations found within this time are sent in one message per entry. */
 const batchDelay: Ms = 20
 /** Number of times that an unanswered message is sent; the kernel retransmits a lost packet only after a second. */
@@ -118,8 +120,19 @@
   /** Records that an answer to a request with some prompt parts began at a time, and that its upstream went on running. */
   recordPartsAnswered (parts: readonly string[], since: Ms): void { this._parts.recordAnswered(parts, since) }
 
-  /** Records a request that was answered completely. */
-  recordAnswered (request: string): void { this._quarantine.recordAnswered(request, this._now) }
+  /**
+   * Records a request that was answered.
+   *
+   * @param unframedFrom - upstream of an answer that only its connection ended: it counts once the upstream is known to have
+   * gone on running
+   */
+  recordAnswered (request: string, unframedFrom?: Upstream): void {
+    if (unframedFrom === undefined) return this._quarantine.recordAnswered(request, this._now)
+    const answeredAt = this._now
+    this._options.clock.after(terminationShows, () => {
+      if (!this._detector.hasTerminatedSince(unframedFrom, answeredAt)) this._quarantine.recordAnswered(request, answeredAt)
+    })
+  }
 
   /** The record of an upstream was removed, or now has a later start time. */
   recordGone (upstream: Upstream): void { this._detector.recordGone(upstream) }
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -43,6 +43,8 @@
   readonly longestGap: Ms
   /** Whether it is certain that no upstream has begun to run the request. */
   readonly notRun: boolean
+  /** The upstream of an answer that only its connection ended, so that it may have been cut short; undefined otherwise. */
+  readonly unframedFrom: Upstream | undefined
 }
 
 /** What a request needs of its entry. */
@@ -387,7 +389,9 @@
       },
       whole: answer => {
         const failed = answer.status >= 500
-        if (answer.framed && answer.status < 300) this._clearParts(sentAt)
+        this._isFramed = answer.framed
+        if (!answer.framed) this._reportSuspect(upstream, false)
+        else if (answer.status < 300) this._clearParts(sentAt)
         close(failed ? 'error' : 'answered', first())
         this._completeAnswer = answer
         this._post({ kind: 'whole', failed })
@@ -400,7 +404,8 @@
       data: (bytes, lastEventId) => this._data(bytes, lastEventId),
       end: () => {
         close('answered', first())
-        if (this._isFramed && this._upstreamDataSince !== undefined) this._clearParts(this._upstreamDataSince)
+        if (!this._isFramed) this._reportUnframedEnd(upstream)
+        else if (this._upstreamDataSince !== undefined) this._clearParts(this._upstreamDataSince)
         if (this._sends === 1) upstream.recordStream(this._longestGap > this._route.gapTarget && this._route.gapTarget > 0)
         if (!this._answer.begun && this._head !== undefined) this._post({ kind: 'streaming' })
         this._post({ kind: 'stream-ended' })
@@ -429,6 +434,14 @@
     if (mayHaveCausedTermination(answeredFor)) this._options.answerLost(upstream, { request: this.fingerprint, parts }, broke)
   }
 
+  /**
+   * Reports a stream whose end only its connection marks. If its upstream has terminated between two events, the stream
+   * looks complete.
+   */
+  private _reportUnframedEnd (upstream: Upstream): void {
+    if (!provesPartHarmless(this._answeredFor)) this._reportSuspect(upstream, true)
+  }
+
   /** Ms from the first to the last data of the upstream that runs the request; 0 when it has sent none. */
   private get _answeredFor (): Ms { return this._upstreamDataSince === undefined ? 0 : this._dataAt! - this._upstreamDataSince }
 
@@ -533,6 +546,6 @@
     this._exchange?.ignore()
     this._closeExchange()
     if (end === 'delivered' && !this._answer.ended) this._answer.end()
-    this._options.over({ end, sends: this._sends, firstData: this._firstData, longestGap: this._longestGap, notRun })
+    this._options.over({ end, sends: this._sends, firstData: this._firstData, longestGap: this._longestGap, notRun, unframedFrom: this._isFramed ? undefined : this._upstream })
   }
 }
--- a/packages/direct/src/lib/termination-detector.ts
+++ b/packages/direct/src/lib/termination-detector.ts
@@ -55,6 +55,7 @@
  */
 export class TerminationDetector {
   private readonly _suspicions = new Map<Upstream, Suspicion>()
+  private readonly _terminatedAt = new WeakMap<Upstream, Ms>()
 
   constructor (private readonly _options: TerminationDetectorOptions) {}
 
@@ -81,6 +82,9 @@
     if (upstream.record.state !== 'draining') this._confirm(upstream, 'record gone')
   }
 
+  /** Whether an upstream was found to have terminated since a time. */
+  hasTerminatedSince (upstream: Upstream, at: Ms): boolean { return (this._terminatedAt.get(upstream) ?? -Infinity) >= at }
+
   private _suspect (upstream: Upstream): Suspicion {
     const suspicion = { lost: new Map<string, InterruptedRequest>(), probing: false, forget: this._options.clock.after(lostAnswerTtl, () => this._suspicions.delete(upstream)) }
     this._suspicions.set(upstream, suspicion)
@@ -97,6 +101,7 @@
     const suspicion = this._suspicions.get(upstream)
     if (suspicion === undefined) return
     this._suspicions.delete(upstream)
+    this._terminatedAt.set(upstream, this._options.clock.now())
     suspicion.forget()
     const lost = [...suspicion.lost.values()]
     this._options.log.info('membership', 'upstream terminated.', { upstream: upstream.id, startedAt: upstream.record.startedAt, evidence, lostAnswers: lost.length })
