Admit one request at a time, at one entry, after a quarantine

When the quarantine of a request or a prompt part was over, every entry admitted all requests with it until one more termination was known: with 10 drafts a second and a quarantine of 5 s, 14 engines terminated in the following 5 s. An entry that misses the release admits a request of its own once it is asked.

--- a/packages/decisions/src/lib/request-quarantine.ts
+++ b/packages/decisions/src/lib/request-quarantine.ts
@@ -144,6 +144,20 @@
    */
   isQuarantined (request: string, now: Ms): boolean { return this._isQuarantined(request, now) }
 
+  /** Whether a suspect's quarantine has ended, and it is not known yet whether it does harm. */
+  isOnProbation (suspect: string, now: Ms): boolean {
+    return !this._isQuarantined(suspect, now) && this._probationSince(suspect, now) !== -Infinity
+  }
+
+  /** Whether any suspect is quarantined or on probation. */
+  get hasSuspects (): boolean { return this._quarantinedUntil.size > 0 }
+
+  /** Ends the probation of a suspect, which does no harm. */
+  release (suspect: string): void {
+    this._terminations.delete(suspect)
+    this._quarantinedUntil.delete(suspect)
+  }
+
   /** Quarantined requests with the end of their quarantine. */
   quarantinedRequests (now: Ms): ReadonlyMap<string, Ms> {
     return new Map([...this._quarantinedUntil].filter(([, until]) => until > now))
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -72,7 +72,11 @@
 }
 
 /** Quarantined requests and prompt parts, as `suspectKey` writes them. */
-export interface QuarantinedMessage { readonly requests: readonly string[] }
+export interface QuarantinedMessage {
+  readonly requests: readonly string[]
+  /** Those that were found to do no harm; undefined from an entry of a version that does not send them. */
+  readonly released?: readonly string[]
+}
 
 /** Asks which of some requests, by fingerprint, were answered completely in the recent past. */
 export interface AnsweredQuery {
--- a/packages/direct/src/lib/quarantine-coordinator.ts
+++ b/packages/direct/src/lib/quarantine-coordinator.ts
@@ -40,6 +40,8 @@
 const countersPerRequest = 3
 /** Time within which the termination of an upstream that broke off answers shows: its address is probed at once. */
 const terminationShows: Ms = 1_000
+/** Pause between two requests that are admitted with one suspect on probation; an answer or a termination ends the probation before. */
+const probeInterval: Ms = 10_000
 /** Terminations found within this time are sent in one message per entry. */
 const batchDelay: Ms = 20
 /** Number of times that an unanswered message is sent; the kernel retransmits a lost packet only after a second. */
@@ -83,6 +85,8 @@
   private _unreported = new Map<string, UnreportedTerminations>()
   /** Requests whose quarantine is being decided, while the other entries are queried. */
   private readonly _deciding = new Set<string>()
+  /** When this entry last admitted a request with a suspect that is on probation. */
+  private readonly _probedAt = new Map<string, Ms>()
   private _cancelCheck: CancelTimer | undefined
   private _stopped = false
 
@@ -118,7 +122,21 @@
   recordLostAnswer (upstream: Upstream, suspects: RequestSuspects, broke: boolean): void { this._detector.recordLostAnswer(upstream, suspects, broke) }
 
   /** Records that an answer to a request with some prompt parts began at a time, and that its upstream went on running. */
-  recordPartsAnswered (parts: readonly string[], since: Ms): void { this._parts.recordAnswered(parts, since) }
+  recordPartsAnswered (parts: readonly string[], since: Ms): void {
+    this._release(parts.map(id => suspectKey({ kind: 'part', id })))
+    this._parts.recordAnswered(parts, since)
+  }
+
+  /** Releases those of some answered suspects that are on probation, at all entries. */
+  private _release (keys: readonly string[]): void {
+    const released = keys.filter(key => this._quarantine.isOnProbation(key, this._now))
+    for (const key of released) {
+      this._quarantine.release(key)
+      this._options.log.info('request', 'released, a request on probation was answered.', logFields(key))
+    }
+    if (released.length === 0) return
+    for (const peer of this._peers) this._send(peer, () => this._options.client.notifyQuarantined(peer, { requests: [], released }))
+  }
 
   /**
    * Records a request that was answered.
@@ -127,6 +145,7 @@
    * gone on running
    */
   recordAnswered (request: string, unframedFrom?: Upstream): void {
+    this._release([request])
     if (unframedFrom === undefined) return this._quarantine.recordAnswered(request, this._now)
     const answeredAt = this._now
     this._options.clock.after(terminationShows, () => {
@@ -144,9 +163,21 @@
    * @param request - computes its fingerprint, which takes 5 to 20 µs; called only if anything is quarantined
    */
   causeOfRefusal (parts: readonly string[], request: () => string): QuarantineCause | undefined {
-    if (this._quarantine.quarantinedRequests(this._now).size === 0) return undefined
-    if (parts.some(id => this._quarantine.isQuarantined(suspectKey({ kind: 'part', id }), this._now))) return 'part-quarantined'
-    return this._quarantine.isQuarantined(request(), this._now) ? 'quarantined' : undefined
+    if (!this._quarantine.hasSuspects) return undefined
+    if (parts.some(id => this._isRefused(suspectKey({ kind: 'part', id })))) return 'part-quarantined'
+    return this._isRefused(request()) ? 'quarantined' : undefined
+  }
+
+  /** Whether requests with a suspect are refused here. On probation one entry admits them, one at a time. */
+  private _isRefused (key: string): boolean {
+    if (this._quarantine.isQuarantined(key, this._now)) return true
+    if (!this._quarantine.isOnProbation(key, this._now)) return false
+    const [prober] = rendezvousOrder(key, this._options.entries().map(({ node }) => node))
+    if (prober !== this._options.node || this._now - (this._probedAt.get(key) ?? -Infinity) < probeInterval) return true
+    for (const [probed, at] of this._probedAt) if (this._now - at >= probeInterval) this._probedAt.delete(probed)
+    this._probedAt.set(key, this._now)
+    this._options.log.info('request', 'admitted on probation.', logFields(key))
+    return false
   }
 
   /** Counts terminations that another entry reports. */
@@ -164,7 +195,8 @@
   }
 
   /** Quarantines requests and prompt parts that another entry, or the peer whose state this entry follows, has quarantined. */
-  receiveQuarantined ({ requests }: QuarantinedMessage): void {
+  receiveQuarantined ({ requests, released }: QuarantinedMessage): void {
+    for (const key of released ?? []) this._quarantine.release(key)
     for (const key of requests) this._quarantineKey(key)
   }
 
@@ -188,12 +220,20 @@
   private _handleTermination (upstream: Upstream, lost: readonly InterruptedRequest[]): void {
     this._parts.reportTermination(upstream.id, lost)
     const entries = this._options.entries().map(({ node }) => node)
+    for (const { parts, at } of lost) {
+      for (const id of parts) this._countOnProbation(suspectKey({ kind: 'part', id }), upstream, at)
+    }
     for (const { request, at } of lost) {
       this._countTermination(request, upstream.id, at)
       for (const node of rendezvousOrder(request, entries).slice(0, countersPerRequest)) this._queueReport(node, request, upstream.id, at)
     }
   }
 
+  /** A part on probation is quarantined again after one termination. */
+  private _countOnProbation (key: string, upstream: Upstream, at: Ms): void {
+    if (this._quarantine.isOnProbation(key, this._now)) this._countTermination(key, upstream.id, at)
+  }
+
   private _queueReport (node: string, request: string, upstream: string, at: Ms): void {
     if (node !== this._options.node) this._unreportedFor(node).ends.push({ request, upstream, age: this._now - at })
   }
