Clear a request by an answer only of the terminations before it

An answer now clears the terminations before it began. A request that was answered within the hold time takes six terminations over three moments instead of three, so that a check that all callers send is not blamed for a lost rack. Entries say when they answered, and a decision says since when it counts, so that it is in force also where the request was answered before.

platform/src/test/ending-requests.feature, 'harmless until a moment ago': fails before, passes now; the other scenarios of requests that terminate servers pass unchanged.

--- a/packages/bench/src/lib/guards/shared-guards.ts
+++ b/packages/bench/src/lib/guards/shared-guards.ts
@@ -8,9 +8,9 @@
   {
     guarantee: 'quarantine: before a request is quarantined, entries that have answered it recently are asked',
     file: 'packages/direct/dist/lib/quarantine-coordinator.js',
-    find: 'if (answers.flat().includes(request))',
-    replace: 'if (false)',
-    also: { file: 'packages/decisions/dist/lib/request-quarantine.js', find: ' || this.wasAnsweredRecently(request, now))\n            return false;\n        this._quarantinedUntil.delete(', replace: ')\n            return false;\n        this._quarantinedUntil.delete(' },
+    find: 'this._quarantine.recordAnswered(key, this._now - age);',
+    replace: '',
+    also: { file: 'packages/decisions/dist/lib/request-quarantine.js', find: ' || (this.answeredAt(request, now) ?? -Infinity) > terminatedSince)', replace: ')' },
     feature: 'platform/src/test/ending-requests.feature',
     scenario: 'a check that all callers send'
   },
--- a/packages/decisions/src/lib/part-suspicion.ts
+++ b/packages/decisions/src/lib/part-suspicion.ts
@@ -4,6 +4,7 @@
 import type { Ms } from '@hazelford/core'
 import { evictOldest } from './evict-oldest.js'
 import type { QuarantineLimits } from './request-quarantine.js'
+import { countMoments } from './termination-moments.js'
 
 /** Requests that were lost in one termination of an upstream, by the parts of their prompts. */
 export interface PartTermination {
@@ -39,8 +40,6 @@
 
 /** Terminations of one upstream that are closer to each other count as one: several entries report it. */
 const sameTerminationWithin: Ms = 1_000
-/** Terminations that are closer to each other than this can have one cause from outside, such as the loss of a rack. */
-const sameMomentWithin: Ms = 300
 /** Number of moments over which the terminations must be spread. */
 const minMoments = 3
 /** Different requests that must have been lost: a harmless request can be sent from one terminating upstream to the next. */
@@ -77,18 +76,6 @@
   readonly isCommon: boolean
 }
 
-/** Counts the moments at which upstreams terminated. */
-function countMoments (terminations: readonly Termination[]): number {
-  let moments = 0
-  let since = -Infinity
-  for (const at of terminations.map(termination => termination.at).sort((a, b) => a - b)) {
-    if (at - since < sameMomentWithin) continue
-    moments++
-    since = at
-  }
-  return moments
-}
-
 /** Cost of explaining terminations by some parts; `open`: number of terminations to be explained. */
 function costOf (parts: readonly PartSuspect[], open: number): number {
   const explained = new Set(parts.flatMap(({ terminations }) => terminations))
@@ -197,6 +184,6 @@
   private _isRipe ({ terminations, requests, isCommon }: PartSuspect, now: Ms): boolean {
     const needed = isCommon ? commonFactor * this._limits.after : this._limits.after
     const counted = isCommon ? terminations.filter(({ at }) => now - at >= clearableAfter) : terminations
-    return counted.length >= needed && requests >= minRequests && countMoments(counted) >= minMoments
+    return counted.length >= needed && requests >= minRequests && countMoments(counted.map(({ at }) => at)) >= minMoments
   }
 }
--- a/packages/decisions/src/lib/request-quarantine.ts
+++ b/packages/decisions/src/lib/request-quarantine.ts
@@ -3,6 +3,7 @@
  */
 import type { Ms } from '@hazelford/core'
 import { evictOldest } from './evict-oldest.js'
+import { countMoments } from './termination-moments.js'
 
 /** Limits from which a request is quarantined, and for how long. */
 export interface QuarantineLimits {
@@ -46,6 +47,13 @@
  */
 export function mayHaveCausedTermination (answeredFor: Ms): boolean { return answeredFor <= maxAnsweredBeforeTermination }
 
+/**
+ * A request that was answered within the hold time, before the terminations, takes this many times the terminations, spread
+ * over this many moments: it may be a check that all callers send, which is at every upstream of a lost rack.
+ */
+const answeredFactor = 2
+const answeredMoments = 3
+
 /** Ms for which an upstream must go on sending after it began an answer, to show that the parts of its prompt do no harm. */
 const harmlessAfter: Ms = 300
 
@@ -86,16 +94,16 @@
   /**
    * Records that an upstream terminated while it had a request.
    *
-   * A request that was answered recently is not counted: requests that terminate upstreams are never answered.
-   * Otherwise a check that all callers send would be quarantined after three upstreams have terminated for another
-   * reason. A request that was quarantined and then terminates one more upstream during its probation is quarantined
-   * again at once.
+   * An answer clears the request of the terminations before it, and of no later ones: a request may become harmful at any
+   * time. One that was answered recently takes more terminations. Otherwise a check that all callers send would be
+   * quarantined after three upstreams have terminated for another reason. A request that was quarantined and then
+   * terminates one more upstream during its probation is quarantined again at once.
    *
    * @returns whether so many upstreams have terminated while running the request that it should be quarantined, and is
    * not yet
    */
   recordTermination (request: string, termination: UpstreamTermination, now: Ms): boolean {
-    if (this._isQuarantined(request, now) || this.wasAnsweredRecently(request, now)) return false
+    if (this._isQuarantined(request, now) || termination.at <= (this.answeredAt(request, now) ?? -Infinity)) return false
     const quarantinedUntil = this._probationSince(request, now)
     // Reports of the terminations that led to the quarantine may still arrive after it.
     if (termination.at < quarantinedUntil) return false
@@ -105,31 +113,57 @@
     this._terminations.delete(request)
     this._terminations.set(request, terminations)
     evictOldest(this._terminations, maxTerminationRecords)
-    return terminations.length >= (quarantinedUntil === -Infinity ? this._limits.after : 1)
+    return this.isDue(request, now)
+  }
+
+  /** Whether so many upstreams have terminated while running a request that it should be quarantined. */
+  isDue (request: string, now: Ms): boolean {
+    const times = (this._terminations.get(request) ?? []).map(({ at }) => at)
+    if (this._probationSince(request, now) !== -Infinity) return times.length >= 1
+    if (this.answeredAt(request, now) === undefined) return times.length >= this._limits.after
+    return times.length >= answeredFactor * this._limits.after && countMoments(times) >= answeredMoments
+  }
+
+  /** When the first of the terminations occurred that count against a request; undefined when there are none. */
+  terminatedSince (request: string): Ms | undefined {
+    const times = (this._terminations.get(request) ?? []).map(({ at }) => at)
+    return times.length === 0 ? undefined : Math.min(...times)
   }
 
   /** Upstreams that terminated while running a request. */
   terminatedUpstreams (request: string): readonly string[] { return (this._terminations.get(request) ?? []).map(({ upstream }) => upstream) }
 
-  /** Whether a request was answered completely within the hold time. */
-  wasAnsweredRecently (request: string, now: Ms): boolean { return this._isWithinHoldTime(this._answered.get(request), now) }
+  /** When the newest answer to a request began that was completed; undefined when that was not within the hold time. */
+  answeredAt (request: string, now: Ms): Ms | undefined {
+    const at = this._answered.get(request)
+    return this._isWithinHoldTime(at, now) ? at : undefined
+  }
 
-  /** Records that a request was answered completely. */
-  recordAnswered (request: string, now: Ms): void {
+  /**
+   * Records that a request was answered completely.
+   *
+   * @param since - when its answer began
+   */
+  recordAnswered (request: string, since: Ms): void {
+    const at = Math.max(since, this._answered.get(request) ?? -Infinity)
+    const later = (this._terminations.get(request) ?? []).filter(termination => termination.at > at)
     this._terminations.delete(request)
+    if (later.length > 0) this._terminations.set(request, later)
     this._quarantinedUntil.delete(request)
     this._answered.delete(request)
-    this._answered.set(request, now)
+    this._answered.set(request, at)
     evictOldest(this._answered, maxAnsweredRecords)
   }
 
   /**
-   * Quarantines a request, unless it was answered here recently.
+   * Quarantines a request, unless it was answered here since the terminations.
    *
+   * @param terminatedSince - time of the first termination that counts against it; undefined when that is not known, and
+   * any recent answer speaks against the quarantine
    * @returns whether it is quarantined now and was not before
    */
-  quarantine (request: string, now: Ms): boolean {
-    if (this._isQuarantined(request, now) || this.wasAnsweredRecently(request, now)) return false
+  quarantine (request: string, now: Ms, terminatedSince = -Infinity): boolean {
+    if (this._isQuarantined(request, now) || (this.answeredAt(request, now) ?? -Infinity) > terminatedSince) return false
     this._quarantinedUntil.delete(request)
     this._quarantinedUntil.set(request, now + this._limits.holdTime)
     evictOldest(this._quarantinedUntil, maxQuarantined)
--- a/packages/decisions/src/test/request-quarantine.steps.ts
+++ b/packages/decisions/src/test/request-quarantine.steps.ts
@@ -16,7 +16,7 @@
 
 /** Records a termination, and quarantines the request as soon as that is due. */
 function recordTermination (quarantine: RequestQuarantine, request: string, upstream: string, at: Ms, now: Ms): void {
-  if (quarantine.recordTermination(request, { upstream, at }, now)) quarantine.quarantine(request, now)
+  if (quarantine.recordTermination(request, { upstream, at }, now)) quarantine.quarantine(request, now, quarantine.terminatedSince(request))
 }
 
 type Step =
@@ -35,6 +35,11 @@
 const holdTime: Ms = 10_000
 const sameTermination: Ms = 1_000
 
+/** Counts times that are 300 ms or more after the first one of the moment before. */
+function momentsOf ([first, ...rest]: readonly Ms[]): number {
+  return first === undefined ? 0 : 1 + momentsOf(rest.filter(at => at - first >= 300))
+}
+
 /** Keeps all events, and counts them anew at each query. */
 class NaiveQuarantine {
   private readonly _terminations: Array<{ readonly request: string, readonly upstream: string, readonly at: Ms }> = []
@@ -42,14 +47,18 @@
   private readonly _until = new Map<string, Ms>()
 
   end (request: string, upstream: string, at: Ms, now: Ms): void {
-    if (this.holds(request, now) || this._answers.some(answer => answer.request === request && now - answer.at < holdTime)) return
+    const answeredAt = Math.max(-Infinity, ...this._answers.filter(answer => answer.request === request && now - answer.at < holdTime).map(answer => answer.at))
+    if (this.holds(request, now) || at <= answeredAt) return
     const last = this._until.get(request) ?? -Infinity
     const since = now - last < holdTime ? last : -Infinity
     if (at < since) return
     const counts = (termination: { readonly request: string, readonly at: Ms }): boolean => termination.request === request && now - termination.at < holdTime && termination.at >= since
     const own = this._terminations.filter(counts)
     if (!own.some(termination => termination.upstream === upstream && Math.abs(termination.at - at) < sameTermination)) this._terminations.push({ request, upstream, at })
-    if (this._terminations.filter(counts).length >= (since === -Infinity ? after : 1)) this._until.set(request, now + holdTime)
+    const times = this._terminations.filter(counts).map(termination => termination.at).sort((a, b) => a - b)
+    if (since !== -Infinity || answeredAt === -Infinity) {
+      if (times.length >= (since === -Infinity ? after : 1)) this._until.set(request, now + holdTime)
+    } else if (times.length >= 2 * after && momentsOf(times) >= 3) this._until.set(request, now + holdTime)
   }
 
   answered (request: string, now: Ms): void {
--- a/packages/decisions/src/test/support/termination-simulation.ts
+++ b/packages/decisions/src/test/support/termination-simulation.ts
@@ -82,7 +82,7 @@
   }
 
   private _recordTermination (request: string, engine: number, now: Ms): void {
-    if (this._quarantine.recordTermination(request, { upstream: `u${engine}`, at: now }, now) && this._quarantine.quarantine(request, now)) this.held.add(request)
+    if (this._quarantine.recordTermination(request, { upstream: `u${engine}`, at: now }, now) && this._quarantine.quarantine(request, now, this._quarantine.terminatedSince(request))) this.held.add(request)
   }
 
   private _startStream (now: Ms): Stream {
--- a/packages/direct/src/lib/part-coordinator.ts
+++ b/packages/direct/src/lib/part-coordinator.ts
@@ -14,7 +14,7 @@
   readonly clock: Clock
   readonly log: Log
   readonly limits: QuarantineLimits
-  readonly client: Pick<PeerClient, 'queryAnsweredParts'>
+  readonly client: Pick<PeerClient, 'queryAnswered'>
   /** All entries that are running, this one included. */
   readonly entries: () => readonly PeerAddress[]
   readonly isQuarantined: (part: string) => boolean
@@ -136,8 +136,8 @@
     const { client, clock, log } = this._options
     for (let attempt = 1; ; attempt++) {
       try {
-        const answered = await client.queryAnsweredParts(peer, { requests: [], parts })
-        return answered?.map(([part, age]) => [part, clock.now() - age] as const)
+        const reply = await client.queryAnswered(peer, { requests: [], parts })
+        return reply.parts?.map(([part, age]) => [part, clock.now() - age] as const)
       } catch (error) {
         if (attempt < queryAttempts) continue
         log.info('peers', 'no answer to query for answered requests.', { peer: peer.node, cause: (error as Error).message })
--- a/packages/direct/src/lib/peer-client.ts
+++ b/packages/direct/src/lib/peer-client.ts
@@ -8,7 +8,7 @@
 import { callJson, type JsonAnswer, type JsonCall, NoAnswer } from './json-client.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
 import { type OriginQuery, type OriginsMessage, readOriginReply } from './origin-messages.js'
-import { type AnsweredParts, type AnsweredQuery, type AnsweredReply, type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type TerminationsMessage, type QuarantinedMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
+import { type AnsweredQuery, type AnsweredReply, type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type TerminationsMessage, type QuarantinedMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
 import type { ConfigAge, PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
 import type { StreamOrigin } from './stream-origins.js'
@@ -115,18 +115,11 @@
   /** Reports terminations of upstreams to an entry that counts them; rejects when it does not answer. */
   reportTerminations (peer: PeerAddress, msg: TerminationsMessage): Promise<void> { return this._send(peer, peerPaths.ends, msg) }
 
-  /** Asks an entry which of some requests it has answered lately; rejects when it does not answer. */
-  async queryAnswered ({ host, port }: PeerAddress, query: AnsweredQuery): Promise<readonly string[]> {
+  /** Asks an entry which of some requests and prompt parts it has answered lately; rejects when it does not answer. */
+  async queryAnswered ({ host, port }: PeerAddress, query: AnsweredQuery): Promise<AnsweredReply> {
     const answer = await this._call({ host, port, method: 'POST', path: peerPaths.answered, body: query, timeout: answerMargin })
     if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
-    return (answer.body as AnsweredReply).answered
-  }
-
-  /** Asks an entry which of some prompt parts it has answered; undefined when it does not know prompt parts. Rejects when it does not answer. */
-  async queryAnsweredParts ({ host, port }: PeerAddress, query: AnsweredQuery): Promise<AnsweredParts | undefined> {
-    const answer = await this._call({ host, port, method: 'POST', path: peerPaths.answered, body: query, timeout: answerMargin })
-    if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
-    return (answer.body as AnsweredReply).parts
+    return answer.body as AnsweredReply
   }
 
   /** Notifies an entry of quarantined requests; rejects when it does not answer. */
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -74,6 +74,8 @@
 /** Quarantined requests and prompt parts, as `suspectKey` writes them. */
 export interface QuarantinedMessage {
   readonly requests: readonly string[]
+  /** Of some of them, ms since the first termination that counts against them; undefined from an entry of a version that does not send it. */
+  readonly terminated?: ReadonlyArray<readonly [key: string, age: Ms]>
   /** Those that were found to do no harm; undefined from an entry of a version that does not send them. */
   readonly released?: readonly string[]
 }
@@ -91,6 +93,8 @@
 /** Reply to an {@link AnsweredQuery}. */
 export interface AnsweredReply {
   readonly answered: readonly string[]
+  /** For each of them, ms since the newest answer began; undefined from an entry of a version that does not send it. */
+  readonly ages?: ReadonlyArray<readonly [request: string, age: Ms]>
   /** Undefined from an entry of a version that does not know prompt parts. */
   readonly parts?: AnsweredParts
 }
--- a/packages/direct/src/lib/quarantine-coordinator.ts
+++ b/packages/direct/src/lib/quarantine-coordinator.ts
@@ -22,7 +22,7 @@
   readonly log: Log
   readonly limits: QuarantineLimits
   readonly store: Store
-  readonly client: Pick<PeerClient, 'reportTerminations' | 'notifyQuarantined' | 'queryAnswered' | 'queryAnsweredParts'>
+  readonly client: Pick<PeerClient, 'reportTerminations' | 'notifyQuarantined' | 'queryAnswered'>
   /** All entries that are running, this one included. */
   readonly entries: () => readonly PeerAddress[]
   readonly probe: (upstream: Upstream) => Promise<ProbeOutcome>
@@ -141,18 +141,22 @@
   /**
    * Records a request that was answered.
    *
+   * @param since - when its answer began
    * @param unframedFrom - upstream of an answer that only its connection ended: it counts once the upstream is known to have
    * gone on running
    */
-  recordAnswered (request: string, unframedFrom?: Upstream): void {
-    this._release([request])
-    if (unframedFrom === undefined) return this._quarantine.recordAnswered(request, this._now)
-    const answeredAt = this._now
+  recordAnswered (request: string, since: Ms, unframedFrom?: Upstream): void {
+    if (unframedFrom === undefined) return this._clear(request, since)
     this._options.clock.after(terminationShows, () => {
-      if (!this._detector.hasTerminatedSince(unframedFrom, answeredAt)) this._quarantine.recordAnswered(request, answeredAt)
+      if (!this._detector.hasTerminatedSince(unframedFrom, since)) this._clear(request, since)
     })
   }
 
+  private _clear (request: string, since: Ms): void {
+    this._release([request])
+    this._quarantine.recordAnswered(request, since)
+  }
+
   /** The record of an upstream was removed, or now has a later start time. */
   recordGone (upstream: Upstream): void { this._detector.recordGone(upstream) }
 
@@ -188,16 +192,19 @@
 
   /** Returns those of some requests and prompt parts that this entry has answered lately. */
   recentlyAnswered ({ requests, parts }: AnsweredQuery): AnsweredReply {
-    return {
-      answered: requests.filter(request => this._quarantine.wasAnsweredRecently(request, this._now)),
-      parts: this._parts.answered(parts ?? [])
-    }
+    const now = this._now
+    const ages = requests.flatMap(request => {
+      const at = this._quarantine.answeredAt(request, now)
+      return at === undefined ? [] : [[request, now - at] as const]
+    })
+    return { answered: ages.map(([request]) => request), ages, parts: this._parts.answered(parts ?? []) }
   }
 
   /** Quarantines requests and prompt parts that another entry, or the peer whose state this entry follows, has quarantined. */
-  receiveQuarantined ({ requests, released }: QuarantinedMessage): void {
+  receiveQuarantined ({ requests, terminated, released }: QuarantinedMessage): void {
     for (const key of released ?? []) this._quarantine.release(key)
-    for (const key of requests) this._quarantineKey(key)
+    const ages = new Map(terminated)
+    for (const key of requests) this._quarantineKey(key, ages.has(key) ? this._now - ages.get(key)! : undefined)
   }
 
   /** A key below {@link quarantinePrefix} is in the store. */
@@ -288,33 +295,38 @@
    */
   private async _decide (request: string): Promise<void> {
     const { client, log } = this._options
-    const answers = await Promise.all(this._peers.map(peer => client.queryAnswered(peer, { requests: [request] }).catch((error: Error) => {
+    const answers: readonly AnsweredReply[] = await Promise.all(this._peers.map(peer => client.queryAnswered(peer, { requests: [request] }).catch((error: Error) => {
       log.info('peers', 'no answer to query for answered requests.', { peer: peer.node, cause: error.message })
-      return []
+      return { answered: [] }
     })))
-    if (answers.flat().includes(request)) return this._quarantine.recordAnswered(request, this._now)
-    if (!this._quarantine.quarantine(request, this._now)) return
+    for (const { answered, ages } of answers) {
+      // An entry of a version that does not say when it has answered counts as having answered just now.
+      for (const [key, age] of ages ?? answered.map(known => [known, 0] as const)) this._quarantine.recordAnswered(key, this._now - age)
+    }
+    const since = this._quarantine.terminatedSince(request)
+    if (!this._quarantine.isDue(request, this._now) || !this._quarantine.quarantine(request, this._now, since)) return
     log.warn('request', 'quarantined, upstreams terminated while running it.', { fingerprint: request, upstreams: this._quarantine.terminatedUpstreams(request), holdTime: this._quarantine.holdTime })
-    this._putInForce(request)
+    this._putInForce(request, since)
   }
 
   private _quarantinePart ({ part, ...evidence }: PartEvidence): void {
     const key = suspectKey({ kind: 'part', id: part })
     if (!this._quarantine.quarantine(key, this._now)) return
     this._options.log.warn('request', 'prompt part quarantined, upstreams terminated while running requests with it.', { part, ...evidence, holdTime: this._quarantine.holdTime })
-    this._putInForce(key)
+    this._putInForce(key, evidence.since)
   }
 
   /** Puts a quarantine that this entry has decided on in force at all entries. */
-  private _putInForce (key: string): void {
+  private _putInForce (key: string, terminatedSince: Ms | undefined): void {
     this._options.quarantined(readSuspectKey(key))
-    for (const peer of this._peers) this._send(peer, () => this._options.client.notifyQuarantined(peer, { requests: [key] }))
+    const terminated = terminatedSince === undefined ? [] : [[key, this._now - terminatedSince] as const]
+    for (const peer of this._peers) this._send(peer, () => this._options.client.notifyQuarantined(peer, { requests: [key], terminated }))
     this._store(key)
     this._checkLater()
   }
 
-  private _quarantineKey (key: string): void {
-    if (!this._quarantine.quarantine(key, this._now)) return
+  private _quarantineKey (key: string, terminatedSince?: Ms): void {
+    if (!this._quarantine.quarantine(key, this._now, terminatedSince)) return
     this._options.log.info('request', 'quarantined, as decided by another entry.', logFields(key))
     this._options.quarantined(readSuspectKey(key))
     this._checkLater()
--- a/packages/direct/src/lib/relay-runner.ts
+++ b/packages/direct/src/lib/relay-runner.ts
@@ -156,9 +156,9 @@
         if (outcome === 'answered') placer.recordServiceTime(service, serviceTime)
         this._recordExchange(upstream, outcome, latency, route)
       },
-      over: ({ end, sends, firstData, longestGap, notRun, unframedFrom }) => {
+      over: ({ end, sends, firstData, longestGap, notRun, answeredSince, unframedFrom }) => {
         const took = clock.now() - call.arrivedAt
-        if (end === 'delivered') quarantine.recordAnswered(task.fingerprint, unframedFrom)
+        if (end === 'delivered') quarantine.recordAnswered(task.fingerprint, answeredSince, unframedFrom)
         if (end === 'delivered') origins.forget(stream)
         if (notRun) refund()
         this._open.delete(task)
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -43,6 +43,8 @@
   readonly longestGap: Ms
   /** Whether it is certain that no upstream has begun to run the request. */
   readonly notRun: boolean
+  /** When the upstream that answered began its answer, or was sent the request where that is not known. */
+  readonly answeredSince: Ms
   /** The upstream of an answer that only its connection ended, so that it may have been cut short; undefined otherwise. */
   readonly unframedFrom: Upstream | undefined
 }
@@ -137,6 +139,8 @@
   private _fingerprint: string | undefined
   private _firstData: Ms | undefined
   private _dataAt: Ms | undefined
+  /** When the request was sent to its upstream. */
+  private _sentAt: Ms = -Infinity
   /** When the upstream that runs the request sent its first data. */
   private _upstreamDataSince: Ms | undefined
   /** Whether the upstream that runs the request has cleared the parts of its prompt. */
@@ -327,6 +331,7 @@
     const { facts, method, path, headers, body } = this._call
     const sentAt = clock.now()
     this._sends++
+    this._sentAt = sentAt
     this._upstreamDataSince = undefined
     this._hasClearedParts = false
     const resumed = this._answer.begun ? this._lastEventId : undefined
@@ -546,6 +551,6 @@
     this._exchange?.ignore()
     this._closeExchange()
     if (end === 'delivered' && !this._answer.ended) this._answer.end()
-    this._options.over({ end, sends: this._sends, firstData: this._firstData, longestGap: this._longestGap, notRun, unframedFrom: this._isFramed ? undefined : this._upstream })
+    this._options.over({ end, sends: this._sends, firstData: this._firstData, longestGap: this._longestGap, notRun, answeredSince: this._upstreamDataSince ?? this._sentAt, unframedFrom: this._isFramed ? undefined : this._upstream })
   }
 }
