Validate messages about quarantines, and bound what a decision does

The test that sends almost valid messages to entries failed once: a quarantine message with a key that is no string was stored as a suspect, and the process ended with a TypeError when its key was written to the store. (The same message was only refused before suspects were typed.) Reports of terminations, quarantines, and queries and replies about answers now have readers, as the messages about notices and origins do; malformed ones get 400.

Found by reading: a decision repeated itself for as long as it found a part; it now decides once for each settle time. An answer that had begun before a quarantine does not end it.

--- a/packages/decisions/src/lib/request-quarantine.ts
+++ b/packages/decisions/src/lib/request-quarantine.ts
@@ -149,7 +149,8 @@
     const later = (this._terminations.get(request) ?? []).filter(termination => termination.at > at)
     this._terminations.delete(request)
     if (later.length > 0) this._terminations.set(request, later)
-    this._quarantinedUntil.delete(request)
+    // An answer that had begun before the quarantine says nothing about the terminations that led to it.
+    if (at >= this._quarantinedSince(request)) this._quarantinedUntil.delete(request)
     this._answered.delete(request)
     this._answered.set(request, at)
     evictOldest(this._answered, maxAnsweredRecords)
@@ -197,6 +198,8 @@
     return new Map([...this._quarantinedUntil].filter(([, until]) => until > now))
   }
 
+  private _quarantinedSince (request: string): Ms { return (this._quarantinedUntil.get(request) ?? -Infinity) - this._limits.holdTime }
+
   private _isQuarantined (request: string, now: Ms): boolean { return (this._quarantinedUntil.get(request) ?? -Infinity) > now }
 
   /** End of the quarantine of a request on probation; -Infinity for a request that is not. */
--- a/packages/direct/src/lib/part-coordinator.ts
+++ b/packages/direct/src/lib/part-coordinator.ts
@@ -4,8 +4,8 @@
 import type { Clock, Log, Ms } from '@hazelford/core'
 import { type PartEvidence, PartSuspicion, type QuarantineLimits, rendezvousOrder } from '@hazelford/decisions'
 import type { PeerClient } from './peer-client.js'
-import type { AnsweredParts, PartTerminationReport } from './peer-messages.js'
 import type { PeerAddress } from './peer-table.js'
+import type { AgeRow, PartTerminationReport } from './quarantine-messages.js'
 import type { InterruptedRequest } from './termination-detector.js'
 
 /** What the coordinator needs of its entry. */
@@ -93,7 +93,7 @@
   }
 
   /** Returns those of some parts that were answered here, and how long ago the newest answer to each began. */
-  answered (parts: readonly string[]): AnsweredParts {
+  answered (parts: readonly string[]): readonly AgeRow[] {
     const now = this._options.clock.now()
     return parts.slice(0, maxQueried).flatMap(part => {
       const since = this._suspicion.answeredSince(part, now)
@@ -123,10 +123,9 @@
     // An entry that can reach no more than a few others can't know which parts are answered elsewhere.
     if (2 * answers.length < replies.length) return log.info('request', 'no prompt part is quarantined, since most entries do not answer.', { candidates, entries: replies.length, answers: answers.length })
     const cleared = candidates.length - this._suspicion.candidates(clock.now()).length
-    for (let parts = this._suspicion.likeliest(clock.now()); parts.length > 0; parts = this._suspicion.likeliest(clock.now())) {
-      log.info('request', 'prompt parts found at terminations.', { parts: parts.map(({ part }) => part), candidates, cleared })
-      for (const evidence of parts) found(evidence)
-    }
+    const parts = this._suspicion.likeliest(clock.now())
+    log.info('request', 'prompt parts compared after terminations.', { quarantined: parts.map(({ part }) => part), candidates, cleared })
+    for (const evidence of parts) found(evidence)
   }
 
   private get _peers (): readonly PeerAddress[] { return this._options.entries().filter(({ node }) => node !== this._options.node) }
--- a/packages/direct/src/lib/peer-client.ts
+++ b/packages/direct/src/lib/peer-client.ts
@@ -8,10 +8,11 @@
 import { callJson, type JsonAnswer, type JsonCall, NoAnswer } from './json-client.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
 import { type OriginQuery, type OriginsMessage, readOriginReply } from './origin-messages.js'
-import { type AnsweredQuery, type AnsweredReply, type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type TerminationsMessage, type QuarantinedMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
+import { type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
 import type { ConfigAge, PeerState } from './peer-state.js'
 import type { PeerAddress } from './peer-table.js'
 import type { StreamOrigin } from './stream-origins.js'
+import { type AnsweredQuery, type AnsweredReply, type QuarantinedMessage, readAnsweredReply, type TerminationsMessage } from './quarantine-messages.js'
 import { ReportRejected, type UsageMessage } from './usage-coordinator.js'
 import { readUsageGrants } from './usage-messages.js'
 
@@ -119,7 +120,9 @@
   async queryAnswered ({ host, port }: PeerAddress, query: AnsweredQuery): Promise<AnsweredReply> {
     const answer = await this._call({ host, port, method: 'POST', path: peerPaths.answered, body: query, timeout: answerMargin })
     if (answer.status !== 200) throw new Error(`The peer answered ${answer.status}.`)
-    return answer.body as AnsweredReply
+    const reply = readAnsweredReply(answer.body)
+    if (reply === undefined) throw new Error('The peer\'s answer can not be read.')
+    return reply
   }
 
   /** Notifies an entry of quarantined requests; rejects when it does not answer. */
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -2,7 +2,7 @@
  * Messages between entries, and the paths of their calls.
  */
 import type { Ms } from '@hazelford/core'
-import type { LostRequests, UsageGrant } from '@hazelford/decisions'
+import type { UsageGrant } from '@hazelford/decisions'
 import type { EngineLoad } from './engine-admission.js'
 import type { LoadRequest, LoadRequestOutcome, UnavailableCause } from './engine-holder.js'
 import type { DigestRow } from './load-digest.js'
@@ -54,51 +54,6 @@
 /** An engine that has a new holder. */
 export interface TakeoverMessage { readonly upstream: string, readonly fence: number }
 
-/** Upstreams that terminated while running requests, reported to an entry that counts terminations. */
-export interface TerminationsMessage {
-  /** `request`: its fingerprint; `age`: ms since its answer was lost. */
-  readonly ends: ReadonlyArray<{ readonly request: string, readonly upstream: string, readonly age: Ms }>
-  /** The same terminations by prompt parts; undefined from an entry of a version that does not send them. */
-  readonly parts?: readonly PartTerminationReport[]
-}
-
-/** An upstream that terminated while it had requests of one entry. */
-export interface PartTerminationReport {
-  readonly upstream: string
-  /** Ms since the answers were lost. */
-  readonly age: Ms
-  /** Prompt parts of the lost requests, each with the requests that have it. */
-  readonly parts: ReadonlyArray<readonly [part: string, lost: LostRequests]>
-}
-
-/** Quarantined requests and prompt parts, as `suspectKey` writes them. */
-export interface QuarantinedMessage {
-  readonly requests: readonly string[]
-  /** Of some of them, ms since the first termination that counts against them; undefined from an entry of a version that does not send it. */
-  readonly terminated?: ReadonlyArray<readonly [key: string, age: Ms]>
-  /** Those that were found to do no harm; undefined from an entry of a version that does not send them. */
-  readonly released?: readonly string[]
-}
-
-/** Asks which of some requests, by fingerprint, were answered completely in the recent past. */
-export interface AnsweredQuery {
-  readonly requests: readonly string[]
-  /** Prompt parts; undefined from an entry of a version that does not ask about them. */
-  readonly parts?: readonly string[]
-}
-
-/** Prompt parts that were answered, each with the ms since the newest answer that clears it began. */
-export type AnsweredParts = ReadonlyArray<readonly [part: string, age: Ms]>
-
-/** Reply to an {@link AnsweredQuery}. */
-export interface AnsweredReply {
-  readonly answered: readonly string[]
-  /** For each of them, ms since the newest answer began; undefined from an entry of a version that does not send it. */
-  readonly ages?: ReadonlyArray<readonly [request: string, age: Ms]>
-  /** Undefined from an entry of a version that does not know prompt parts. */
-  readonly parts?: AnsweredParts
-}
-
 /** An entry's usage of upstreams' limits, with the notices that it has received from upstreams. */
 export type LimitReport = UsageMessage & NoticeMessage
 
--- a/packages/direct/src/lib/quarantine-coordinator.ts
+++ b/packages/direct/src/lib/quarantine-coordinator.ts
@@ -8,8 +8,8 @@
 import { TerminationDetector, type InterruptedRequest, type RequestSuspects } from './termination-detector.js'
 import type { ProbeOutcome } from './connection-probe.js'
 import type { PeerClient } from './peer-client.js'
-import type { AnsweredQuery, AnsweredReply, PartTerminationReport, TerminationsMessage, QuarantinedMessage } from './peer-messages.js'
 import { systemKeyPrefix, type PeerAddress } from './peer-table.js'
+import type { AnsweredQuery, AnsweredReply, PartTerminationReport, QuarantinedMessage, TerminationsMessage } from './quarantine-messages.js'
 import type { Upstream } from './upstream.js'
 
 /** Prefix of the keys of quarantined requests in the store. */
@@ -283,7 +283,7 @@
     if (!this._quarantine.recordTermination(request, { upstream, at }, this._now) || this._deciding.has(request)) return
     this._deciding.add(request)
     this._decide(request).catch((error: Error) => {
-      this._options.log.warn('request', 'quarantine decision failed.', { fingerprint: request, error: error.message })
+      this._options.log.warn('request', 'quarantine decision failed.', { ...logFields(request), error: error.message })
     }).finally(() => this._deciding.delete(request))
   }
 
@@ -305,7 +305,7 @@
     }
     const since = this._quarantine.terminatedSince(request)
     if (!this._quarantine.isDue(request, this._now) || !this._quarantine.quarantine(request, this._now, since)) return
-    log.warn('request', 'quarantined, upstreams terminated while running it.', { fingerprint: request, upstreams: this._quarantine.terminatedUpstreams(request), holdTime: this._quarantine.holdTime })
+    log.warn('request', 'quarantined, upstreams terminated while running it.', { ...logFields(request), upstreams: this._quarantine.terminatedUpstreams(request), holdTime: this._quarantine.holdTime })
     this._putInForce(request, since)
   }
 
--- a/packages/direct/src/lib/serve-peers.ts
+++ b/packages/direct/src/lib/serve-peers.ts
@@ -10,8 +10,9 @@
 import { compression, readJson } from './json-client.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
 import { type OriginQuery, type OriginReply, type OriginsMessage, readOriginQuery, readOrigins } from './origin-messages.js'
-import { type AnsweredQuery, type AnsweredReply, type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type TerminationsMessage, type QuarantinedMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
+import { type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
 import type { ConfigAge, PeerState } from './peer-state.js'
+import { type AnsweredQuery, type AnsweredReply, type QuarantinedMessage, readAnsweredQuery, readQuarantined, readTerminations, type TerminationsMessage } from './quarantine-messages.js'
 import type { UsageMessage } from './usage-coordinator.js'
 import { readUsageMessage } from './usage-messages.js'
 
@@ -110,6 +111,25 @@
   return query === undefined ? malformed('The body names no stream.') : ok(service.findOrigin(query))
 }
 
+function answerTerminations (service: PeerService, body: unknown): PeerAnswer {
+  const msg = readTerminations(body)
+  if (msg === undefined) return malformed('The body is not a report of terminations.')
+  service.receiveTerminations(msg)
+  return ok()
+}
+
+function answerQuarantined (service: PeerService, body: unknown): PeerAnswer {
+  const msg = readQuarantined(body)
+  if (msg === undefined) return malformed('The body names no quarantined requests or prompt parts.')
+  service.receiveQuarantined(msg)
+  return ok()
+}
+
+function answerAnsweredQuery (service: PeerService, body: unknown): PeerAnswer {
+  const query = readAnsweredQuery(body)
+  return query === undefined ? malformed('The body names no requests.') : ok(service.answered(query))
+}
+
 /** Handles a message whose answer says only that it was handled. */
 async function handle<T> (handler: (msg: T) => void | Promise<void>, body: unknown): Promise<PeerAnswer> {
   await handler(body as T)
@@ -121,9 +141,9 @@
     case peerPaths.ask: return ok(toReply(await service.requestLoad(body as LoadRequestMessage), service.now()))
     case peerPaths.use: return handle(service.recordUse, body)
     case peerPaths.taken: return handle(service.receiveTakeover, body)
-    case peerPaths.ends: return handle(service.receiveTerminations, body)
-    case peerPaths.held: return handle(service.receiveQuarantined, body)
-    case peerPaths.answered: return ok(service.answered(body as AnsweredQuery))
+    case peerPaths.ends: return answerTerminations(service, body)
+    case peerPaths.held: return answerQuarantined(service, body)
+    case peerPaths.answered: return answerAnsweredQuery(service, body)
     case peerPaths.usage: return answerUsage(service, body)
     case peerPaths.limits: return answerLimits(service, body)
     case peerPaths.notices: return answerNotices(service, body)
