Guards of the quarantine of prompt parts

Six guards: reports by parts, the comparison of parts (with a scenario of its own), moments, clearing by later answers only, answers that may have been cut short, the end of a quarantine. Each test fails without its guard.

--- a/packages/bench/src/lib/guards/shared-guards.ts
+++ b/packages/bench/src/lib/guards/shared-guards.ts
@@ -31,6 +31,55 @@
     feature: 'platform/src/test/ending-requests.feature',
     scenario: 'an entry that has seen none of the terminations'
   },
+  {
+    guarantee: 'quarantine: terminations are reported by prompt parts',
+    file: 'packages/direct/dist/lib/part-coordinator.js',
+    find: 'const parts = groupByPart(lost);',
+    replace: 'const parts = [];',
+    feature: 'platform/src/test/crashing-parts.feature',
+    scenario: 'a part that is in many requests'
+  },
+  {
+    guarantee: 'quarantine: parts of lost requests are compared with each other',
+    file: 'packages/decisions/dist/lib/part-suspicion.js',
+    find: 'if (cost < best.cost)',
+    replace: 'if (best.parts.length === 0)',
+    feature: 'packages/decisions/src/test/part-suspicion.feature',
+    scenario: 'a part of sound requests that were lost at each termination'
+  },
+  {
+    guarantee: 'quarantine: terminations at few moments do not count against a part',
+    file: 'packages/decisions/dist/lib/part-suspicion.js',
+    find: 'const minMoments = 3',
+    replace: 'const minMoments = 1',
+    feature: 'packages/decisions/src/test/part-suspicion.feature',
+    scenario: 'engines that terminate for other reasons'
+  },
+  {
+    guarantee: 'quarantine: an answer clears a request of earlier terminations only',
+    file: 'packages/decisions/dist/lib/request-quarantine.js',
+    find: 'termination.at <= (this.answeredAt(request, now) ?? -Infinity)',
+    replace: 'this.answeredAt(request, now) !== undefined',
+    feature: 'platform/src/test/ending-requests.feature',
+    scenario: 'harmless until a moment ago'
+  },
+  {
+    guarantee: 'quarantine: an answer that may have been cut short clears no part',
+    file: 'packages/direct/dist/lib/relay-task.js',
+    find: 'if (!this._isFramed)\n',
+    replace: 'if (false)\n',
+    feature: 'platform/src/test/crashing-parts.feature',
+    scenario: 'answers of terminating engines that look complete'
+  },
+  {
+    guarantee: 'quarantine: after it one entry admits one request at a time, and one termination is enough',
+    file: 'packages/direct/dist/lib/quarantine-coordinator.js',
+    find: 'if (prober !== this._options.node || this._now - (this._probedAt.get(key) ?? -Infinity) < probeInterval)',
+    replace: 'if (false)',
+    also: { file: 'packages/direct/dist/lib/quarantine-coordinator.js', find: 'this._countOnProbation(suspectKey({ kind: \'part\', id }), upstream, at);', replace: '' },
+    feature: 'platform/src/test/crashing-parts.feature',
+    scenario: 'a part whose quarantine is over'
+  },
   {
     guarantee: 'limits of upstreams: each send counts against the upstream\'s request limit',
     file: 'packages/direct/dist/lib/notice-coordinator.js',
--- a/packages/decisions/src/test/part-suspicion.feature
+++ b/packages/decisions/src/test/part-suspicion.feature
@@ -20,6 +20,11 @@
     When 13 engines get 30 sound requests a second, and racks of 2 to 13 engines terminate 11 times within 20 s, for 50 seeds
     Then no part is quarantined
 
+  Scenario: a part of sound requests that were lost at each termination
+    Guards against sound requests that are refused, since all upstreams terminated so soon that no answer could clear their part.
+    When 5 upstreams terminate, 400 ms apart, each with one request with a part and two with another part, and nothing is answered
+    Then only the part of the fewer requests is to be quarantined
+
   Scenario: a request that is sent from one terminating upstream to the next
     When one request with a part is lost at 6 upstreams, 400 ms apart
     Then no part is a candidate
--- a/packages/decisions/src/test/part-suspicion.steps.ts
+++ b/packages/decisions/src/test/part-suspicion.steps.ts
@@ -51,6 +51,20 @@
   }
 }
 
+When('{int} upstreams terminate, {int} ms apart, each with one request with a part and two with another part, and nothing is answered', function (this: SuspicionWorld, upstreams: number, apart: number) {
+  this.suspicion = new PartSuspicion({ after: 4, holdTime: 600_000 }, () => false)
+  for (let n = 0; n < upstreams; n++) {
+    this.now = 1_000 + n * apart
+    const sound = { requests: [`s${n}`, `t${n}`], isFirst: false }
+    const harmful = { requests: [`r${n}`], isFirst: false }
+    this.suspicion.recordTermination({ upstream: `u${n}`, at: this.now, parts: new Map([['sound', sound], [harmfulPart, harmful]]) }, this.now)
+  }
+})
+
+Then('only the part of the fewer requests is to be quarantined', function (this: SuspicionWorld) {
+  assert.deepEqual(this.suspicion.likeliest(this.now).map(({ part }) => part), [harmfulPart])
+})
+
 When('one request with a part is lost at {int} upstreams, {int} ms apart', function (this: SuspicionWorld, upstreams: number, apart: number) {
   loseRequests(this, upstreams, apart, () => 'same')
 })
