--- a/packages/direct/src/lib/part-coordinator.ts
+++ b/packages/direct/src/lib/part-coordinator.ts
@@ -35,7 +35,7 @@
  * other upstreams meanwhile; one that is answered there clears its parts.
  */
 const settleTime: Ms = 250
-/** Number of times that an entry is asked which parts it has answered, and the pause before it is asked again. */
+/** Number of times that an entry which does not answer is asked which parts it has answered. */
 const queryAttempts = 2
 /** Most parts that an entry is asked about. */
 const maxQueried = 50
