--- a/packages/direct/src/lib/engine-admission.ts
+++ b/packages/direct/src/lib/engine-admission.ts
@@ -10,6 +10,11 @@
   readonly running: number
   /** Prompt tokens that the engine has yet to read. */
   readonly promptBacklog: number
+  /**
+   * Speed of the engine relative to the others of its service, where 1 is the median; undefined from a holder of a version
+   * that does not measure it.
+   */
+  readonly speed?: number
 }
 
 /** A request that waits for admission. */
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -37,6 +37,15 @@
    */
   | { readonly kind: 'unavailable', readonly cause: UnavailableCause, readonly line?: number, readonly load?: EngineLoad }
 
+/** A request's prompt that waits for admission to an engine. */
+export interface PromptRequest {
+  readonly request: string
+  readonly tokens: number
+  readonly dueIn: Ms
+  /** Organisation that sends the request; undefined without one, and from an entry of a version that does not send it. */
+  readonly organisation?: string
+}
+
 /** What an entry requests of a holder. */
 export interface LoadRequest {
   readonly want: RequestedAdapter
@@ -59,13 +68,18 @@
   /** Number of the entry's open requests at this engine. */
   readonly outstanding: number
   /** The request's prompt, to be admitted when the engine can read it; undefined requests the adapter alone. */
-  readonly prompt?: { readonly request: string, readonly tokens: number, readonly dueIn: Ms }
+  readonly prompt?: PromptRequest
   /**
    * Streams that ended at this engine since the entry's last report, and how many of them had a pause above the route's
    * target.
    */
   readonly streams: number
   readonly paused: number
+  /**
+   * Median ms between events of each of those streams that had enough events; undefined from an entry of a version that
+   * does not measure it.
+   */
+  readonly paces?: readonly Ms[]
   /** Number of recent loads of the engine that the entry has received; see {@link RecentLoads}. */
   readonly heard: number
 }
--- a/packages/direct/src/lib/load-digest.ts
+++ b/packages/direct/src/lib/load-digest.ts
@@ -18,20 +18,21 @@
  */
 export const maxDigestsPerMessage = 8
 
-/** A digest in a message: upstream, requests, prompt tokens, age. */
-export type DigestRow = readonly [string, number, number, Ms]
+/** A digest in a message: upstream, requests, prompt tokens, age, and the relative speed where its holder measures it. */
+export type DigestRow = readonly [string, number, number, Ms, number?]
 
-export function toDigestRow ({ upstream, running, promptBacklog, age }: LoadDigest): DigestRow {
-  return [upstream, running, Math.round(promptBacklog), Math.round(age)]
+export function toDigestRow ({ upstream, running, promptBacklog, age, speed }: LoadDigest): DigestRow {
+  const row = [upstream, running, Math.round(promptBacklog), Math.round(age)] as const
+  return speed === undefined ? row : [...row, speed]
 }
 
 function isCount (value: unknown): value is number { return typeof value === 'number' && value >= 0 }
 
 function readRow (row: unknown): readonly LoadDigest[] {
   if (!Array.isArray(row)) return []
-  const [upstream, running, promptBacklog, age] = row as readonly unknown[]
+  const [upstream, running, promptBacklog, age, speed] = row as readonly unknown[]
   if (typeof upstream !== 'string' || !isCount(running) || !isCount(promptBacklog) || !isCount(age)) return []
-  return [{ upstream, running, promptBacklog, age }]
+  return [{ upstream, running, promptBacklog, age, ...(isCount(speed) && speed > 0 ? { speed } : {}) }]
 }
 
 /** Reads the digests of a message; malformed ones, from another version of the program, are left out. */
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -49,6 +49,8 @@
   readonly uses: readonly string[]
   /** Its open requests there; undefined from an entry of a version that does not send them. */
   readonly outstanding?: number
+  /** See {@link LoadRequest.paces}. */
+  readonly paces?: readonly Ms[]
 }
 
 /** An engine that has a new holder. */
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -33,7 +33,7 @@
   /** Longest wait for an adapter in ms. */
   readonly patience: Ms
   /** The request's prompt, and when its first event is due. */
-  readonly prompt: { readonly request: string, readonly tokens: number, readonly dueAt: Ms }
+  readonly prompt: { readonly request: string, readonly tokens: number, readonly dueAt: Ms, readonly organisation?: string }
   /** Whether the request no longer needs an upstream. */
   readonly cancelled: () => boolean
 }
@@ -257,13 +257,12 @@
    */
   private async _awaitAdapter (upstream: Upstream, query: PlacementQuery, loadQuery: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<AdapterAttempt> {
     let { missing, repeated } = loadQuery
-    const { request, tokens, dueAt } = query.prompt
+    const { dueAt, ...prompt } = query.prompt
     let admissionWait = 0
     for (;;) {
       const patience = until - this._now
       if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return { kind: 'not-there', line: 0 }
-      const prompt = { request, tokens, dueIn: dueAt - this._now }
-      const outcome = await this._options.directory.ensure(upstream, { ...loadQuery, missing, repeated, patience, prompt })
+      const outcome = await this._options.directory.ensure(upstream, { ...loadQuery, missing, repeated, patience, prompt: { ...prompt, dueIn: dueAt - this._now } })
       if (outcome.kind === 'unavailable') return { kind: 'not-there', cause: outcome.cause, line: outcome.line ?? 0 }
       admissionWait += outcome.atDoor ?? 0
       // While the request waited, the upstream may have announced that it leaves.
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -269,7 +269,7 @@
       avoid,
       software,
       patience: this._longestWait,
-      prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget },
+      prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget, ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }) },
       cancelled: () => this._over,
       ...(retryUpstream === undefined ? {} : { retryUpstream })
     }
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -31,6 +31,7 @@
   private _load: EngineLoad & { readonly at: Ms } | undefined
   /** Prompts sent since the load was counted, and therefore not included in it. */
   private _sends: { readonly at: Ms, readonly tokens: number }[] = []
+  private _speed = 1
   private _changedAt: Ms = -Infinity
   private _reportedAt: Ms = -Infinity
   private _streams = 0
@@ -59,19 +60,23 @@
    * @param load - as its holder counted
    * @param age - ms since then
    */
-  recordLoad ({ running, promptBacklog }: EngineLoad, age: Ms): void {
+  recordLoad ({ running, promptBacklog, speed }: EngineLoad, age: Ms): void {
     const at = this._clock.now() - age
     if (this._load !== undefined && this._load.at >= at) return
     this._load = { running, promptBacklog, at }
+    this._speed = speed ?? this._speed
     this._sends = this._sends.filter(send => send.at > at)
   }
 
   /** Its load as far as it is known, for another entry. */
   get load (): EngineLoad & { readonly age: Ms } | undefined {
     const load = this._knownLoad
-    return load && { running: load.running, promptBacklog: load.promptBacklog, age: Math.round(this._clock.now() - load.at) }
+    return load && { running: load.running, promptBacklog: load.promptBacklog, age: Math.round(this._clock.now() - load.at), speed: this._speed }
   }
 
+  /** Its speed relative to the other engines of its service, as its holder reported it last; 1 is the median. */
+  get speed (): number { return this._speed }
+
   private get _knownLoad (): (EngineLoad & { readonly at: Ms }) | undefined {
     return this._load !== undefined && this._clock.now() - this._load.at < loadTtl ? this._load : undefined
   }
