Place requests by the speeds of engines

Cause: a third of the engines of a deployment takes 2.4 times as long; ranking, homes and replicas took all for equal. Change: costs scale with the speed, homes follow weighted rendezvous hashing, replicas count by speed. With equal speeds nothing changes.

--- a/packages/decisions/src/lib/place-request.ts
+++ b/packages/decisions/src/lib/place-request.ts
@@ -24,6 +24,8 @@
   readonly promptBacklog: number
   /** Batch slots: requests that the upstream runs at once. */
   readonly slots: number
+  /** Speed relative to the median engine of its service: 0.4 takes 2.5 times as long for everything. */
+  readonly speed: number
   /** Moving average of the time to the first byte; 0 when unknown. */
   readonly latency: Ms
   readonly failureShare: number
@@ -38,6 +40,8 @@
   readonly replicas: number
   /** Ms that a request of the service occupies a batch slot; 0 when unknown. */
   readonly serviceTime: Ms
+  /** Tokens of the request's own prompt. */
+  readonly promptTokens: number
 }
 
 /** Cost of another availability zone: a message there and back, and the price of the traffic. */
@@ -67,6 +71,13 @@
  * prompt, the streams that run there stand still, and all of them are late when several long prompts arrive together.
  */
 export const promptTokensPerMs = 35
+/**
+ * Cost of a pause beyond the route's target: the caller gets the answer, but later than it is of full use, which is about
+ * half of a failed request.
+ */
+const pauseCost: Ms = 400
+/** Chance that a stream in a full batch of a median engine has a pause beyond the route's target. */
+const fullBatchPauseChance = 0.1
 /** A failed request costs its caller about one latency target. */
 const failureCost: Ms = 800
 
@@ -93,9 +104,51 @@
   return Math.max(0, running + 1 - slots) * Math.max(queueCost, serviceTime / slots)
 }
 
+/**
+ * Costs beyond those at a median engine, less than 0 at a faster one: reading the request's own prompt, and pauses of its
+ * stream.
+ *
+ * An engine that is k times slower holds each stream k times as long and stops it k times as long for each prompt, so the
+ * chance of a pause grows with the square of k.
+ */
+function speedCost ({ running, slots, speed }: PlacementCandidate, { promptTokens }: PlacementContext): Ms {
+  const pauseChance = Math.min(1, running / slots) * fullBatchPauseChance
+  return promptTokens / promptTokensPerMs * (1 / speed - 1) + pauseCost * (Math.min(1, pauseChance / speed ** 2) - pauseChance)
+}
+
 function cost (candidate: PlacementCandidate, context: PlacementContext): Ms {
-  return adapterCost(candidate, context) + (candidate.sameZone ? 0 : crossZoneCost) + candidate.running / candidate.slots * fullBatchCost +
-    batchSlotWait(candidate, context) + candidate.promptBacklog / promptTokensPerMs + candidate.failureShare * failureCost + candidate.latency
+  const { speed } = candidate
+  return adapterCost(candidate, context) + (candidate.sameZone ? 0 : crossZoneCost) + candidate.running / candidate.slots * fullBatchCost / speed +
+    batchSlotWait(candidate, context) / speed + candidate.promptBacklog / promptTokensPerMs / speed + candidate.failureShare * failureCost + candidate.latency +
+    speedCost(candidate, context)
+}
+
+/**
+ * Exponent of an engine's speed in its share of the adapters. A stream on an engine that is k times slower is stopped k
+ * times as long by each prompt and is there for k times as many of them; with 1/k² of the requests it is stopped for no
+ * longer than elsewhere.
+ */
+const homeWeightExponent = 2
+
+/**
+ * Weight of an engine among the homes of adapters.
+ *
+ * @param speed - relative to the median engine of its service
+ */
+export function homeWeight (speed: number): number { return speed ** homeWeightExponent }
+
+/**
+ * Number of first homes of an adapter that have the speed of a number of median engines.
+ *
+ * @param wanted - number of median engines
+ * @param speeds - of the service's engines, in the adapter's rendezvous order
+ */
+export function homesWithSpeed (wanted: number, speeds: readonly number[]): number {
+  // A second copy of an adapter that needs one home would take an adapter slot from another adapter.
+  if (wanted <= 1) return wanted
+  let sum = 0
+  const last = speeds.findIndex(speed => (sum += speed) >= wanted)
+  return last === -1 ? speeds.length : last + 1
 }
 
 /**
--- a/packages/decisions/src/lib/rendezvous.ts
+++ b/packages/decisions/src/lib/rendezvous.ts
@@ -27,3 +27,31 @@
     .sort((a, b) => b.weight - a.weight || (a.node < b.node ? -1 : 1))
     .map(ranked => ranked.node)
 }
+
+/** A node of a weighted order. */
+export interface WeightedNode {
+  readonly node: string
+  /** Share of the keys relative to the other nodes; above 0. */
+  readonly weight: number
+}
+
+const hashValues = 2 ** 32
+
+/**
+ * Ranks nodes for a key, each first for a share of the keys that follows its weight.
+ *
+ * The score `-ln(u) / weight` of a uniform `u` is exponentially distributed with the rate `weight`, and the node with the
+ * smallest of such scores is each node with a chance in proportion to its weight. A node's score depends on its own
+ * weight alone, so a change of one weight moves only keys to or from that node.
+ *
+ * @param key - adapter or idempotency key
+ * @param nodes - nodes and their weights
+ * @returns the names, best first; equal weights give the order of {@link rendezvousOrder}
+ */
+export function weightedRendezvousOrder (key: string, nodes: readonly WeightedNode[]): readonly string[] {
+  return nodes
+    // The half keeps u above 0 and below 1 for every hash.
+    .map(({ node, weight }) => ({ node, score: -Math.log((rendezvousWeight(key, node) + 0.5) / hashValues) / weight }))
+    .sort((a, b) => a.score - b.score || (a.node < b.node ? -1 : 1))
+    .map(ranked => ranked.node)
+}
--- a/packages/decisions/src/test/direct-decisions.steps.ts
+++ b/packages/decisions/src/test/direct-decisions.steps.ts
@@ -76,10 +76,10 @@
 })
 
 function candidate (id: string, over: Partial<PlacementCandidate>): PlacementCandidate {
-  return { id, sameZone: true, running: 0, promptBacklog: 0, slots: 32, latency: 0, failureShare: 0, adapter: 'loadable', rank: 0, ...over }
+  return { id, sameZone: true, running: 0, promptBacklog: 0, slots: 32, speed: 1, latency: 0, failureShare: 0, adapter: 'loadable', rank: 0, ...over }
 }
 
-const oneHome = { replicas: 1, serviceTime: 0 }
+const oneHome = { replicas: 1, serviceTime: 0, promptTokens: 0 }
 
 Then('a request for an adapter goes to its home although other engines have fewer requests', () => {
   const [best] = rankCandidates([candidate('idle', { rank: 1 }), candidate('home', { rank: 0, running: 9 })], oneHome)
@@ -92,7 +92,7 @@
 })
 
 Then('a long prompt goes where no other prompt is being read', () => {
-  const [best] = rankCandidates([candidate('reading', { adapter: 'loaded', promptBacklog: 7_000 }), candidate('free', { adapter: 'loaded', running: 6 })], { replicas: 2, serviceTime: 0 })
+  const [best] = rankCandidates([candidate('reading', { adapter: 'loaded', promptBacklog: 7_000 }), candidate('free', { adapter: 'loaded', running: 6 })], { ...oneHome, replicas: 2 })
   assert.equal(best?.id, 'free')
 })
 
@@ -124,6 +124,6 @@
 })
 
 Then('a further home of a popular adapter is used as soon as the first one has more requests', () => {
-  const [best] = rankCandidates([candidate('first', { rank: 0, adapter: 'loaded', running: 16 }), candidate('second', { rank: 1 })], { replicas: 2, serviceTime: 0 })
+  const [best] = rankCandidates([candidate('first', { rank: 0, adapter: 'loaded', running: 16 }), candidate('second', { rank: 1 })], { ...oneHome, replicas: 2 })
   assert.equal(best?.id, 'second')
 })
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -2,7 +2,7 @@
  * Finds an upstream for a request: ranks the candidates and gets the adapter loaded there.
  */
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { type RequestedAdapter, DecayedCounter, type PlacementCandidate, rankCandidates, rendezvousOrder, replicasFor, MovingAverage, type UnplacedCause } from '@hazelford/decisions'
+import { type RequestedAdapter, DecayedCounter, homesWithSpeed, homeWeight, type PlacementCandidate, rankCandidates, replicasFor, MovingAverage, type UnplacedCause, weightedRendezvousOrder } from '@hazelford/decisions'
 import type { AdapterDirectory, EnsureQuery } from './adapter-directory.js'
 import type { UnavailableCause } from './engine-holder.js'
 import type { Membership } from './membership.js'
@@ -315,50 +315,57 @@
       running: running(upstream),
       promptBacklog: upstream.promptBacklog,
       slots: upstream.record.slots,
+      speed: upstream.speed,
       latency: upstream.health.latency * (want === undefined ? 1 : engineLatencyShare),
       failureShare: upstream.health.failureShare,
       adapter: want === undefined ? 'loaded' : this._options.directory.presence(upstream, want),
       rank: ranks?.get(upstream.id) ?? 0
     }))
     const context = {
-      replicas: want === undefined ? 1 : this._replicas(query.service, want, upstreams.length),
-      serviceTime: this.serviceTime(query.service)
+      replicas: want === undefined ? 1 : this._replicas(query.service, want, upstreams, ranks),
+      serviceTime: this.serviceTime(query.service),
+      promptTokens: query.prompt.tokens
     }
     return rankCandidates(candidates, context).map(candidate => (candidate as typeof candidates[number]).upstream)
   }
 
   /**
    * Returns the function that estimates how many requests of all entries an upstream runs. An engine without a fresh
-   * load report is assumed to run the mean of the others: with many entries, each one sends requests to an engine too
-   * seldom to infer the engine's load from its own count. Plain services have no holder that counts for all entries.
+   * load report is assumed to run the mean of the others, in proportion to its speed: with many entries, each one sends
+   * requests to an engine too seldom to infer the engine's load from its own count. Plain services have no holder that counts for all entries.
    */
   private _loadEstimate (upstreams: readonly Upstream[], want: RequestedAdapter | undefined, entries: number): (upstream: Upstream) => number {
     if (want === undefined) return upstream => upstream.outstanding * entries
     this._options.directory.refreshOwnLoads()
-    const known = upstreams.flatMap(({ running }) => running ?? [])
-    const mean = known.length === 0 ? undefined : known.reduce((sum, each) => sum + each, 0) / known.length
-    return upstream => upstream.running ?? Math.max(upstream.outstanding, mean ?? upstream.outstanding * entries)
+    const known = upstreams.filter(({ running }) => running !== undefined)
+    const speed = known.reduce((sum, each) => sum + each.speed, 0)
+    const mean = known.length === 0 ? undefined : known.reduce((sum, { running }) => sum + running!, 0) / speed
+    return upstream => upstream.running ?? Math.max(upstream.outstanding, mean === undefined ? upstream.outstanding * entries : mean * upstream.speed)
   }
 
-  private _replicas (service: string, want: RequestedAdapter, upstreams: number): number {
+  /** Number of homes of an adapter; `ranks`: positions of the upstreams in its rendezvous order. */
+  private _replicas (service: string, want: RequestedAdapter, upstreams: readonly Upstream[], ranks: ReadonlyMap<string, number> | undefined): number {
     const now = this._now
     const total = this._popularity.read(service, now)
-    if (want.adapter === undefined) return upstreams
+    if (ranks === undefined) return upstreams.length
     if (total < minRequestsCounted) return 1
-    return replicasFor(this._popularity.read(`${service} ${want.model}/${want.adapter}`, now) / total, upstreams, this._options.adapterSlots(service))
+    const wanted = replicasFor(this._popularity.read(`${service} ${want.model}/${want.adapter}`, now) / total, upstreams.length, this._options.adapterSlots(service))
+    const speeds: number[] = []
+    for (const { id, speed } of upstreams) speeds[ranks.get(id)!] = speed
+    return homesWithSpeed(wanted, speeds)
   }
 
-  /** Rendezvous ranks of an adapter, cached until the upstreams change. */
+  /** Weighted rendezvous ranks of an adapter, cached until the upstreams or their speeds change. */
   private _ranksFor (adapter: string, upstreams: readonly Upstream[]): ReadonlyMap<string, number> {
-    const ids = upstreams.map(({ id }) => id)
-    const joined = ids.join()
+    const joined = upstreams.map(({ id, speed }) => `${id} ${speed}`).join()
     if (joined !== this._rankedIds) {
       this._ranks = new Map()
       this._rankedIds = joined
     }
     const known = this._ranks.get(adapter)
     if (known !== undefined) return known
-    const ranks = new Map(rendezvousOrder(adapter, ids).map((id, rank) => [id, rank]))
+    const nodes = upstreams.map(({ id, speed }) => ({ node: id, weight: homeWeight(speed) }))
+    const ranks = new Map(weightedRendezvousOrder(adapter, nodes).map((id, rank) => [id, rank]))
     this._ranks.set(adapter, ranks)
     return ranks
   }
--- a/packages/direct/src/test/support/batch-slot-simulation.ts
+++ b/packages/direct/src/test/support/batch-slot-simulation.ts
@@ -2,7 +2,7 @@
  * Simulates streams from many entries on engines with few batch slots each, in virtual time, with the real placement decisions.
  */
 import type { Ms } from '@hazelford/core'
-import { BatchSlots, rankCandidates, rendezvousOrder } from '@hazelford/decisions'
+import { BatchSlots, homesWithSpeed, homeWeight, promptTokensPerMs, rankCandidates, replicasFor, weightedRendezvousOrder } from '@hazelford/decisions'
 import { type LoadDigest, pickDigests } from '../../lib/load-digest.js'
 import { seededRandom } from './seeded-random.js'
 
@@ -22,6 +22,25 @@
   readonly seed: number
   /** Entries know only their own streams and send at once; otherwise holders grant batch slots. */
   readonly knowsOwnOnly: boolean
+  /** Engines that read prompts and keep few adapters; undefined for equal ones that keep all and read at once. */
+  readonly uneven?: UnevenEngines
+}
+
+/** Engines of different speeds. */
+export interface UnevenEngines {
+  /** Speeds of the engines in turn. */
+  readonly speeds: readonly number[]
+  /** Whether entries know the speeds; otherwise they take all engines for equal. */
+  readonly knowsSpeeds: boolean
+  /** Weight of an engine of a speed among the homes of adapters. */
+  readonly weigh?: (speed: number) => number
+  /** Lengths in tokens of the prompts, in turn. */
+  readonly prompts: readonly number[]
+  /** A stream is late, too, when it stands still for longer than this. */
+  readonly pauseTarget: Ms
+  /** Adapters that an engine and its host keep. */
+  readonly copies: number
+  readonly adapterSlots: number
 }
 
 /** What callers experience. */
@@ -30,6 +49,12 @@
   readonly inTime: number
   /** Streams that wait while a batch slot is free at another engine: mean over time. */
   readonly avoidableWaits: number
+  /** Share of the streams that began in time and did not pause for too long. */
+  readonly onTime: number
+  /** Loads of adapters that an engine's host did not keep. */
+  readonly loads: number
+  /** Streams started by each engine. */
+  readonly started: readonly number[]
 }
 
 const step: Ms = 5
@@ -40,8 +65,24 @@
 const maxExpectedWait: Ms = 250
 const maxCandidatesAsked = 3
 
-interface Stream { readonly since: Ms, until: Ms, readonly entry: string }
-interface Engine { readonly id: string, readonly holder: number, readonly batchSlots: BatchSlots, running: Stream[], waiting: Stream[] }
+/** Time for which a request for an adapter that is not kept waits for its load. */
+const loadTime: Ms = 250
+
+interface Stream { readonly since: Ms, until: Ms, readonly entry: string, readonly tokens: number, readonly readyAt: Ms, firstEventAt: Ms, isLate: boolean }
+interface Engine {
+  readonly id: string
+  readonly holder: number
+  readonly batchSlots: BatchSlots
+  readonly speed: number
+  running: Stream[]
+  waiting: Stream[]
+  started: number
+  /** Prompts are being read without a break between these times. */
+  readingSince: Ms
+  readingUntil: Ms
+  /** Kept adapters, the latest last. */
+  readonly copies: Set<number>
+}
 type Known = Map<string, { readonly running: number, readonly at: Ms }>
 
 class BatchSlotSimulation {
@@ -53,12 +94,15 @@
   private readonly _ranks = new Map<number, ReadonlyMap<string, number>>()
   private _now: Ms = 0
   private _inTimeCount = 0
+  private _onTimeCount = 0
   private _startedCount = 0
+  private _arrivals = 0
+  private _loads = 0
   private _avoidableWaitSum = 0
 
   constructor (private readonly _workload: BatchSlotWorkload) {
     this._random = seededRandom(_workload.seed)
-    this._engines = Array.from({ length: _workload.engines }, (_, n) => ({ id: `i-${n}`, holder: n % _workload.entries, batchSlots: new BatchSlots(_workload.places), running: [], waiting: [] }))
+    this._engines = Array.from({ length: _workload.engines }, (_, n) => ({ id: `i-${n}`, holder: n % _workload.entries, batchSlots: new BatchSlots(_workload.places), speed: _workload.uneven?.speeds[n % _workload.uneven.speeds.length] ?? 1, running: [], waiting: [], started: 0, readingSince: 0, readingUntil: 0, copies: new Set() }))
     this._known = Array.from({ length: _workload.entries }, () => new Map())
     this._ownStreams = Array.from({ length: _workload.entries }, () => new Map())
   }
@@ -73,25 +117,50 @@
       const free = this._engines.reduce((sum, { running }) => sum + this._workload.places - running.length, 0)
       this._avoidableWaitSum += Math.min(waiting, free)
     }
-    return { inTime: this._inTimeCount / this._startedCount, avoidableWaits: this._avoidableWaitSum / steps }
+    return {
+      inTime: this._inTimeCount / this._startedCount,
+      avoidableWaits: this._avoidableWaitSum / steps,
+      onTime: this._onTimeCount / this._startedCount,
+      loads: this._loads,
+      started: this._engines.map(({ started }) => started)
+    }
   }
 
   private _stepEngine (engine: Engine): void {
     const ended = engine.running.filter(({ until }) => until <= this._now)
-    for (const { entry } of ended) this._endStream(engine, entry)
+    for (const stream of ended) this._endStream(engine, stream)
     engine.running = engine.running.filter(({ until }) => until > this._now)
-    while (engine.waiting.length > 0 && engine.running.length < this._workload.places) this._startStream(engine, engine.waiting.shift()!)
+    while (engine.waiting.length > 0 && engine.waiting[0]!.readyAt <= this._now && engine.running.length < this._workload.places) this._startStream(engine, engine.waiting.shift()!)
   }
 
   private _startStream (engine: Engine, stream: Stream): void {
+    this._readPrompt(engine, stream.tokens)
+    stream.firstEventAt = Math.max(this._now, engine.readingUntil) + firstEvent / engine.speed
     // Service times vary between half and one and a half times the mean, as output lengths do.
-    stream.until = this._now + this._workload.serviceTime * (0.5 + this._random())
+    stream.until = Math.max(this._now, engine.readingUntil) + this._workload.serviceTime * (0.5 + this._random()) / engine.speed
     engine.running.push(stream)
+    engine.started++
     this._startedCount++
-    if (this._now + firstEvent - stream.since <= this._workload.target) this._inTimeCount++
+    const isInTime = stream.firstEventAt - stream.since <= this._workload.target
+    if (isInTime) this._inTimeCount++
+    else stream.isLate = true
+  }
+
+  /** Streams stand still while prompts are read. */
+  private _readPrompt (engine: Engine, tokens: number): void {
+    if (tokens === 0) return
+    if (engine.readingUntil <= this._now) engine.readingSince = this._now
+    const duration = tokens / promptTokensPerMs / engine.speed
+    engine.readingUntil = Math.max(this._now, engine.readingUntil) + duration
+    const isPause = engine.readingUntil - engine.readingSince > this._workload.uneven!.pauseTarget
+    for (const stream of engine.running) {
+      stream.until += duration
+      if (isPause && stream.firstEventAt < engine.readingSince) stream.isLate = true
+    }
   }
 
-  private _endStream (engine: Engine, entry: string): void {
+  private _endStream (engine: Engine, { entry, isLate }: Stream): void {
+    if (!isLate) this._onTimeCount++
     const own = this._ownStreams[Number(entry)]!
     own.set(engine.id, (own.get(engine.id) ?? 1) - 1)
     engine.batchSlots.recordReport(entry, own.get(engine.id)!, this._now)
@@ -99,16 +168,31 @@
 
   private _arriveStream (): void {
     const entry = Math.floor(this._random() * this._workload.entries)
-    const stream: Stream = { since: this._now, until: 0, entry: String(entry) }
-    const engine = this._choose(entry)
+    const adapter = Math.floor(adapters * this._random() ** 3)
+    const prompts = this._workload.uneven?.prompts ?? [0]
+    const tokens = prompts[this._arrivals++ % prompts.length]!
+    const engine = this._choose(entry, adapter, tokens)
+    const stream: Stream = { since: this._now, until: 0, entry: String(entry), tokens, readyAt: this._now + this._load(engine, adapter), firstEventAt: 0, isLate: false }
     const own = this._ownStreams[entry]!
     own.set(engine.id, (own.get(engine.id) ?? 0) + 1)
     engine.batchSlots.admit(stream.entry, this._now)
     engine.waiting.push(stream)
   }
 
-  private _choose (entry: number): Engine {
-    const ranked = this._rankEngines(entry)
+  /** Loads an adapter that an engine does not keep, and returns the wait for it. */
+  private _load ({ copies }: Engine, adapter: number): Ms {
+    const { uneven } = this._workload
+    if (uneven === undefined) return 0
+    const wait = copies.delete(adapter) ? 0 : loadTime
+    if (wait > 0) this._loads++
+    copies.add(adapter)
+    const [oldest] = copies
+    if (copies.size > uneven.copies) copies.delete(oldest!)
+    return wait
+  }
+
+  private _choose (entry: number, adapter: number, tokens: number): Engine {
+    const ranked = this._rankEngines(entry, adapter, tokens)
     if (this._workload.knowsOwnOnly) return ranked[0]!
     for (const engine of ranked.slice(0, maxCandidatesAsked)) {
       this._exchange(entry, engine)
@@ -138,24 +222,39 @@
     }
   }
 
-  private _rankEngines (entry: number): readonly Engine[] {
-    const adapter = Math.floor(adapters * this._random() ** 3)
+  private _rankEngines (entry: number, adapter: number, promptTokens: number): readonly Engine[] {
+    const { knowsOwnOnly, entries, places, serviceTime } = this._workload
     const ranks = this._ranksOf(adapter)
     const known = this._known[entry]!
     const own = this._ownStreams[entry]!
     const candidates = this._engines.map(engine => {
       const latest = known.get(engine.id)
       const ownStreams = own.get(engine.id) ?? 0
-      const running = this._workload.knowsOwnOnly ? ownStreams * this._workload.entries : latest?.running ?? ownStreams
-      return { engine, id: engine.id, sameZone: true, running, promptBacklog: 0, slots: this._workload.places, latency: 0, failureShare: 0, adapter: 'recent' as const, rank: ranks.get(engine.id)! }
+      const running = knowsOwnOnly ? ownStreams * entries : latest?.running ?? ownStreams
+      const presence = this._workload.uneven === undefined || engine.copies.has(adapter) ? 'recent' as const : 'loadable' as const
+      return { engine, id: engine.id, sameZone: true, running, promptBacklog: 0, slots: places, speed: this._knownSpeed(engine), latency: 0, failureShare: 0, adapter: presence, rank: ranks.get(engine.id)! }
     })
-    return rankCandidates(candidates, { replicas: 2, serviceTime: this._workload.knowsOwnOnly ? 0 : this._workload.serviceTime }).map(candidate => (candidate as typeof candidates[number]).engine)
+    const context = { replicas: this._replicasOf(adapter, ranks), serviceTime: knowsOwnOnly ? 0 : serviceTime, promptTokens }
+    return rankCandidates(candidates, context).map(candidate => (candidate as typeof candidates[number]).engine)
+  }
+
+  private _knownSpeed ({ speed }: Engine): number { return this._workload.uneven?.knowsSpeeds === false ? 1 : speed }
+
+  private _replicasOf (adapter: number, ranks: ReadonlyMap<string, number>): number {
+    const { uneven, engines } = this._workload
+    if (uneven === undefined) return 2
+    const share = ((adapter + 1) / adapters) ** (1 / 3) - (adapter / adapters) ** (1 / 3)
+    const speeds: number[] = []
+    for (const engine of this._engines) speeds[ranks.get(engine.id)!] = this._knownSpeed(engine)
+    return homesWithSpeed(replicasFor(share, engines, uneven.adapterSlots), speeds)
   }
 
   private _ranksOf (adapter: number): ReadonlyMap<string, number> {
     const known = this._ranks.get(adapter)
     if (known !== undefined) return known
-    const ranks = new Map(rendezvousOrder(`a${adapter}`, this._engines.map(({ id }) => id)).map((id, rank) => [id, rank]))
+    const weigh = this._workload.uneven?.weigh ?? homeWeight
+    const nodes = this._engines.map(engine => ({ node: engine.id, weight: weigh(this._knownSpeed(engine)) }))
+    const ranks = new Map(weightedRendezvousOrder(`a${adapter}`, nodes).map((id, rank) => [id, rank]))
     this._ranks.set(adapter, ranks)
     return ranks
   }
