Test placement by speeds, and play engines of different speeds

Change: features speed-placement and engine-speeds; the simulation of batch slots takes engines that read prompts.

--- a/packages/decisions/src/lib/rendezvous.ts
+++ b/packages/decisions/src/lib/rendezvous.ts
@@ -37,6 +37,9 @@
 
 const hashValues = 2 ** 32
 
+/** Score of a node; the lowest wins. The half keeps `u` above 0 and below 1 for every hash. */
+export function weightedScore (hash: number, weight: number): number { return -Math.log((hash + 0.5) / hashValues) / weight }
+
 /**
  * Ranks nodes for a key, each first for a share of the keys that follows its weight.
  *
@@ -50,8 +53,7 @@
  */
 export function weightedRendezvousOrder (key: string, nodes: readonly WeightedNode[]): readonly string[] {
   return nodes
-    // The half keeps u above 0 and below 1 for every hash.
-    .map(({ node, weight }) => ({ node, score: -Math.log((rendezvousWeight(key, node) + 0.5) / hashValues) / weight }))
+    .map(({ node, weight }) => ({ node, score: weightedScore(rendezvousWeight(key, node), weight) }))
     .sort((a, b) => a.score - b.score || (a.node < b.node ? -1 : 1))
     .map(ranked => ranked.node)
 }
--- a/packages/direct/src/test/support/batch-slot-simulation.ts
+++ b/packages/direct/src/test/support/batch-slot-simulation.ts
@@ -49,12 +49,14 @@
   readonly inTime: number
   /** Streams that wait while a batch slot is free at another engine: mean over time. */
   readonly avoidableWaits: number
-  /** Share of the streams that began in time and did not pause for too long. */
+  /** Share of the ended streams that began in time and did not pause for too long. */
   readonly onTime: number
   /** Loads of adapters that an engine's host did not keep. */
   readonly loads: number
   /** Streams started by each engine. */
   readonly started: readonly number[]
+  /** Streams of each engine that were late. */
+  readonly late: readonly number[]
 }
 
 const step: Ms = 5
@@ -77,13 +79,14 @@
   running: Stream[]
   waiting: Stream[]
   started: number
+  late: number
   /** Prompts are being read without a break between these times. */
   readingSince: Ms
   readingUntil: Ms
   /** Kept adapters, the latest last. */
   readonly copies: Set<number>
 }
-type Known = Map<string, { readonly running: number, readonly at: Ms }>
+type Known = Map<string, { readonly running: number, readonly promptBacklog: number, readonly at: Ms }>
 
 class BatchSlotSimulation {
   private readonly _random: () => number
@@ -96,13 +99,14 @@
   private _inTimeCount = 0
   private _onTimeCount = 0
   private _startedCount = 0
+  private _endedCount = 0
   private _arrivals = 0
   private _loads = 0
   private _avoidableWaitSum = 0
 
   constructor (private readonly _workload: BatchSlotWorkload) {
     this._random = seededRandom(_workload.seed)
-    this._engines = Array.from({ length: _workload.engines }, (_, n) => ({ id: `i-${n}`, holder: n % _workload.entries, batchSlots: new BatchSlots(_workload.places), speed: _workload.uneven?.speeds[n % _workload.uneven.speeds.length] ?? 1, running: [], waiting: [], started: 0, readingSince: 0, readingUntil: 0, copies: new Set() }))
+    this._engines = Array.from({ length: _workload.engines }, (_, n) => ({ id: `i-${n}`, holder: n % _workload.entries, batchSlots: new BatchSlots(_workload.places), speed: _workload.uneven?.speeds[n % _workload.uneven.speeds.length] ?? 1, running: [], waiting: [], started: 0, late: 0, readingSince: 0, readingUntil: 0, copies: new Set() }))
     this._known = Array.from({ length: _workload.entries }, () => new Map())
     this._ownStreams = Array.from({ length: _workload.entries }, () => new Map())
   }
@@ -120,9 +124,10 @@
     return {
       inTime: this._inTimeCount / this._startedCount,
       avoidableWaits: this._avoidableWaitSum / steps,
-      onTime: this._onTimeCount / this._startedCount,
+      onTime: this._onTimeCount / this._endedCount,
       loads: this._loads,
-      started: this._engines.map(({ started }) => started)
+      started: this._engines.map(({ started }) => started),
+      late: this._engines.map(({ late }) => late)
     }
   }
 
@@ -160,7 +165,9 @@
   }
 
   private _endStream (engine: Engine, { entry, isLate }: Stream): void {
-    if (!isLate) this._onTimeCount++
+    this._endedCount++
+    if (isLate) engine.late++
+    else this._onTimeCount++
     const own = this._ownStreams[Number(entry)]!
     own.set(engine.id, (own.get(engine.id) ?? 1) - 1)
     engine.batchSlots.recordReport(entry, own.get(engine.id)!, this._now)
@@ -209,16 +216,16 @@
   }
 
   private _digests (entry: number): readonly LoadDigest[] {
-    const own = this._engines.filter(({ holder }) => holder === entry).map(({ id, batchSlots }) => ({ upstream: id, running: batchSlots.running(this._now), promptBacklog: 0, age: 0 }))
-    const received = [...this._known[entry]!].map(([upstream, { running, at }]) => ({ upstream, running, promptBacklog: 0, age: this._now - at })).filter(({ age }) => age < 2_000)
+    const own = this._engines.filter(({ holder }) => holder === entry).map(({ id, batchSlots, readingUntil, speed }) => ({ upstream: id, running: batchSlots.running(this._now), promptBacklog: Math.max(0, readingUntil - this._now) * promptTokensPerMs * speed, age: 0 }))
+    const received = [...this._known[entry]!].map(([upstream, { at, ...load }]) => ({ upstream, ...load, age: this._now - at })).filter(({ age }) => age < 2_000)
     return pickDigests(own, received, this._random)
   }
 
   private _mergeDigests (entry: number, digests: readonly LoadDigest[]): void {
     const known = this._known[entry]!
-    for (const { upstream, running, age } of digests) {
+    for (const { upstream, age, ...load } of digests) {
       const at = this._now - age
-      if ((known.get(upstream)?.at ?? -Infinity) < at) known.set(upstream, { running, at })
+      if ((known.get(upstream)?.at ?? -Infinity) < at) known.set(upstream, { ...load, at })
     }
   }
 
@@ -231,8 +238,10 @@
       const latest = known.get(engine.id)
       const ownStreams = own.get(engine.id) ?? 0
       const running = knowsOwnOnly ? ownStreams * entries : latest?.running ?? ownStreams
+      const speed = this._knownSpeed(engine)
+      const promptBacklog = latest === undefined ? 0 : Math.max(0, latest.promptBacklog - (this._now - latest.at) * promptTokensPerMs * speed)
       const presence = this._workload.uneven === undefined || engine.copies.has(adapter) ? 'recent' as const : 'loadable' as const
-      return { engine, id: engine.id, sameZone: true, running, promptBacklog: 0, slots: places, speed: this._knownSpeed(engine), latency: 0, failureShare: 0, adapter: presence, rank: ranks.get(engine.id)! }
+      return { engine, id: engine.id, sameZone: true, running, promptBacklog, slots: places, speed, latency: 0, failureShare: 0, adapter: presence, rank: ranks.get(engine.id)! }
     })
     const context = { replicas: this._replicasOf(adapter, ranks), serviceTime: knowsOwnOnly ? 0 : serviceTime, promptTokens }
     return rankCandidates(candidates, context).map(candidate => (candidate as typeof candidates[number]).engine)
