Measure the speed of each engine and admit prompts by it

Cause: every engine was taken to read 35 prompt tokens a ms. On a deployment where a third of the engines takes 2.4 times as long for everything, those engines' streams pause for too long. The holder divides the pace that is typical of the service by that of its engine, rounds the ratio to steps and publishes it in EngineLoad.speed. The prompt throttle and the entries' estimates of a backlog multiply their rate by it. A successor starts from the speed that its entry knows, a restarted engine from 1.

--- /dev/null
+++ b/packages/decisions/src/lib/engine-speed.ts
@@ -0,0 +1,124 @@
+/**
+ * Speed of one engine relative to the others of its service.
+ */
+import type { Ms } from '@hazelford/core'
+import { PaceWindow, type PaceWindowLimits } from './pace-window.js'
+
+/**
+ * Samples of one engine. A slow engine of 30 ends a stream or two in a second, so six samples come within some seconds;
+ * two of them may be wrong. The age keeps them comparable with the reference.
+ */
+const engineSamples: PaceWindowLimits = { capacity: 24, ttl: 20_000, least: 6 }
+/** Samples of all engines of a service, from one entry. */
+const referenceSamples: PaceWindowLimits = { capacity: 48, ttl: 20_000, least: 9 }
+
+/** Factor between two neighbouring speeds. */
+const step = 1.25
+/** Speeds are limited to 0.21 to 3.81, so that a wrong estimate neither starves an engine nor floods it. */
+const slowestStep = -7
+const fastestStep = 6
+/** Factor up to which an engine differs from the others without a speed of its own. */
+const equalUpTo = 1.15
+/**
+ * Part of a step by which an estimate must differ from the present speed before it replaces that. Homes of adapters
+ * depend on speeds, and each change costs loads.
+ */
+const changeFrom = 0.9
+
+/** An estimate of the speed, for logs. */
+export interface SpeedEstimate {
+  readonly speed: number
+  readonly before: number
+  /** Typical ms between two events of the engine's streams, and of those of all engines. */
+  readonly pace: Ms
+  readonly reference: Ms
+  readonly samples: number
+  /** Share by which the pace may be wrong. */
+  readonly error: number
+}
+
+/** Typical pace of all engines of each service, as one entry sees it. */
+export class ReferencePaces {
+  private readonly _services = new Map<string, PaceWindow>()
+
+  /** Records the pace in ms of a stream of a service. */
+  record (service: string, pace: Ms, now: Ms): void {
+    const window = this._services.get(service) ?? new PaceWindow(referenceSamples)
+    this._services.set(service, window)
+    window.add(pace, now)
+  }
+
+  /** Typical pace in ms of the streams of a service; undefined while too few are known. */
+  of (service: string, now: Ms): Ms | undefined { return this._services.get(service)?.typical(now) }
+}
+
+/** Speed at a number of steps. */
+function speedAt (steps: number): number { return Math.round(step ** steps * 100) / 100 }
+
+/**
+ * Reads a speed that another entry has sent.
+ *
+ * @param value - as decoded
+ * @returns the speed within its limits; undefined when the value is none
+ */
+export function readSpeed (value: unknown): number | undefined {
+  return typeof value === 'number' && value > 0 ? Math.min(speedAt(fastestStep), Math.max(speedAt(slowestStep), value)) : undefined
+}
+
+/** Number of steps, not rounded, of a ratio. */
+function stepsOf (ratio: number): number { return Math.log(ratio) / Math.log(step) }
+
+const equalSteps = stepsOf(equalUpTo)
+
+/**
+ * Estimates the speed of one engine.
+ *
+ * Serves engines of which some take a multiple of the time for everything, and which all are slow for moments of half a
+ * second. Moments change nothing: a stream lasts longer, and its typical pace is that of its other events. An engine
+ * that gets few requests keeps its last speed.
+ */
+export class EngineSpeed {
+  private readonly _window = new PaceWindow(engineSamples)
+  private _steps: number
+  private _measuredAt: Ms | undefined
+
+  /** @param _initial - last known speed; undefined when none is known */
+  constructor (private readonly _initial?: number) {
+    this._steps = _initial === undefined ? 0 : limitSteps(Math.round(stepsOf(_initial)))
+  }
+
+  /** The speed, where 1 is that of the others. */
+  get speed (): number { return speedAt(this._steps) }
+
+  /** The speed; undefined as long as it is neither measured nor known from before. */
+  get known (): number | undefined { return this._measuredAt === undefined && this._initial === undefined ? undefined : this.speed }
+
+  /** Ms since the last estimate; undefined without one. */
+  age (now: Ms): Ms | undefined { return this._measuredAt === undefined ? undefined : now - this._measuredAt }
+
+  /**
+   * Records paces of streams.
+   *
+   * @param paces - ms between events of streams of this engine
+   * @param reference - typical pace in ms of its service; undefined when unknown
+   * @param now - time
+   * @returns the estimate, if it changes the speed
+   */
+  record (paces: readonly Ms[], reference: Ms | undefined, now: Ms): SpeedEstimate | undefined {
+    if (paces.length === 0) return undefined
+    for (const pace of paces) this._window.add(pace, now)
+    const pace = this._window.typical(now)
+    if (pace === undefined || reference === undefined) return undefined
+    this._measuredAt = now
+    const before = this.speed
+    this._steps = this._nextSteps(stepsOf(reference / pace))
+    return this.speed === before ? undefined : { speed: this.speed, before, pace, reference, samples: this._window.count(now), error: Math.round(this._window.error * 1_000) / 1_000 }
+  }
+
+  private _nextSteps (measured: number): number {
+    if (Math.abs(measured) <= equalSteps) return 0
+    return Math.abs(measured - this._steps) < changeFrom ? this._steps : limitSteps(Math.round(measured))
+  }
+}
+
+function limitSteps (steps: number): number { return Math.min(fastestStep, Math.max(slowestStep, steps)) }
--- /dev/null
+++ b/packages/decisions/src/lib/pace-window.ts
@@ -0,0 +1,85 @@
+/**
+ * Typical time between two events of streams, from samples of which some are wrong.
+ */
+import type { Ms } from '@hazelford/core'
+
+/**
+ * Part of the samples that is shorter than the typical one. Prompts that are read between two events and moments in
+ * which a server is slow only lengthen the time, so the typical time is below the median.
+ */
+const typicalShare = 1 / 3
+/** Number of times between events that are kept of one stream, the latest ones. */
+const gapsPerStream = 64
+/** Least number of times between events from which a pace is taken. */
+const minGaps = 7
+
+/** The sample below which a share of all samples lies. */
+function quantile (samples: readonly number[], share: number): number {
+  return [...samples].sort((a, b) => a - b)[Math.floor(samples.length * share)]!
+}
+
+/** Measures the pace of one stream: the typical ms between two of its events. */
+export class StreamPace {
+  private readonly _gaps: Ms[] = []
+  private _count = 0
+  private _isDisturbed = false
+
+  /** Records the ms between two events. */
+  record (gap: Ms): void { this._gaps[this._count++ % gapsPerStream] = gap }
+
+  /** Records that something other than its engine has delayed the stream, so that it has no pace. */
+  disturb (): void { this._isDisturbed = true }
+
+  /** The pace in ms; undefined for a stream with too few events, and for one that was disturbed. */
+  get pace (): Ms | undefined {
+    if (this._isDisturbed || this._gaps.length < minGaps) return undefined
+    const pace = quantile(this._gaps, typicalShare)
+    return pace > 0 ? pace : undefined
+  }
+}
+
+/** Limits of a {@link PaceWindow}. */
+export interface PaceWindowLimits {
+  /** Number of samples that are kept, the latest ones. */
+  readonly capacity: number
+  /** Age at which a sample is dropped. */
+  readonly ttl: Ms
+  /** Least number of samples from which a typical pace is taken. */
+  readonly least: number
+}
+
+/** Typical pace of the streams that ended lately. */
+export class PaceWindow {
+  private _samples: { readonly pace: Ms, readonly at: Ms }[] = []
+
+  constructor (private readonly _limits: PaceWindowLimits) {}
+
+  add (pace: Ms, now: Ms): void {
+    if (this._samples.length >= this._limits.capacity) this._samples.shift()
+    this._samples.push({ pace, at: now })
+  }
+
+  /** Number of samples that count. */
+  count (now: Ms): number {
+    this._dropOld(now)
+    return this._samples.length
+  }
+
+  /** The typical pace in ms; undefined with too few samples. */
+  typical (now: Ms): Ms | undefined {
+    return this.count(now) < this._limits.least ? undefined : quantile(this._paces, typicalShare)
+  }
+
+  /** Half the range of the third of the samples around the typical one, as a share of the typical pace. */
+  get error (): number {
+    const paces = this._paces
+    return (quantile(paces, typicalShare * 1.5) - quantile(paces, typicalShare / 2)) / 2 / quantile(paces, typicalShare)
+  }
+
+  private get _paces (): readonly Ms[] { return this._samples.map(({ pace }) => pace) }
+
+  private _dropOld (now: Ms): void {
+    const { ttl } = this._limits
+    while (this._samples.length > 0 && now - this._samples[0]!.at > ttl) this._samples.shift()
+  }
+}
--- a/packages/decisions/src/lib/prompt-throttle.ts
+++ b/packages/decisions/src/lib/prompt-throttle.ts
@@ -23,7 +23,7 @@
 /** Share of an engine's time that prompts take when requests would be late otherwise: streams then pause for up to 270 ms. */
 const maxPromptShare = 0.75
 /**
- * Prompt tokens that may be unread after a prompt is admitted; a larger prompt waits until nothing else is unread. Two
+ * Prompt tokens that may be unread after a prompt is admitted to an engine of speed 1; a larger prompt waits until nothing else is unread. Two
  * prompts of usual size fit. With more, streams that run there pause for too long.
  */
 const unreadLimit = 1_500
@@ -42,7 +42,7 @@
  * to this time.
  */
 const urgencyLead: Ms = 200
-/** Bounds of the learned speed, as multiples of the initial estimate. */
+/** Bounds of the learned speed, as multiples of the measured one. */
 const minSpeed = 0.5
 const maxSpeed = 3
 /**
@@ -53,7 +53,7 @@
 const speedUpShare = 0.0003
 /** A prompt whose entry has not asked about it for this long is dropped. */
 const queuedPromptTtl: Ms = 1_500
-/** Time from the last prompt token that an engine reads to the first event. */
+/** Time from the last prompt token that an engine of speed 1 reads to the first event. */
 const firstEventTime: Ms = 60
 
 interface WaitingPrompt extends QueuedPrompt { askedAt: Ms }
@@ -71,8 +71,10 @@
  */
 export class PromptThrottle {
   private readonly _waiting = new Map<string, WaitingPrompt>()
-  /** Learned speed of the engine, as a multiple of the initial estimate. */
+  /** Learned speed of the engine, as a multiple of the measured one. */
   private _speed = 1
+  /** Measured speed of the engine, as a multiple of {@link promptTokensPerMs}. */
+  private _measuredSpeed = 1
   private _rate = promptTokensPerMs * normalPromptShare
   private _unread = 0
   private _unreadSince: Ms = 0
@@ -89,9 +91,9 @@
   get waiting (): number { return this._waiting.size }
 
   /** Tokens admitted per ms while no request would be late for it. */
-  get rate (): number { return promptTokensPerMs * normalPromptShare * this._speed }
+  get rate (): number { return promptTokensPerMs * normalPromptShare * this._speed * this._measuredSpeed }
 
-  private get _maxRate (): number { return promptTokensPerMs * maxPromptShare * this._speed }
+  private get _maxRate (): number { return promptTokensPerMs * maxPromptShare * this._speed * this._measuredSpeed }
 
   private _unreadAt (now: Ms): number { return Math.max(0, this._unread - (now - this._unreadSince) * this._rate) }
 
@@ -122,7 +124,7 @@
     this._setRate(queue, now)
     const admitted: string[] = []
     for (const { id, tokens } of queue) {
-      if (admitted.length >= batchSlots || this._unread > maxUnreadBefore(tokens)) break
+      if (admitted.length >= batchSlots || this._unread > this._maxUnreadBefore(tokens)) break
       this._waiting.delete(id)
       this._unread += tokens
       admitted.push(id)
@@ -133,7 +135,7 @@
   /** Time at which the next request can be admitted; undefined when none waits. */
   nextAdmissionAt (now: Ms): Ms | undefined {
     const [next] = this._admissionOrder(now)
-    return next === undefined ? undefined : now + Math.max(0, this._unreadAt(now) - maxUnreadBefore(next.tokens)) / this._rate
+    return next === undefined ? undefined : now + Math.max(0, this._unreadAt(now) - this._maxUnreadBefore(next.tokens)) / this._rate
   }
 
   private _dropAbandoned (now: Ms): void {
@@ -158,7 +160,7 @@
 
   private _latestStart ({ tokens, dueAt, urgency }: WaitingPrompt): Ms { return dueAt - tokens / this._maxRate + urgency * urgencyLead }
 
-  private _isLate ({ tokens, dueAt }: WaitingPrompt, now: Ms): boolean { return now + tokens / this._maxRate + firstEventTime > dueAt }
+  private _isLate ({ tokens, dueAt }: WaitingPrompt, now: Ms): boolean { return now + tokens / this._maxRate + this._firstEventTime > dueAt }
 
   /** Tokens per ms at which all requests that can be in time are admitted early enough. */
   private _neededRate (queue: readonly WaitingPrompt[], now: Ms): number {
@@ -166,7 +168,7 @@
     let needed = 0
     for (const prompt of queue) {
       if (this._isLate(prompt, now)) continue
-      const left = prompt.dueAt - now - firstEventTime - safetyMargin
+      const left = prompt.dueAt - now - this._firstEventTime - safetyMargin
       needed = Math.max(needed, left > 0 ? ahead / left : Infinity)
       ahead += prompt.tokens
     }
@@ -193,7 +195,21 @@
     const limit = this._isSaturated ? maxSpeed : Math.max(1, this._speed)
     this._speed = Math.min(limit, Math.max(minSpeed, this._speed * change))
   }
-}
 
-/** Prompt tokens that may be unread when a prompt is admitted. */
-function maxUnreadBefore (tokens: number): number { return Math.max(0, unreadLimit - tokens) }
+  /**
+   * Applies a measurement of the engine's speed. What was learned in place of it counts no longer.
+   *
+   * @param speed - as a multiple of {@link promptTokensPerMs}
+   */
+  setMeasuredSpeed (speed: number): void {
+    const change = speed / this._measuredSpeed
+    this._measuredSpeed = speed
+    if (change < 1 && this._speed < 1) this._speed = Math.min(1, this._speed / change)
+    if (change > 1 && this._speed > 1) this._speed = Math.max(1, this._speed / change)
+  }
+
+  private get _firstEventTime (): Ms { return firstEventTime / this._measuredSpeed }
+
+  /** Prompt tokens that may be unread when a prompt is admitted. */
+  private _maxUnreadBefore (tokens: number): number { return Math.max(0, unreadLimit * this._measuredSpeed - tokens) }
+}
--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/adapter-directory.ts
@@ -9,6 +9,7 @@
 import type { PeerClient } from './peer-client.js'
 import { PeerSuspects } from './peer-suspects.js'
 import type { PeerTable } from './peer-table.js'
+import type { StreamReport } from './stream-report.js'
 import type { Upstream } from './upstream.js'
 
 /**
@@ -21,7 +22,7 @@
 const requestTimeout: Ms = 400
 
 /** An adapter that a request needs. */
-export type EnsureQuery = Omit<LoadRequest, 'answerIn' | 'entry' | 'uses' | 'outstanding' | 'streams' | 'paused' | 'heard'>
+export type EnsureQuery = Omit<LoadRequest, 'answerIn' | 'entry' | 'uses' | 'outstanding' | keyof StreamReport | 'heard'>
 
 interface AdapterReservation { readonly until: Ms, readonly version: number | undefined }
 
@@ -133,25 +134,26 @@
   }
 
   /**
-   * Reports to an engine's holder which adapters this entry still uses there, when no load request has carried that
-   * report lately.
+   * Reports to an engine's holder which adapters this entry still uses there and which streams have ended, when no load
+   * request has carried that report lately.
    *
    * An entry without new requests would otherwise keep its last adapters in their slots for seconds after its requests
-   * have ended, while requests of other entries wait for the slots.
+   * have ended, while requests of other entries wait for the slots; and the holder of a slow engine would learn its speed
+   * from streams that ended seconds before.
    */
   async reportUse (upstream: Upstream): Promise<void> {
     const { uses } = upstream
     upstream.markReported()
     const local = this._coordinator.holder(upstream.id)
     const holder = this._peers.holder(upstream.id)
-    const { outstanding } = upstream
-    if (local !== undefined) local.recordUse(this._node, uses, outstanding)
-    else if (holder !== undefined && !this._suspects.has(holder.node)) await this._client.reportUse(holder, { upstream: upstream.id, entry: this._node, uses, outstanding })
+    const { outstanding, endedStreams } = upstream
+    if (local !== undefined) local.recordUse(this._node, uses, outstanding, endedStreams.take())
+    else if (holder !== undefined && !this._suspects.has(holder.node)) await this._client.reportUse(holder, { upstream: upstream.id, entry: this._node, uses, outstanding, ...endedStreams.take() })
   }
 
   private async _requestFromHolder (upstream: Upstream, query: EnsureQuery): Promise<LoadRequestOutcome> {
     upstream.markReported()
-    const request: LoadRequest = { ...query, answerIn: Math.min(query.patience, requestTimeout), entry: this._node, uses: upstream.uses, outstanding: upstream.outstanding, ...upstream.takeStreamCounts(), heard: upstream.heard }
+    const request: LoadRequest = { ...query, answerIn: Math.min(query.patience, requestTimeout), entry: this._node, uses: upstream.uses, outstanding: upstream.outstanding, ...upstream.endedStreams.take(), heard: upstream.heard }
     const outcome = await (this._coordinator.requestLoad(upstream.id, request) ?? this._requestFromPeer(upstream.id, request))
     if (outcome.news !== undefined) upstream.recordRecentLoads(outcome.news)
     if (outcome.kind !== 'coming' && outcome.load !== undefined) upstream.recordLoad(outcome.load, 0)
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -4,7 +4,7 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import type { QuarantineLimits, RouteTable, SharedBudgetLimits, Suspect, UsageBounds } from '@hazelford/decisions'
+import { type QuarantineLimits, ReferencePaces, type RouteTable, type SharedBudgetLimits, type Suspect, type UsageBounds } from '@hazelford/decisions'
 import type { EngineControl } from '@hazelford/ports'
 import { AdapterDirectory } from './adapter-directory.js'
 import { CallerServer, createReadyServer } from './caller-server.js'
@@ -31,6 +31,7 @@
 import { RequestIntake } from './request-intake.js'
 import { type PeerService, servePeers } from './serve-peers.js'
 import { StoreView } from './store-view.js'
+import { readStreamReport } from './stream-report.js'
 import type { TakeoverAnswer } from './takeover.js'
 import type { Upstream } from './upstream.js'
 import { UsageCoordinator } from './usage-coordinator.js'
@@ -105,6 +106,7 @@
   private readonly _usage: UsageCoordinator
   private readonly _notices: NoticeCoordinator
   private readonly _origins: OriginCoordinator
+  private readonly _referencePaces = new ReferencePaces()
   private readonly _servers: Server[] = []
   private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, readonly linkMbps: number, port: number }
   private _settings: DirectSettings
@@ -177,10 +179,12 @@
       notifyTakeover: (former, msg) => this._notifyTakeover(former, msg),
       loaded: took => _options.metrics.loadStall.observe(took),
       serviceTime: service => this._placer.serviceTime(service),
+      referencePace: service => this._referencePaces.of(service, clock.now()),
       holderTurn: settings.holder_turn_ms,
       era: () => this._store.era,
       ...(_options.settleTime === undefined ? {} : { settleTime: _options.settleTime })
     }, () => this._lease)
+    _options.metrics.currentEngineSpeeds = () => this.engineCoordinator.speeds
     this._lease = new LeaseRenewer(this._store, clock, log, {
       granted: lease => { this._register(lease).catch((error: Error) => log.warn('peers', 'entry not registered.', { error: error.message })) },
       ended: () => this.engineCoordinator.releaseAll()
@@ -278,6 +282,7 @@
       quarantine: this._quarantine,
       notices: this._notices,
       origins: this._origins,
+      referencePaces: this._referencePaces,
       onlySoftware: (service, since) => this._onlySoftware(service, since),
       verifyIncarnation: (upstream, openedAt) => this._verifyIncarnation(upstream, openedAt),
       entries: () => this.peers.entryCount,
@@ -387,7 +392,7 @@
   private _peerService (): PeerService {
     return {
       requestLoad: msg => this._handlePeerLoadRequest(msg),
-      recordUse: ({ upstream, entry, uses, outstanding }) => this.engineCoordinator.holder(upstream)?.recordUse(entry, uses, outstanding),
+      recordUse: ({ upstream, entry, uses, outstanding, ...ended }) => this.engineCoordinator.holder(upstream)?.recordUse(entry, uses, outstanding, readStreamReport(ended)),
       receiveTakeover: msg => this.engineCoordinator.receiveTakeover(msg),
       receiveTerminations: msg => this._quarantine.receiveTerminations(msg),
       receiveQuarantined: msg => this._quarantine.receiveQuarantined(msg),
@@ -435,7 +440,7 @@
 
   private async _handlePeerLoadRequest ({ upstream, loads, ...request }: LoadRequestMessage): Promise<PeerLoadRequestOutcome> {
     this._directory.applyLoadDigests(loads)
-    const outcome: LoadRequestOutcome = await this.engineCoordinator.requestLoad(upstream, request) ?? { kind: 'unavailable', cause: 'not held here' }
+    const outcome: LoadRequestOutcome = await this.engineCoordinator.requestLoad(upstream, { ...request, ...readStreamReport(request) }) ?? { kind: 'unavailable', cause: 'not held here' }
     return { ...outcome, loads: this._directory.loadDigestRows() }
   }
 
--- a/packages/direct/src/lib/engine-admission.ts
+++ b/packages/direct/src/lib/engine-admission.ts
@@ -72,6 +72,9 @@
   /** Applies an entry's report on streams that ended at this engine, and how many of them had too long a pause. */
   recordStreams (streams: number, paused: number): void { this._throttle.adjustSpeed(streams, paused) }
 
+  /** Applies the engine's measured speed, where 1 is that of the others of its service. */
+  setSpeed (speed: number): void { this._throttle.setMeasuredSpeed(speed) }
+
   /**
    * Waits until a request can be admitted.
    *
--- a/packages/direct/src/lib/engine-coordinator.ts
+++ b/packages/direct/src/lib/engine-coordinator.ts
@@ -9,6 +9,7 @@
 import { type LoadRequest, type LoadRequestOutcome, EngineHolder } from './engine-holder.js'
 import { type LeaseRenewer, ordersAfterLeaseEnd } from './lease-renewer.js'
 import type { LoadDigest } from './load-digest.js'
+import type { MeasuredEngine } from './metrics.js'
 import type { TakeoverMessage } from './peer-messages.js'
 import type { Upstream } from './upstream.js'
 import { encodeClaimRecord, type HolderRecord, holderKey, lastHolderKey, type PeerAddress, type PeerTable } from './peer-table.js'
@@ -28,6 +29,8 @@
   readonly loaded: (took: Ms) => void
   /** Mean service time in ms of a request of a service, 0 when unknown. */
   readonly serviceTime: (service: string) => Ms
+  /** Typical pace in ms of the streams of a service; undefined when unknown. */
+  readonly referencePace: (service: string) => Ms | undefined
   /** Notifies the former holder of an engine that this entry has taken the engine over. */
   readonly notifyTakeover: NotifyTakeover
   /** Ms within which the orders of two holders to one engine must not alternate: A, then B, then A again. */
@@ -107,6 +110,12 @@
   /** Loads of the engines that this entry holds. */
   get loads (): readonly LoadDigest[] { return [...this._holders].map(([upstream, { load }]) => ({ upstream, age: 0, ...load })) }
 
+  /** Speeds of the engines that this entry holds, as far as they are known. */
+  get speeds (): readonly MeasuredEngine[] {
+    const now = this._options.clock.now()
+    return [...this._holders].flatMap(([upstream, { speed }]) => speed.known === undefined ? [] : [{ upstream, speed: speed.known, age: speed.age(now) }])
+  }
+
   /** Requests an adapter of the holder in this entry; undefined when this entry does not hold the engine. */
   requestLoad (upstream: string, request: LoadRequest): Promise<LoadRequestOutcome> | undefined { return this._holders.get(upstream)?.requestLoad(request) }
 
@@ -444,7 +453,7 @@
   }
 
   private _startHolding (upstream: Upstream, fence: number): void {
-    const { clock, log, self, control, engineSpec, serviceTime, loaded } = this._options
+    const { clock, log, self, control, engineSpec, serviceTime, referencePace, loaded } = this._options
     const spec = engineSpec(upstream.record.service)
     if (spec === undefined) return
     this._unheldSince.delete(upstream.id)
@@ -462,6 +471,8 @@
       mayOrder: () => this._lease().valid,
       backoffUntil: () => upstream.notices.backoffUntil,
       serviceTime: () => serviceTime(upstream.record.service),
+      ...(upstream.reportedSpeed === undefined ? {} : { speed: upstream.reportedSpeed }),
+      referencePace: () => referencePace(upstream.record.service),
       loaded
     }))
     log.info('loads', 'engine held.', { upstream: upstream.id, fence })
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -2,11 +2,12 @@
  * Sends load and unload orders to one engine while this entry holds it.
  */
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { AdapterPlan, type RequestedAdapter, type PlanAction, type Readiness, requestedAdapterKey } from '@hazelford/decisions'
+import { AdapterPlan, EngineSpeed, type RequestedAdapter, type PlanAction, type Readiness, requestedAdapterKey } from '@hazelford/decisions'
 import { compareStartTimes, type EngineControl, type EngineSpec, type LoadTarget, type EngineOrderOutcome } from '@hazelford/ports'
 import { EngineAdmission, type EngineLoad } from './engine-admission.js'
 import { LivenessProbe } from './liveness-probe.js'
 import { RecentLoads, type RecentLoadsUpdate } from './recent-loads.js'
+import type { StreamReport } from './stream-report.js'
 
 /** Why an adapter is not available at an engine now. */
 export type UnavailableCause =
@@ -47,7 +48,7 @@
 }
 
 /** What an entry requests of a holder. */
-export interface LoadRequest {
+export interface LoadRequest extends StreamReport {
   readonly want: RequestedAdapter
   /** Priority; 0 is the most urgent. */
   readonly urgency: number
@@ -69,17 +70,6 @@
   readonly outstanding: number
   /** The request's prompt, to be admitted when the engine can read it; undefined requests the adapter alone. */
   readonly prompt?: PromptRequest
-  /**
-   * Streams that ended at this engine since the entry's last report, and how many of them had a pause above the route's
-   * target.
-   */
-  readonly streams: number
-  readonly paused: number
-  /**
-   * Median ms between events of each of those streams that had enough events; undefined from an entry of a version that
-   * does not measure it.
-   */
-  readonly paces?: readonly Ms[]
   /** Number of recent loads of the engine that the entry has received; see {@link RecentLoads}. */
   readonly heard: number
 }
@@ -109,6 +99,10 @@
   readonly serviceTime: () => Ms
   /** Records how many ms a load request waited until its adapter was usable. */
   readonly loaded: (took: Ms) => void
+  /** Last known speed of the engine; undefined when none is known. */
+  readonly speed?: number
+  /** Typical pace in ms of the streams of the engine's service; undefined when unknown. */
+  readonly referencePace: () => Ms | undefined
 }
 
 interface Waiter {
@@ -140,6 +134,7 @@
   private _startedAt: number | undefined
   private _waiters: Waiter[] = []
   private _admission: EngineAdmission
+  private _speed: EngineSpeed
   /** Whether an action of the plan is in progress. */
   private _busy = false
   /** Whether the action in progress is an order. */
@@ -153,6 +148,7 @@
   constructor (private readonly _options: EngineHolderOptions) {
     this.heldSince = _options.clock.now()
     this._plan = new AdapterPlan(_options.spec)
+    this._speed = new EngineSpeed(_options.speed)
     this._admission = this._createAdmission()
     this._control = _options.control
     this._startedAt = _options.startedAt
@@ -178,7 +174,7 @@
     const { want, entry, prompt } = request
     if (this._liveness.silent) return { kind: 'unavailable', cause: 'the engine does not answer' }
     this._admission.recordOpenRequests(entry, request.outstanding)
-    this._admission.recordStreams(request.streams, request.paused)
+    this._recordStreams(request)
     const startedAt = clock.now()
     const outcome = await this._awaitAdapter(request)
     if (outcome.kind !== 'ready') return outcome
@@ -195,11 +191,28 @@
 
   private _createAdmission (): EngineAdmission {
     const { clock, spec, serviceTime } = this._options
-    return new EngineAdmission(clock, spec.slots, serviceTime)
+    const admission = new EngineAdmission(clock, spec.slots, serviceTime)
+    admission.setSpeed(this._speed.speed)
+    return admission
   }
 
   /** The engine's load now. */
-  get load (): EngineLoad { return this._admission.load }
+  get load (): EngineLoad {
+    const { known } = this._speed
+    return { ...this._admission.load, ...(known === undefined ? {} : { speed: known }) }
+  }
+
+  /** The engine's speed relative to the others of its service. */
+  get speed (): EngineSpeed { return this._speed }
+
+  private _recordStreams ({ streams, paused, paces = [] }: StreamReport): void {
+    const { clock, log, upstream, referencePace } = this._options
+    this._admission.recordStreams(streams, paused)
+    const change = this._speed.record(paces, referencePace(), clock.now())
+    if (change === undefined) return
+    this._admission.setSpeed(change.speed)
+    log.info('loads', 'engine speed changed.', { upstream, fence: this.fence, ...change })
+  }
 
   private _awaitAdapter ({ want, urgency, patience, answerIn, missing, mayWait, repeated, entry, uses, prompt }: LoadRequest): Promise<LoadRequestAnswer> {
     const { clock } = this._options
@@ -217,8 +230,9 @@
     })
   }
 
-  /** Applies an entry's report on the adapters that it uses and on its open requests. */
-  recordUse (entry: string, uses: readonly string[], outstanding: number | undefined): void {
+  /** Applies an entry's report on the adapters that it uses, on its open requests and on streams that ended. */
+  recordUse (entry: string, uses: readonly string[], outstanding: number | undefined, ended: StreamReport): void {
+    this._recordStreams(ended)
     this._plan.recordUse(entry, uses, this._options.clock.now())
     if (outstanding !== undefined) this._admission.recordOpenRequests(entry, outstanding)
     this._runPlan()
@@ -253,6 +267,7 @@
     this._startedAt = startedAt
     this._plan = new AdapterPlan(this._options.spec)
     this._recentLoads = new RecentLoads()
+    this._speed = new EngineSpeed(1)
     this._admission = this._createAdmission()
     for (const waiter of [...this._waiters]) this._settle(waiter, { kind: 'coming' })
     this._runPlan()
--- a/packages/direct/src/lib/metrics.ts
+++ b/packages/direct/src/lib/metrics.ts
@@ -11,6 +11,14 @@
 const organisationsNamed = 50
 const otherOrganisations = 'others'
 
+/** An engine whose speed is known. */
+export interface MeasuredEngine {
+  readonly upstream: string
+  readonly speed: number
+  /** Ms since this entry estimated the speed; undefined for a speed that another entry has estimated. */
+  readonly age: number | undefined
+}
+
 /** Metrics of an entry. */
 export class EntryMetrics {
   private readonly _registry = new Registry()
@@ -33,8 +41,20 @@
   /** Returns the age of the view in ms, at each scrape. */
   currentViewAge: () => number = () => Infinity
   readonly viewAge: Gauge = new Gauge({ name: 'hazelford_view_age_ms', help: 'Time for which changes in the store may have been missed.', registers: [this._registry], collect: () => this.viewAge.set(this.currentViewAge()) })
+  /** Returns the speeds of the engines that this entry holds, at each scrape. */
+  currentEngineSpeeds: () => readonly MeasuredEngine[] = () => []
+  readonly engineSpeed: Gauge<'upstream'> = new Gauge({ name: 'hazelford_engine_speed', help: 'Speed of the engines that this entry holds, relative to the others of their service.', labelNames: ['upstream'], registers: [this._registry], collect: () => this._collectEngines(this.engineSpeed, ({ speed }) => speed) })
+  readonly engineSpeedAge: Gauge<'upstream'> = new Gauge({ name: 'hazelford_engine_speed_age_ms', help: 'Time since those speeds were estimated; none for speeds that another entry has estimated.', labelNames: ['upstream'], registers: [this._registry], collect: () => this._collectEngines(this.engineSpeedAge, ({ age }) => age) })
   readonly configVersion = new Gauge({ name: 'hazelford_config_version', help: 'Version of the configuration in force.', registers: [this._registry] })
 
+  private _collectEngines (gauge: Gauge<'upstream'>, read: (engine: MeasuredEngine) => number | undefined): void {
+    gauge.reset()
+    for (const engine of this.currentEngineSpeeds()) {
+      const value = read(engine)
+      if (value !== undefined) gauge.set({ upstream: engine.upstream }, value)
+    }
+  }
+
   private _counter<L extends string> (name: string, help: string, labelNames: readonly L[]): Counter<L> {
     return new Counter({ name, help, labelNames, registers: [this._registry] })
   }
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -8,6 +8,7 @@
 import type { DigestRow } from './load-digest.js'
 import type { RecentLoadsUpdate } from './recent-loads.js'
 import type { NoticeMessage } from './notice-messages.js'
+import type { StreamReport } from './stream-report.js'
 import type { UsageMessage } from './usage-coordinator.js'
 
 /** Path of each call. */
@@ -42,15 +43,13 @@
 /** A holder's answer to a load request of another entry. */
 export type PeerLoadRequestOutcome = LoadRequestOutcome & { readonly loads: readonly DigestRow[] }
 
-/** Adapters that an entry still uses at an engine. */
-export interface UseMessage {
+/** Adapters that an entry still uses at an engine; without streams from an entry of a version that reports them with load requests alone. */
+export interface UseMessage extends Partial<StreamReport> {
   readonly upstream: string
   readonly entry: string
   readonly uses: readonly string[]
   /** Its open requests there; undefined from an entry of a version that does not send them. */
   readonly outstanding?: number
-  /** See {@link LoadRequest.paces}. */
-  readonly paces?: readonly Ms[]
 }
 
 /** An engine that has a new holder. */
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -2,7 +2,7 @@
  * Drives one request: performs the effects that its flow decides on.
  */
 import { assertNever, type CancelTimer, type Clock, type Log, type Ms, Task } from '@hazelford/core'
-import { type RequestedAdapter, type ExchangeOutcome, mayHaveCausedTermination, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey } from '@hazelford/decisions'
+import { type RequestedAdapter, type ExchangeOutcome, mayHaveCausedTermination, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey, StreamPace } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
 import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
@@ -81,6 +81,11 @@
   readonly adapterBroken: (upstream: string, want: RequestedAdapter) => void
   /** Called when an exchange with an upstream has ended or stalled; `serviceTime`: ms from the send until then. */
   readonly exchanged: (upstream: Upstream, outcome: ExchangeOutcome, latency: Ms | undefined, serviceTime: Ms) => void
+  /**
+   * Called when a stream has ended that one engine sent completely; `paused`: whether it had too long a pause; `pace`: its
+   * typical ms between events, undefined when not measured.
+   */
+  readonly streamEnded: (upstream: Upstream, paused: boolean, pace: Ms | undefined) => void
   /** Called when the request has ended. */
   readonly over: (summary: RelaySummary) => void
 }
@@ -146,6 +151,7 @@
   /** Whether the upstream that runs the request has cleared the parts of its prompt. */
   private _hasClearedParts = false
   private _longestGap: Ms = 0
+  private readonly _pace = new StreamPace()
   private _sends = 0
   /**
    * State of a silent upstream.
@@ -411,7 +417,7 @@
         close('answered', first())
         if (!this._isFramed) this._reportUnframedEnd(upstream)
         else if (this._upstreamDataSince !== undefined) this._clearParts(this._upstreamDataSince)
-        if (this._sends === 1) upstream.recordStream(this._longestGap > this._route.gapTarget && this._route.gapTarget > 0)
+        if (this._sends === 1) this._options.streamEnded(upstream, this._longestGap > this._route.gapTarget && this._route.gapTarget > 0, this._want === undefined || !this._isStream ? undefined : this._pace.pace)
         if (!this._answer.begun && this._head !== undefined) this._post({ kind: 'streaming' })
         this._post({ kind: 'stream-ended' })
       }
@@ -455,6 +461,7 @@
     this._options.log.info('request', 'stalled.', { request: this._call.facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(after) })
     if (this._stall === 'none') this._options.exchanged(upstream, 'lost', undefined, after)
     this._stall = 'placing'
+    this._pace.disturb()
     this._reportSuspect(upstream, false)
     this._post({ kind: 'stalled' })
   }
@@ -509,12 +516,17 @@
   private _recordData (): void {
     const now = this._options.clock.now()
     if (this._dataAt === undefined) this._firstData = now - this._call.arrivedAt
-    else this._longestGap = Math.max(this._longestGap, now - this._dataAt)
+    else this._recordGap(now - this._dataAt)
     this._dataAt = now
     this._upstreamDataSince ??= now
     if (!this._hasClearedParts && provesPartHarmless(this._answeredFor)) this._clearParts(this._upstreamDataSince)
   }
 
+  private _recordGap (gap: Ms): void {
+    this._longestGap = Math.max(this._longestGap, gap)
+    this._pace.record(gap)
+  }
+
   /** Records that the parts of its prompt did not terminate the upstream that began the answer at a time. */
   private _clearParts (since: Ms): void {
     this._hasClearedParts = true
@@ -524,6 +536,7 @@
   private _write (bytes: Buffer): void {
     if (this._answer.data(bytes)) return
     const exchange = this._exchange
+    this._pace.disturb()
     exchange?.pause()
     this._answer.onDrain(() => exchange?.resume())
   }
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/upstream.ts
@@ -2,12 +2,13 @@
  * One incarnation of an upstream, as this entry uses it.
  */
 import type { Clock, Ms } from '@hazelford/core'
-import { promptTokensPerMs, UpstreamHealth, UpstreamNotices, requestedAdapterKey } from '@hazelford/decisions'
+import { promptTokensPerMs, readSpeed, UpstreamHealth, UpstreamNotices, requestedAdapterKey } from '@hazelford/decisions'
 import type { UpstreamRecord } from '@hazelford/ports'
 import { ConnectionPool } from './connection-pool.js'
 import type { EngineLoad } from './engine-admission.js'
 import { IncarnationCheck } from './incarnation-check.js'
 import type { RecentLoadsUpdate } from './recent-loads.js'
+import { EndedStreams } from './stream-report.js'
 
 /**
  * Age from which a report on an upstream's load is no better than a guess: streams take some seconds, so other requests
@@ -31,11 +32,11 @@
   private _load: EngineLoad & { readonly at: Ms } | undefined
   /** Prompts sent since the load was counted, and therefore not included in it. */
   private _sends: { readonly at: Ms, readonly tokens: number }[] = []
-  private _speed = 1
+  private _speed: number | undefined
   private _changedAt: Ms = -Infinity
   private _reportedAt: Ms = -Infinity
-  private _streams = 0
-  private _paused = 0
+  /** Streams of this entry that ended there and were not reported yet. */
+  readonly endedStreams = new EndedStreams()
   private readonly _uses = new Map<string, number>()
   /** Versions of adapters that its record or its holder reported as loaded, the latest last. */
   private readonly _recentlyLoaded = new Map<string, number>()
@@ -64,18 +65,21 @@
     const at = this._clock.now() - age
     if (this._load !== undefined && this._load.at >= at) return
     this._load = { running, promptBacklog, at }
-    this._speed = speed ?? this._speed
+    this._speed = readSpeed(speed) ?? this._speed
     this._sends = this._sends.filter(send => send.at > at)
   }
 
   /** Its load as far as it is known, for another entry. */
   get load (): EngineLoad & { readonly age: Ms } | undefined {
     const load = this._knownLoad
-    return load && { running: load.running, promptBacklog: load.promptBacklog, age: Math.round(this._clock.now() - load.at), speed: this._speed }
+    return load && { running: load.running, promptBacklog: load.promptBacklog, age: Math.round(this._clock.now() - load.at), ...(this._speed === undefined ? {} : { speed: this._speed }) }
   }
 
-  /** Its speed relative to the other engines of its service, as its holder reported it last; 1 is the median. */
-  get speed (): number { return this._speed }
+  /** Its speed relative to the other engines of its service, as its holder reported it last; 1 is the median, and that of an engine without a report. */
+  get speed (): number { return this._speed ?? 1 }
+
+  /** Its speed as reported; undefined without a report. */
+  get reportedSpeed (): number | undefined { return this._speed }
 
   private get _knownLoad (): (EngineLoad & { readonly at: Ms }) | undefined {
     return this._load !== undefined && this._clock.now() - this._load.at < loadTtl ? this._load : undefined
@@ -92,7 +96,7 @@
     const load = this._knownLoad
     if (load === undefined) return 0
     const sent = this._sends.reduce((sum, { tokens }) => sum + tokens, 0)
-    return Math.max(0, load.promptBacklog + sent - (this._clock.now() - load.at) * promptTokensPerMs)
+    return Math.max(0, load.promptBacklog + sent - (this._clock.now() - load.at) * promptTokensPerMs * this.speed)
   }
 
   /** Records a prompt that is being sent to the upstream. */
@@ -102,20 +106,6 @@
     this._sends.push({ at, tokens })
   }
 
-  /** Records a stream that ended there; `paused`: whether it had too long a pause. */
-  recordStream (paused: boolean): void {
-    this._streams++
-    if (paused) this._paused++
-  }
-
-  /** Returns and resets the counts of ended streams. */
-  takeStreamCounts (): { readonly streams: number, readonly paused: number } {
-    const taken = { streams: this._streams, paused: this._paused }
-    this._streams = 0
-    this._paused = 0
-    return taken
-  }
-
   /** Adapters that open requests of this entry use, as `model/adapter`. */
   get uses (): readonly string[] { return [...this._uses.keys()] }
 
