--- a/packages/decisions/src/test/speed-placement.feature
+++ b/packages/decisions/src/test/speed-placement.feature
@@ -20,3 +20,7 @@
   Scenario: an engine that is faster than the others
     Guards against all requests going to one fast engine until its batch is full.
     Then requests go to an engine of twice the speed until it has about twice the requests of the others
+
+  Scenario: engines that slow down under load
+    Guards against speeds and homes that change back and forth, each time with loads: an engine with fewer requests looks faster and gets more.
+    Then the speeds of all engines settle within 10 rounds of measurements and stay
--- a/packages/decisions/src/test/speed-placement.steps.ts
+++ b/packages/decisions/src/test/speed-placement.steps.ts
@@ -4,6 +4,7 @@
 import assert from 'node:assert/strict'
 import { Then } from '@cucumber/cucumber'
 import fc from 'fast-check'
+import { EngineSpeed } from '../lib/engine-speed.js'
 import { homesWithSpeed, homeWeight, type PlacementCandidate, type PlacementContext, rankCandidates } from '../lib/place-request.js'
 import { rendezvousOrder, weightedRendezvousOrder, weightedScore } from '../lib/rendezvous.js'
 import { propertyOptions } from './support/property-options.js'
@@ -117,3 +118,25 @@
   const share = running.get('fast')! / 60
   assert.ok(share >= 0.3 && share <= 0.6, `${running.get('fast')} of 60 requests`)
 })
+
+/** Pace in ms of an engine without load, and the share by which a full batch lengthens it. */
+const idlePace = 40
+const fullBatchSlowdown = 0.5
+
+Then('the speeds of all engines settle within {int} rounds of measurements and stay', (rounds: number) => {
+  for (const fullness of [0.2, 0.5, 0.9]) {
+    const measured = engines.map((_, n) => ({ own: n % 3 === 0 ? slow : 1, speed: new EngineSpeed() }))
+    const history: string[] = []
+    for (let round = 0; round < 60; round++) {
+      const sum = measured.reduce((total, { speed }) => total + homeWeight(speed.speed), 0)
+      const paces = measured.map(({ own, speed }) => {
+        const share = homeWeight(speed.speed) / sum * engines.length
+        return idlePace / own * (1 + fullBatchSlowdown * Math.min(1, fullness * share / own))
+      })
+      const reference = [...paces].sort((a, b) => a - b)[engines.length / 2]!
+      measured.forEach(({ speed }, n) => speed.record(Array.from({ length: 24 }, () => paces[n]!), reference, round * 5_000))
+      history.push(measured.map(({ speed }) => speed.speed).join())
+    }
+    assert.equal(new Set(history.slice(rounds)).size, 1, `at ${fullness} of the slots: ${[...new Set(history)].join(' | ')}`)
+  }
+})
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -341,7 +341,7 @@
     this._upstreamDataSince = undefined
     this._hasClearedParts = false
     const resumed = this._answer.begun ? this._lastEventId : undefined
-    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, software: upstream.record.software, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...this._waitFields(), outstanding: upstream.outstanding, rateLimit: upstream.notices.limit.rate, version: this._version, resumedAfter: resumed })
+    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, software: upstream.record.software, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...this._waitFields(), outstanding: upstream.outstanding, speed: upstream.reportedSpeed, rateLimit: upstream.notices.limit.rate, version: this._version, resumedAfter: resumed })
     const release = upstream.open(this._want?.adapter === undefined ? undefined : requestedAdapterKey(this._want))
     if (this._want !== undefined) upstream.recordPrompt(facts.promptTokens)
     const close = (outcome: ExchangeOutcome, latency?: Ms): void => {
