Test the measured speed under load

Change: a stream's pace is the time below which 15 in 100 of its gaps lie; an engine leaves speed 1 only beyond a factor of 1.3 and returns to it within 1.15.

--- a/packages/decisions/src/lib/engine-speed.ts
+++ b/packages/decisions/src/lib/engine-speed.ts
@@ -5,22 +5,24 @@
 import { PaceWindow, type PaceWindowLimits } from './pace-window.js'
 
 /**
- * Samples of one engine. A slow engine of 30 ends a stream or two in a second, so six samples come within some seconds;
- * two of them may be wrong. The age keeps them comparable with the reference.
+ * Samples of one engine. A slow engine of 30 ends a stream or two in a second, so four samples come within some seconds;
+ * one that is too short or two that are too long change nothing.
  */
-const engineSamples: PaceWindowLimits = { capacity: 24, ttl: 20_000, least: 6 }
+const engineSamples: PaceWindowLimits = { capacity: 24, ttl: 30_000, least: 4 }
 /** Samples of all engines of a service, from one entry. */
-const referenceSamples: PaceWindowLimits = { capacity: 48, ttl: 20_000, least: 9 }
+const referenceSamples: PaceWindowLimits = { capacity: 48, ttl: 60_000, least: 6 }
 
 /** Factor between two neighbouring speeds. */
 const step = 1.25
 /** Speeds are limited to 0.21 to 3.81, so that a wrong estimate neither starves an engine nor floods it. */
 const slowestStep = -7
 const fastestStep = 6
-/** Factor up to which an engine differs from the others without a speed of its own. */
+/** An engine whose pace differs from that of the others by at most this factor has speed 1. */
 const equalUpTo = 1.15
+/** An engine of speed 1 gets another speed when its pace differs by more than this factor. */
+const unequalFrom = 1.3
 /**
- * Part of a step by which an estimate must differ from the present speed before it replaces that. Homes of adapters
+ * Part of a step by which an estimate must differ from a speed other than 1 before it replaces that. Homes of adapters
  * depend on speeds, and each change costs loads.
  */
 const changeFrom = 0.9
@@ -69,12 +71,13 @@
 function stepsOf (ratio: number): number { return Math.log(ratio) / Math.log(step) }
 
 const equalSteps = stepsOf(equalUpTo)
+const unequalSteps = stepsOf(unequalFrom)
 
 /**
  * Estimates the speed of one engine.
  *
  * Serves engines of which some take a multiple of the time for everything, and which all are slow for moments of half a
- * second. Moments change nothing: a stream lasts longer, and its typical pace is that of its other events. An engine
+ * second. Moments change nothing: a stream lasts longer, and its pace is that of its other events. An engine
  * that gets few requests keeps its last speed.
  */
 export class EngineSpeed {
@@ -116,7 +119,7 @@
   }
 
   private _nextSteps (measured: number): number {
-    if (Math.abs(measured) <= equalSteps) return 0
+    if (Math.abs(measured) <= (this._steps === 0 ? unequalSteps : equalSteps)) return 0
     return Math.abs(measured - this._steps) < changeFrom ? this._steps : limitSteps(Math.round(measured))
   }
 }
--- a/packages/decisions/src/lib/pace-window.ts
+++ b/packages/decisions/src/lib/pace-window.ts
@@ -4,9 +4,12 @@
 import type { Ms } from '@hazelford/core'
 
 /**
- * Part of the samples that is shorter than the typical one. Prompts that are read between two events and moments in
- * which a server is slow only lengthen the time, so the typical time is below the median.
+ * Share of a stream's times between events that are shorter than its pace. Prompts that are read between two events and
+ * moments in which a server is slow only lengthen the time. On an engine that reads prompts for half of the time, three
+ * events in ten follow the one before without a prompt between them.
  */
+const undisturbedShare = 0.15
+/** Share of the paces of several streams that are shorter than the typical one, for the same reason. */
 const typicalShare = 1 / 3
 /** Number of times between events that are kept of one stream, the latest ones. */
 const gapsPerStream = 64
@@ -18,7 +21,7 @@
   return [...samples].sort((a, b) => a - b)[Math.floor(samples.length * share)]!
 }
 
-/** Measures the pace of one stream: the typical ms between two of its events. */
+/** Measures the pace of one stream: the ms between two of its events while its engine does nothing else. */
 export class StreamPace {
   private readonly _gaps: Ms[] = []
   private _count = 0
@@ -33,7 +36,7 @@
   /** The pace in ms; undefined for a stream with too few events, and for one that was disturbed. */
   get pace (): Ms | undefined {
     if (this._isDisturbed || this._gaps.length < minGaps) return undefined
-    const pace = quantile(this._gaps, typicalShare)
+    const pace = quantile(this._gaps, undisturbedShare)
     return pace > 0 ? pace : undefined
   }
 }
--- a/packages/decisions/src/lib/prompt-throttle.ts
+++ b/packages/decisions/src/lib/prompt-throttle.ts
@@ -23,7 +23,7 @@
 /** Share of an engine's time that prompts take when requests would be late otherwise: streams then pause for up to 270 ms. */
 const maxPromptShare = 0.75
 /**
- * Prompt tokens that may be unread after a prompt is admitted to an engine of speed 1; a larger prompt waits until nothing else is unread. Two
+ * Prompt tokens that may be unread after a prompt is admitted; a larger prompt waits until nothing else is unread. Two
  * prompts of usual size fit. With more, streams that run there pause for too long.
  */
 const unreadLimit = 1_500
@@ -124,7 +124,7 @@
     this._setRate(queue, now)
     const admitted: string[] = []
     for (const { id, tokens } of queue) {
-      if (admitted.length >= batchSlots || this._unread > this._maxUnreadBefore(tokens)) break
+      if (admitted.length >= batchSlots || this._unread > maxUnreadBefore(tokens)) break
       this._waiting.delete(id)
       this._unread += tokens
       admitted.push(id)
@@ -135,7 +135,7 @@
   /** Time at which the next request can be admitted; undefined when none waits. */
   nextAdmissionAt (now: Ms): Ms | undefined {
     const [next] = this._admissionOrder(now)
-    return next === undefined ? undefined : now + Math.max(0, this._unreadAt(now) - this._maxUnreadBefore(next.tokens)) / this._rate
+    return next === undefined ? undefined : now + Math.max(0, this._unreadAt(now) - maxUnreadBefore(next.tokens)) / this._rate
   }
 
   private _dropAbandoned (now: Ms): void {
@@ -209,7 +209,7 @@
   }
 
   private get _firstEventTime (): Ms { return firstEventTime / this._measuredSpeed }
-
-  /** Prompt tokens that may be unread when a prompt is admitted. */
-  private _maxUnreadBefore (tokens: number): number { return Math.max(0, unreadLimit * this._measuredSpeed - tokens) }
 }
+
+/** Prompt tokens that may be unread when a prompt is admitted. */
+function maxUnreadBefore (tokens: number): number { return Math.max(0, unreadLimit - tokens) }
--- a/packages/decisions/src/test/prompt-throttle.feature
+++ b/packages/decisions/src/test/prompt-throttle.feature
@@ -30,3 +30,22 @@
       | 10       | 98    |
       | 16       | 96    |
       | 20       | 94    |
+
+  Scenario Outline: an engine that takes 2.4 times as long for everything
+    Guards against streams that pause for too long on a slow engine, whose prompts are admitted as if it read as fast as others.
+    Then at <a second> requests a second, 10 in 100 streams more are in time where the throttle knows the speed, and fewer pause for too long
+
+    Examples:
+      | a second |
+      | 3        |
+      | 5        |
+      | 7        |
+      | 10       |
+
+  Scenario: an engine whose measured speed is that of the others
+    Guards against deployments with equal engines that are served in another way than before.
+    Then a throttle that knows the speed 1 admits the same prompts at the same times as one without a measurement
+
+  Scenario: a slow engine whose throttle has learned that streams pause
+    Guards against a slowness that counts twice, so that prompts wait although the engine could read them.
+    Then a measurement replaces what was learned in its direction, and leaves the rest
--- a/packages/decisions/src/test/prompt-throttle.steps.ts
+++ b/packages/decisions/src/test/prompt-throttle.steps.ts
@@ -3,9 +3,11 @@
  */
 import assert from 'node:assert/strict'
 import { Then } from '@cucumber/cucumber'
+import fc from 'fast-check'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { PromptThrottle } from '../lib/prompt-throttle.js'
+import { propertyOptions } from './support/property-options.js'
 
 interface Arrival { readonly id: string, readonly at: number, readonly tokens: number, readonly output: number, readonly urgency: number }
 
@@ -40,6 +42,9 @@
   private readonly _running = new Map<Arrival, { tokens: number, eventAt: number, longest: number, firstAt: number }>()
   readonly outcomes: Outcome[] = []
 
+  /** @param _slowness - factor by which it takes longer for everything */
+  constructor (private readonly _slowness: number) {}
+
   addPrompt (arrival: Arrival): void { this._unread.push({ arrival, left: arrival.tokens }) }
 
   /**
@@ -58,7 +63,7 @@
       this._unread.shift()
       this._running.set(first.arrival, { tokens: 0, eventAt: now, longest: 0, firstAt: Infinity })
     }
-    const took = stepMs + 0.014 * this._running.size + (chunkTokens - chunk) / tokensPerMs
+    const took = (stepMs + 0.014 * this._running.size + (chunkTokens - chunk) / tokensPerMs) * this._slowness
     for (const [arrival, run] of this._running) this._token(arrival, run, now + took)
     return took
   }
@@ -77,9 +82,10 @@
   }
 }
 
-function simulate (load: readonly Arrival[], throttled: boolean): readonly Outcome[] {
+function simulate (load: readonly Arrival[], throttled: boolean, { slowness = 1, measuredSpeed = 1 } = {}): readonly Outcome[] {
   const throttle = new PromptThrottle()
-  const engine = new SimulatedBatch()
+  throttle.setMeasuredSpeed(measuredSpeed)
+  const engine = new SimulatedBatch(slowness)
   const byId = new Map(load.map(arrival => [arrival.id, arrival]))
   const waiting = new Set<Arrival>()
   const end = load.at(-1)!.at + 20_000
@@ -150,3 +156,51 @@
   const onTime = share(simulate(load, true), load.length)
   assert.ok(onTime * 100 >= least, `${onTime.toFixed(3)} are in time`)
 })
+
+Then('at {int} requests a second, {int} in 100 streams more are in time where the throttle knows the speed, and fewer pause for too long', (perSecond: number, more: number) => {
+  const load = arrivals(perSecond, 60)
+  const known = simulate(load, true, { slowness: 2.4, measuredSpeed: 0.41 })
+  const unknown = simulate(load, true, { slowness: 2.4 })
+  const paused = (outcomes: readonly Outcome[]): number => outcomes.filter(outcome => outcome.paused).length / load.length
+  const figures = `in time ${share(known, load.length).toFixed(3)} with, ${share(unknown, load.length).toFixed(3)} without; paused ${paused(known).toFixed(3)} and ${paused(unknown).toFixed(3)}`
+  assert.ok((share(known, load.length) - share(unknown, load.length)) * 100 >= more, figures)
+  assert.ok(paused(known) < paused(unknown), figures)
+})
+
+const throttleMessage = fc.oneof(
+  fc.record({ kind: fc.constant('enqueue' as const), id: fc.integer({ min: 0, max: 30 }), tokens: fc.integer({ min: 1, max: 7_000 }), urgency: fc.integer({ min: 0, max: 2 }), dueIn: fc.integer({ min: 0, max: 1_000 }) }),
+  fc.record({ kind: fc.constant('withdraw' as const), id: fc.integer({ min: 0, max: 30 }) }),
+  fc.record({ kind: fc.constant('streams' as const), streams: fc.integer({ min: 0, max: 100 }), paused: fc.integer({ min: 0, max: 10 }) }),
+  fc.record({ kind: fc.constant('admit' as const), slots: fc.integer({ min: 0, max: 4 }) })
+)
+
+Then('a throttle that knows the speed 1 admits the same prompts at the same times as one without a measurement', () => {
+  fc.assert(fc.property(fc.array(fc.tuple(fc.integer({ min: 0, max: 60 }), throttleMessage), { minLength: 20, maxLength: 200 }), messages => {
+    const plain = new PromptThrottle()
+    const measured = new PromptThrottle()
+    let now = 0
+    for (const [passed, msg] of messages) {
+      now += passed
+      measured.setMeasuredSpeed(1)
+      const results = [plain, measured].map(throttle => {
+        if (msg.kind === 'enqueue') throttle.enqueue({ id: `r${msg.id}`, tokens: msg.tokens, urgency: msg.urgency, dueAt: now + msg.dueIn }, now)
+        if (msg.kind === 'withdraw') throttle.withdraw(`r${msg.id}`)
+        if (msg.kind === 'streams') throttle.adjustSpeed(msg.streams, Math.min(msg.streams, msg.paused))
+        return [msg.kind === 'admit' ? throttle.admit(now, msg.slots) : [], throttle.backlog(now), throttle.nextAdmissionAt(now), throttle.rate]
+      })
+      assert.deepEqual(results[1], results[0])
+    }
+  }), propertyOptions)
+})
+
+Then('a measurement replaces what was learned in its direction, and leaves the rest', () => {
+  const rateAfter = (streams: number, paused: number, speed: number): number => {
+    const throttle = new PromptThrottle()
+    throttle.adjustSpeed(streams, paused)
+    throttle.setMeasuredSpeed(speed)
+    return throttle.rate / new PromptThrottle().rate
+  }
+  assert.ok(Math.abs(rateAfter(40, 40, 0.41) - 0.41) < 1e-9)
+  assert.ok(Math.abs(rateAfter(1_000, 1_000, 0.8) - 0.5) < 1e-9)
+  assert.ok(Math.abs(rateAfter(1_000, 1_000, 1.25) - 0.625) < 1e-9)
+})
