Distribute engines over entries by the strength of their hosts

Cause: hosts of entries differ (0.184 to 1.35 cores in one deployment) and callers come to all alike, but engines were held evenly, so weak hosts spent their processor time on load requests, admission and orders of others. With equal or unknown strengths, or beside an entry of a build that does not register it, the decisions are those of the even distribution.

--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -106,7 +106,7 @@
   private readonly _notices: NoticeCoordinator
   private readonly _origins: OriginCoordinator
   private readonly _servers: Server[] = []
-  private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, readonly linkMbps: number, port: number }
+  private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, readonly linkMbps: number, readonly cores: number, port: number }
   private _settings: DirectSettings
   private _peerPort = 0
   private _closing = false
@@ -117,7 +117,7 @@
   constructor (private readonly _options: DirectEntryOptions) {
     const { settings, platform, clock, log } = _options
     this._settings = settings
-    this._self = { node: settings.name, host: settings.host, port: settings.peer_port, zone: settings.zone, linkMbps: settings.link_mbps }
+    this._self = { node: settings.name, host: settings.host, port: settings.peer_port, zone: settings.zone, linkMbps: settings.link_mbps, cores: settings.cpu_share * settings.cpu_speed }
     this._store = new EraStore(platform.store, log, ({ isFirst }) => this._storeReturned(isFirst))
     this._quarantine = new QuarantineCoordinator({
       node: settings.name,
--- a/packages/direct/src/lib/engine-coordinator.ts
+++ b/packages/direct/src/lib/engine-coordinator.ts
@@ -2,7 +2,7 @@
  * Claims engines in the store and runs an {@link EngineHolder} for each engine that this entry holds.
  */
 import type { CancelTimer, Clock, Log, Ms } from '@hazelford/core'
-import { type RequestedAdapter, claimSequences, type EngineAssignment, ReclaimCooldown, pickHandover } from '@hazelford/decisions'
+import { type RequestedAdapter, claimSequences, type EngineAssignment, entryStrengths, ReclaimCooldown, pickHandover } from '@hazelford/decisions'
 import type { EngineControl, EngineSpec, Store } from '@hazelford/ports'
 import type { FormerHolder } from './claim-history.js'
 import { ClaimRecords } from './claim-records.js'
@@ -198,7 +198,7 @@
   /** Entries that have been listed long enough to be given engines, and the holder of each engine. */
   private _settledAssignment (now: Ms): EngineAssignment {
     const entries = [...this._listedSince].filter(([, since]) => now - since >= this._handoverAfter).map(([node]) => node)
-    return { entries, holders: this._knownHolders() }
+    return { entries, holders: this._knownHolders(), strengths: entryStrengths(this._options.peers.entries) }
   }
 
   /** Holders of the engines that are running. The key of an engine that is gone stays until its holder's lease ends. */
@@ -266,7 +266,7 @@
     const claimable: Upstream[] = []
     const seen = new Set<string>()
     const unheld = this._unheld().map(({ id }) => id)
-    const sequences = unheld.length === 0 ? new Map<string, readonly string[]>() : claimSequences(unheld, { entries: peers.nodes, holders: this._knownHolders() })
+    const sequences = unheld.length === 0 ? new Map<string, readonly string[]>() : claimSequences(unheld, { entries: peers.nodes, holders: this._knownHolders(), strengths: entryStrengths(peers.entries) })
     const settling = clock.now() - this._startedAt < this._settleTime
     if (settling || !this._lease().valid) this._options.clock.after(this._settleTime / 3, () => this.scheduleReconcile())
     if (!this._lease().valid) return []
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -42,6 +42,10 @@
   apply_within_ms: z._default(atLeast(100), 2_000),
   /** Rate of the host's link in Mbit/s, 0 where it is not known; entries with fast links are the first to watch the store. */
   link_mbps: z._default(atLeast(0), 0),
+  /** Share of a core that the host provides, 0 where it is not known. */
+  cpu_share: z._default(atLeast(0), 0),
+  /** Speed of that core, relative to that of the other hosts. */
+  cpu_speed: z._default(atLeast(0), 1),
   /**
    * Ms after the withdrawal of a key within which every entry refuses it, also an entry that is cut off; 0 lets such an
    * entry go on with the configuration that it has.
@@ -82,7 +86,7 @@
 }
 
 /** Settings that take effect only at a start: sockets are open, and peers know the addresses. */
-export const addressSettings = ['name', 'zone', 'host', 'store', 'listen_callers', 'listen_ready', 'listen_control', 'peer_port', 'advertised_peer_port', 'metrics_port', 'link_mbps'] as const
+export const addressSettings = ['name', 'zone', 'host', 'store', 'listen_callers', 'listen_ready', 'listen_control', 'peer_port', 'advertised_peer_port', 'metrics_port', 'link_mbps', 'cpu_share', 'cpu_speed'] as const
 
 /** Picks the address settings of a running process. */
 export function pickAddresses (settings: DirectSettings): Pick<DirectSettings, typeof addressSettings[number]> {
--- a/packages/direct/src/lib/peer-table.ts
+++ b/packages/direct/src/lib/peer-table.ts
@@ -21,6 +21,8 @@
   readonly zone?: string
   /** Rate of its link in Mbit/s; undefined where it is not known. */
   readonly linkMbps?: number
+  /** Processor share of its host times its speed, in cores; 0 where it is not known, undefined for an entry of a version that does not send it. */
+  readonly cores?: number
 }
 
 /** The holder of an engine. */
@@ -62,10 +64,10 @@
 }
 
 function readAddress (value: unknown): PeerAddress | undefined {
-  const { node, host, port, zone, linkMbps } = (value ?? {}) as Partial<PeerAddress>
+  const { node, host, port, zone, linkMbps, cores } = (value ?? {}) as Partial<PeerAddress>
   const isAddress = typeof node === 'string' && node !== '' && typeof host === 'string' && isIPv4(host) && Number.isInteger(port) && port! > 0 && port! < 65_536
   if (!isAddress) return undefined
-  return { node, host, port: port!, ...(typeof zone === 'string' ? { zone } : {}), ...(typeof linkMbps === 'number' ? { linkMbps } : {}) }
+  return { node, host, port: port!, ...(typeof zone === 'string' ? { zone } : {}), ...(typeof linkMbps === 'number' ? { linkMbps } : {}), ...(typeof cores === 'number' ? { cores } : {}) }
 }
 
 /** Reads the earlier claimants in a record; a record of an entry of a version that does not write them has none. */
