Show operators upstreams and organisations as running entries see them

Cause: no command showed the state of running entries; operators had to collect logs to learn who holds an engine, how fast it is and whose requests are refused. Change: entries answer /operators/view at the port for their peers (read only, at most 1,000 upstreams and 500 organisations, counts of the last 10 s); hazelford upstreams and hazelford organisations ask one entry, then all that it knows, merge the answers and name entries that do not answer.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -15,9 +15,11 @@
 import { completion } from './lib/queries/completion.js'
 import { explain } from './lib/queries/explain.js'
 import { check, diff, history, show } from './lib/queries/config-queries.js'
+import { organisations } from './lib/queries/organisation-report.js'
 import { adapters, status } from './lib/queries/process-queries.js'
 import { reportLoad } from './lib/queries/report-load.js'
 import { requests, timeline } from './lib/queries/timeline.js'
+import { upstreams } from './lib/queries/upstream-report.js'
 
 interface GlobalOptions {
   readonly kv?: string
@@ -38,6 +40,7 @@
   readonly html?: boolean
   readonly from?: string
   readonly for?: string
+  readonly entry?: string | readonly string[]
 }
 
 const watchMs = 1_000
@@ -85,6 +88,9 @@
   return Number(match[1]) * unitsMs[match[2]!]!
 }
 
+/** Values of an option that may be given several times. */
+function listOf (values: string | readonly string[] | undefined): readonly string[] { return values === undefined ? [] : [values].flat() }
+
 /** Prints the first line of a table in bold on a terminal, unless NO_COLOR is set. */
 function emphasise (text: string): string {
   if (!process.stdout.isTTY || process.env.NO_COLOR !== undefined) return text
@@ -164,6 +170,13 @@
   .example('hazelford report --from 20s --for 10s entry-*.log')
   .action((logs: readonly string[], options: CommandOptions) => run(options, () =>
     reportLoad((logs.length === 0 ? ['-'] : logs).map(readText), { from: parseSpan(options.from), length: parseSpan(options.for) }, options.html === true ? 'page' : 'text')))
+const entryOption = ['--entry <address>', 'HOST:PORT at which an entry listens for its peers; repeat it in case some do not answer'] as const
+cli.command('upstreams', 'Show the upstreams as the running entries see them: holder, load, speed').option(...entryOption)
+  .example('hazelford upstreams --entry 10.0.0.7:7301')
+  .action((options: CommandOptions) => run(options, () => upstreams(listOf(options.entry))))
+cli.command('organisations', 'Show limits and recent requests of organisations, over all running entries').option(...entryOption)
+  .example('hazelford organisations --entry 10.0.0.7:7301 --json')
+  .action((options: CommandOptions) => run(options, () => organisations(listOf(options.entry))))
 cli.command('completion <shell>', 'Print a completion script for bash or zsh')
   .action((shell: string, options: CommandOptions) => run(options, () => completion(shell, cli.commands.map(command => command.name))))
 cli.help()
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -3,7 +3,7 @@
  */
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
+import { type Clock, type Log, type Ms, type OperatorView, sleep } from '@hazelford/core'
 import type { QuarantineLimits, RouteTable, SharedBudgetLimits, Suspect, UsageBounds } from '@hazelford/decisions'
 import type { EngineControl } from '@hazelford/ports'
 import { AdapterDirectory } from './adapter-directory.js'
@@ -19,6 +19,8 @@
 import type { Membership } from './membership.js'
 import type { EntryMetrics } from './metrics.js'
 import { NoticeCoordinator } from './notice-coordinator.js'
+import { operatorView } from './operator-view.js'
+import { OrganisationActivity } from './organisation-activity.js'
 import { grantInFull, usageLimits, usageOf } from './organisation-usage.js'
 import { OriginCoordinator } from './origin-coordinator.js'
 import { PeerClient } from './peer-client.js'
@@ -105,6 +107,7 @@
   private readonly _usage: UsageCoordinator
   private readonly _notices: NoticeCoordinator
   private readonly _origins: OriginCoordinator
+  private readonly _activity: OrganisationActivity
   private readonly _servers: Server[] = []
   private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, readonly linkMbps: number, readonly cores: number, port: number }
   private _settings: DirectSettings
@@ -130,6 +133,7 @@
       probe: ({ record }) => probeConnection(record.host, record.port, probeTimeout),
       quarantined: suspect => this._endQuarantined(suspect)
     })
+    this._activity = new OrganisationActivity(clock)
     this._usage = this._createUsageCoordinator()
     this._notices = new NoticeCoordinator({
       node: settings.name,
@@ -253,6 +257,7 @@
       kind: 'usage',
       clock,
       log,
+      recorded: (organisation, event, units) => { if (event === 'admitted' || event === 'refused') this._activity.recordUnits(organisation, event, units) },
       bounds: () => usageBounds(this._settings),
       waitsForCredit: true,
       entries: () => this.peers.entries,
@@ -281,7 +286,8 @@
       onlySoftware: (service, since) => this._onlySoftware(service, since),
       verifyIncarnation: (upstream, openedAt) => this._verifyIncarnation(upstream, openedAt),
       entries: () => this.peers.entryCount,
-      budgetLimits: () => budgetLimits(this._settings)
+      budgetLimits: () => budgetLimits(this._settings),
+      organisationEnded: (organisation, end) => this._organisationEnded(organisation, end)
     })
   }
 
@@ -299,10 +305,16 @@
       viewAge,
       applyWithin: () => this._settings.apply_within_ms,
       admit: ({ name, limit }, tokens, patience) => limit === undefined ? { kind: 'admitted', refund: () => {} } : this._usage.admit(name, usageOf(limit, tokens), patience),
+      organisationEnded: (organisation, end) => this._organisationEnded(organisation, end),
       relay: admitted => this._runner.run(admitted)
     })
   }
 
+  private _organisationEnded (organisation: string, end: string): void {
+    this._options.metrics.countOrganisation(organisation, end)
+    this._activity.recordEnd(organisation, end)
+  }
+
   get name (): string { return this._self.node }
   get config (): CurrentConfig { return this._view.config }
   get members (): Membership { return this._view.members }
@@ -393,6 +405,7 @@
       receiveQuarantined: msg => this._quarantine.receiveQuarantined(msg),
       answered: query => this._quarantine.recentlyAnswered(query),
       now: () => this._options.clock.now(),
+      operatorView: () => this._operatorView(),
       changes: (after, wait) => this._view.changes(after, wait),
       state: () => this._view.state,
       configAge: () => this._view.configAge,
@@ -404,6 +417,19 @@
     }
   }
 
+  private _operatorView (): OperatorView {
+    return operatorView({
+      node: this.name,
+      clock: this._options.clock,
+      viewAge: this._view.viewAge,
+      peers: this.peers,
+      upstreams: this.members.all(),
+      heldLoads: this.engineCoordinator.loads,
+      table: this.config.table,
+      activity: this._activity
+    })
+  }
+
   /** Reports to the holder of an engine, after a short delay, that a request of this entry there has ended. */
   private _requestEnded (upstream: Upstream): void {
     this._options.clock.after(reportUseDelay, () => {
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -26,6 +26,7 @@
   notices: '/upstreams/notices',
   began: '/streams/began',
   origin: '/streams/origin',
+  operators: '/operators/view',
   ping: '/ping'
 } as const
 
--- a/packages/direct/src/lib/relay-runner.ts
+++ b/packages/direct/src/lib/relay-runner.ts
@@ -34,6 +34,8 @@
   /** Number of entries that are running. */
   readonly entries: () => number
   readonly budgetLimits: () => SharedBudgetLimits
+  /** Counts a request of an organisation by its end. */
+  readonly organisationEnded: (organisation: string, end: string) => void
 }
 
 /**
@@ -164,7 +166,7 @@
         this._open.delete(task)
         metrics.open.dec()
         metrics.requests.inc({ kind: route.kind, end })
-        if (call.organisation !== undefined) metrics.countOrganisation(call.organisation, end)
+        if (call.organisation !== undefined) this._options.organisationEnded(call.organisation, end)
         metrics.latency.observe({ kind: route.kind }, took)
         log.info('request', 'over.', { request: id, end, took: Math.round(took), sends, firstData: firstData === undefined ? undefined : Math.round(firstData), longestGap: Math.round(longestGap) })
       }
--- a/packages/direct/src/lib/request-intake.ts
+++ b/packages/direct/src/lib/request-intake.ts
@@ -44,6 +44,8 @@
    * `patience` ms at most.
    */
   readonly admit: (organisation: Organisation, tokens: number | undefined, patience: Ms) => Admission | Promise<Admission>
+  /** Counts a request of an organisation by its end. */
+  readonly organisationEnded: (organisation: string, end: string) => void
   readonly relay: (admitted: AdmittedCall) => void
 }
 
@@ -154,7 +156,7 @@
 
   /** Takes the request's usage, and admits it if it is within its organisation's limit. */
   private _charge (incoming: IncomingRequest, route: Route, organisation: Organisation, facts: CallMetadata, relay: (refund: () => void) => void): void {
-    const { admit, clock, log, metrics } = this._options
+    const { admit, clock, log, metrics, organisationEnded } = this._options
     const decided = (admission: Admission): void => {
       if (admission.kind === 'admitted') {
         if (incoming.isGone()) admission.refund()
@@ -164,7 +166,7 @@
       const { retryAfter } = admission
       log.info('request', 'over its usage limit.', { request: facts.id, organisation: organisation.name, tokens: facts.promptTokens + facts.maxOutputTokens, retryAfter: Math.round(retryAfter) })
       metrics.requests.inc({ kind: route.kind, end: 'over-limit' })
-      metrics.countOrganisation(organisation.name, 'over-limit')
+      organisationEnded(organisation.name, 'over-limit')
       incoming.answer.fail({ kind: 'over-limit', organisation: organisation.name, retryAfter })
     }
     const patience = incoming.arrivedAt + Math.min(facts.patience ?? Infinity, route.timeout) - clock.now()
--- a/packages/direct/src/lib/serve-peers.ts
+++ b/packages/direct/src/lib/serve-peers.ts
@@ -4,7 +4,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { promisify } from 'node:util'
 import { constants, gzip } from 'node:zlib'
-import type { Ms } from '@hazelford/core'
+import type { Ms, OperatorView } from '@hazelford/core'
 import type { UsageGrant } from '@hazelford/decisions'
 import type { FeedAnswer } from './change-feed.js'
 import { compression, readJson } from './json-client.js'
@@ -42,6 +42,8 @@
   /** Which of some requests and prompt parts were answered here in the recent past. */
   readonly answered: (msg: AnsweredQuery) => AnsweredReply
   readonly now: () => Ms
+  /** This entry's state for operators. */
+  readonly operatorView: () => OperatorView
   /** Changes in the store after a revision. */
   readonly changes: (after: number, wait: Ms) => Promise<FeedAnswer>
   /** Configuration and upstreams, for a peer that starts during an outage of the store. */
@@ -75,6 +77,7 @@
   switch (path) {
     case peerPaths.state: return stateOrUnavailable(service.state())
     case peerPaths.configAge: return stateOrUnavailable(service.configAge())
+    case peerPaths.operators: return ok(service.operatorView())
     case peerPaths.ping: return ok()
     default: return undefined
   }
--- a/packages/direct/src/lib/usage-coordinator.ts
+++ b/packages/direct/src/lib/usage-coordinator.ts
@@ -8,7 +8,7 @@
 import { PeerSuspects } from './peer-suspects.js'
 import type { PeerAddress } from './peer-table.js'
 import { type Admission, CreditQueue } from './credit-queue.js'
-import { UsageSummary } from './usage-summary.js'
+import { UsageSummary, type UsageSummaryOptions } from './usage-summary.js'
 
 /** A report to the allocator of one shard of the accounts. */
 export interface UsageMessage extends UsageReport { readonly shard: number }
@@ -23,6 +23,8 @@
   readonly kind: 'usage' | 'upstream-limits'
   readonly clock: Clock
   readonly log: Log
+  /** Called with units that were admitted, refused or granted. */
+  readonly recorded?: UsageSummaryOptions['recorded']
   readonly bounds: () => UsageBounds
   /** Whether requests wait for credit that is expected soon; if not, they are refused once the allocator has none. */
   readonly waitsForCredit: boolean
--- a/packages/direct/src/lib/usage-summary.ts
+++ b/packages/direct/src/lib/usage-summary.ts
@@ -14,6 +14,8 @@
   readonly kind: string
   readonly clock: Clock
   readonly log: Log
+  /** Called with each change. */
+  readonly recorded?: (account: string, event: UsageEvent, units: number) => void
 }
 
 type AccountSums = Record<UsageEvent, number>
@@ -36,6 +38,7 @@
 
   add (account: string, event: UsageEvent, units: number): void {
     if (units === 0) return
+    this._options.recorded?.(account, event, units)
     const sums = this._accounts.get(account) ?? { admitted: 0, refused: 0, granted: 0, assumed: 0, allocated: 0 }
     sums[event] += units
     this._accounts.set(account, sums)
