--- a/packages/direct/src/lib/serve-peers.ts
+++ b/packages/direct/src/lib/serve-peers.ts
@@ -8,6 +8,7 @@
 import type { UsageGrant } from '@hazelford/decisions'
 import type { FeedAnswer } from './change-feed.js'
 import { compression, readJson } from './json-client.js'
+import { readLoadRequest, readUse } from './load-request-messages.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
 import { type OriginQuery, type OriginReply, type OriginsMessage, readOriginQuery, readOrigins } from './origin-messages.js'
 import { type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
@@ -133,6 +134,18 @@
   return query === undefined ? malformed('The body names no requests.') : ok(service.answered(query))
 }
 
+async function answerLoadRequest (service: PeerService, body: unknown): Promise<PeerAnswer> {
+  const msg = readLoadRequest(body)
+  return msg === undefined ? malformed('The body is not a load request.') : ok(toReply(await service.requestLoad(msg), service.now()))
+}
+
+function answerUse (service: PeerService, body: unknown): PeerAnswer {
+  const msg = readUse(body)
+  if (msg === undefined) return malformed('The body is not a report of use.')
+  service.recordUse(msg)
+  return ok()
+}
+
 /** Handles a message whose answer says only that it was handled. */
 async function handle<T> (handler: (msg: T) => void | Promise<void>, body: unknown): Promise<PeerAnswer> {
   await handler(body as T)
@@ -141,8 +154,8 @@
 
 async function answerPost (service: PeerService, path: string, body: unknown): Promise<PeerAnswer | undefined> {
   switch (path) {
-    case peerPaths.ask: return ok(toReply(await service.requestLoad(body as LoadRequestMessage), service.now()))
-    case peerPaths.use: return handle(service.recordUse, body)
+    case peerPaths.ask: return answerLoadRequest(service, body)
+    case peerPaths.use: return answerUse(service, body)
     case peerPaths.taken: return handle(service.receiveTakeover, body)
     case peerPaths.ends: return answerTerminations(service, body)
     case peerPaths.held: return answerQuarantined(service, body)
