--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -27,6 +27,7 @@
   notices: '/upstreams/notices',
   began: '/streams/began',
   origin: '/streams/origin',
+  operators: '/operators/view',
   ping: '/ping'
 } as const
 
--- a/packages/direct/src/lib/serve-peers.ts
+++ b/packages/direct/src/lib/serve-peers.ts
@@ -4,10 +4,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { promisify } from 'node:util'
 import { constants, gzip } from 'node:zlib'
-import type { Ms } from '@hazelford/core'
+import type { Ms, OperatorView } from '@hazelford/core'
 import type { UsageGrant } from '@hazelford/decisions'
 import type { FeedAnswer } from './change-feed.js'
 import { compression, readJson } from './json-client.js'
+import { readLoadRequest, readUse } from './load-request-messages.js'
 import { type NoticeMessage, readNotices } from './notice-messages.js'
 import { type OriginQuery, type OriginReply, type OriginsMessage, readOriginQuery, readOrigins } from './origin-messages.js'
 import { type LoadRequestMessage, type LoadRequestReply, type ChangesMessage, type LimitReply, type LimitReport, type PeerLoadRequestOutcome, peerPaths, type TakeoverMessage, unavailableStatus, type UseMessage } from './peer-messages.js'
@@ -42,6 +43,8 @@
   /** Which of some requests and prompt parts were answered here in the recent past. */
   readonly answered: (msg: AnsweredQuery) => AnsweredReply
   readonly now: () => Ms
+  /** This entry's state for operators. */
+  readonly operatorView: () => OperatorView
   /** Changes in the store after a revision. */
   readonly changes: (after: number, wait: Ms) => Promise<FeedAnswer>
   /** Configuration and upstreams, for a peer that starts during an outage of the store. */
@@ -75,6 +78,7 @@
   switch (path) {
     case peerPaths.state: return stateOrUnavailable(service.state())
     case peerPaths.configAge: return stateOrUnavailable(service.configAge())
+    case peerPaths.operators: return ok(service.operatorView())
     case peerPaths.ping: return ok()
     default: return undefined
   }
@@ -130,6 +134,18 @@
   return query === undefined ? malformed('The body names no requests.') : ok(service.answered(query))
 }
 
+async function answerLoadRequest (service: PeerService, body: unknown): Promise<PeerAnswer> {
+  const msg = readLoadRequest(body)
+  return msg === undefined ? malformed('The body is not a load request.') : ok(toReply(await service.requestLoad(msg), service.now()))
+}
+
+function answerUse (service: PeerService, body: unknown): PeerAnswer {
+  const msg = readUse(body)
+  if (msg === undefined) return malformed('The body is not a report of use.')
+  service.recordUse(msg)
+  return ok()
+}
+
 /** Handles a message whose answer says only that it was handled. */
 async function handle<T> (handler: (msg: T) => void | Promise<void>, body: unknown): Promise<PeerAnswer> {
   await handler(body as T)
@@ -138,8 +154,8 @@
 
 async function answerPost (service: PeerService, path: string, body: unknown): Promise<PeerAnswer | undefined> {
   switch (path) {
-    case peerPaths.ask: return ok(toReply(await service.requestLoad(body as LoadRequestMessage), service.now()))
-    case peerPaths.use: return handle(service.recordUse, body)
+    case peerPaths.ask: return answerLoadRequest(service, body)
+    case peerPaths.use: return answerUse(service, body)
     case peerPaths.taken: return handle(service.receiveTakeover, body)
     case peerPaths.ends: return answerTerminations(service, body)
     case peerPaths.held: return answerQuarantined(service, body)
