Expect the wait for a batch slot by the speed of the engine

Cause: the wait was computed with the mean service time of all engines. Change: it is divided by the speed; the log of a change rounds its figures.

--- a/packages/decisions/src/lib/engine-speed.ts
+++ b/packages/decisions/src/lib/engine-speed.ts
@@ -55,7 +55,9 @@
 }
 
 /** Speed at a number of steps. */
-function speedAt (steps: number): number { return Math.round(step ** steps * 100) / 100 }
+function speedAt (steps: number): number { return round(step ** steps, 2) }
+
+function round (value: number, digits: number): number { return Math.round(value * 10 ** digits) / 10 ** digits }
 
 /**
  * Reads a speed that another entry has sent.
@@ -115,7 +117,7 @@
     this._measuredAt = now
     const before = this.speed
     this._steps = this._nextSteps(stepsOf(reference / pace))
-    return this.speed === before ? undefined : { speed: this.speed, before, pace, reference, samples: this._window.count(now), error: Math.round(this._window.error * 1_000) / 1_000 }
+    return this.speed === before ? undefined : { speed: this.speed, before, pace: round(pace, 1), reference: round(reference, 1), samples: this._window.count(now), error: round(this._window.error, 3) }
   }
 
   private _nextSteps (measured: number): number {
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -191,7 +191,7 @@
 
   private _createAdmission (): EngineAdmission {
     const { clock, spec, serviceTime } = this._options
-    const admission = new EngineAdmission(clock, spec.slots, serviceTime)
+    const admission = new EngineAdmission(clock, spec.slots, () => serviceTime() / this._speed.speed)
     admission.setSpeed(this._speed.speed)
     return admission
   }
