--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -245,5 +245,69 @@
     replace: 'if (false)',
     feature: 'packages/direct/src/test/takeovers.feature',
     scenario: 'claims by an entry whose view of the store is old'
+  },
+  {
+    guarantee: 'speeds: an engine of the usual speed gets another one only beyond the dead band',
+    file: 'packages/decisions/dist/lib/engine-speed.js',
+    find: '(this._steps === 0 ? unequalSteps : equalSteps)',
+    replace: 'equalSteps',
+    feature: 'packages/decisions/src/test/engine-speed.feature',
+    scenario: 'a speed at which two neighbouring values fit'
+  },
+  {
+    guarantee: 'speeds: a popular engine does not count as slow',
+    file: 'packages/decisions/dist/lib/pace-window.js',
+    find: 'const undisturbedShare = 0.15',
+    replace: 'const undisturbedShare = 0.5',
+    feature: 'packages/decisions/src/test/engine-speed.feature',
+    scenario: 'of which one reads prompts for half of the time'
+  },
+  {
+    guarantee: 'speeds: a stream that something else delayed has no pace',
+    file: 'packages/decisions/dist/lib/pace-window.js',
+    find: 'this._isDisturbed ||',
+    replace: '',
+    feature: 'packages/decisions/src/test/engine-speed.feature',
+    scenario: 'streams that something else than their engine delays'
+  },
+  {
+    guarantee: 'speeds: a measured slowness replaces the learned one',
+    file: 'packages/decisions/dist/lib/prompt-throttle.js',
+    find: 'if (change < 1 && this._speed < 1)',
+    replace: 'if (false)',
+    feature: 'packages/decisions/src/test/prompt-throttle.feature',
+    scenario: 'a slow engine whose throttle has learned that streams pause'
+  },
+  {
+    guarantee: 'speeds: reports of other entries are checked',
+    file: 'packages/direct/dist/lib/stream-report.js',
+    find: 'paces.filter(isPace)',
+    replace: 'paces',
+    feature: 'packages/direct/src/test/engine-speed.feature',
+    scenario: 'reports of streams that are damaged'
+  },
+  {
+    guarantee: 'speeds: a load without a speed leaves the last one',
+    file: 'packages/direct/dist/lib/upstream.js',
+    find: 'readSpeed(speed) ?? this._speed',
+    replace: 'readSpeed(speed) ?? 1',
+    feature: 'packages/direct/src/test/engine-speed.feature',
+    scenario: 'an entry that hears from holders of this version and of the version before'
+  },
+  {
+    guarantee: 'speeds: a successor starts from the speed that its entry knows',
+    file: 'packages/direct/dist/lib/engine-holder.js',
+    find: 'new EngineSpeed(_options.speed)',
+    replace: 'new EngineSpeed()',
+    feature: 'packages/direct/src/test/engine-speed.feature',
+    scenario: 'an engine that changes hands'
+  },
+  {
+    guarantee: 'speeds: a restarted engine is measured anew',
+    file: 'packages/direct/dist/lib/engine-holder.js',
+    find: 'this._speed = new EngineSpeed(1);',
+    replace: '',
+    feature: 'packages/direct/src/test/engine-speed.feature',
+    scenario: 'an engine that changes hands'
   }
 ]
--- a/packages/decisions/src/test/engine-speed.feature
+++ b/packages/decisions/src/test/engine-speed.feature
@@ -28,6 +28,10 @@
     When they run streams for 120 s
     Then all speeds are exactly 1 and none has changed
 
+  Scenario: streams that something else than their engine delays
+    Guards against engines that count as slow because a caller reads slowly or a link is cut.
+    Then a stream that was paused or stalled has no pace, nor has one of less than 8 events
+
   Scenario: an engine without streams
     Then its speed is not known, and counts as 1
 
--- a/packages/decisions/src/test/engine-speed.steps.ts
+++ b/packages/decisions/src/test/engine-speed.steps.ts
@@ -89,6 +89,16 @@
   for (const { known } of this.speeds) assert.equal(known, 1)
 })
 
+Then('a stream that was paused or stalled has no pace, nor has one of less than {int} events', (least: number) => {
+  const [whole, disturbed, short] = [new StreamPace(), new StreamPace(), new StreamPace()]
+  for (let event = 1; event < events; event++) for (const each of [whole, disturbed]) each.record(eventMs)
+  disturbed.disturb()
+  for (let event = 1; event < least - 1; event++) short.record(eventMs)
+  assert.deepEqual([whole.pace, disturbed.pace, short.pace], [eventMs, undefined, undefined])
+  short.record(eventMs)
+  assert.equal(short.pace, eventMs)
+})
+
 Then('its speed is not known, and counts as 1', () => {
   const speed = new EngineSpeed()
   speed.record([], 25, 0)
