Leave streams out whose events come together

Cause: events that were read or sent together have gaps near 0, and an engine with a third of such streams would count as 3.8 times as fast. Change: a pace is 1 ms at least.

--- a/packages/decisions/src/lib/pace-window.ts
+++ b/packages/decisions/src/lib/pace-window.ts
@@ -13,6 +13,8 @@
 const typicalShare = 1 / 3
 /** Number of times between events that are kept of one stream, the latest ones. */
 const gapsPerStream = 64
+/** Shortest pace that counts: events that come faster were sent, or read, together. */
+const shortestPace: Ms = 1
 /** Least number of times between events from which a pace is taken. */
 const minGaps = 7
 
@@ -33,11 +35,11 @@
   /** Records that something other than its engine has delayed the stream, so that it has no pace. */
   disturb (): void { this._isDisturbed = true }
 
-  /** The pace in ms; undefined for a stream with too few events, and for one that was disturbed. */
+  /** The pace in ms; undefined for a stream with too few events, one whose events came together, and one that was disturbed. */
   get pace (): Ms | undefined {
     if (this._isDisturbed || this._gaps.length < minGaps) return undefined
     const pace = quantile(this._gaps, undisturbedShare)
-    return pace > 0 ? pace : undefined
+    return pace >= shortestPace ? pace : undefined
   }
 }
 
--- a/packages/decisions/src/test/engine-speed.feature
+++ b/packages/decisions/src/test/engine-speed.feature
@@ -30,7 +30,7 @@
 
   Scenario: streams that something else than their engine delays
     Guards against engines that count as slow because a caller reads slowly or a link is cut.
-    Then a stream that was paused or stalled has no pace, nor has one of less than 8 events
+    Then a stream that was paused or stalled has no pace, nor has one of less than 8 events, or one whose events come together
 
   Scenario: an engine without streams
     Then its speed is not known, and counts as 1
--- a/packages/decisions/src/test/engine-speed.steps.ts
+++ b/packages/decisions/src/test/engine-speed.steps.ts
@@ -89,12 +89,13 @@
   for (const { known } of this.speeds) assert.equal(known, 1)
 })
 
-Then('a stream that was paused or stalled has no pace, nor has one of less than {int} events', (least: number) => {
-  const [whole, disturbed, short] = [new StreamPace(), new StreamPace(), new StreamPace()]
+Then('a stream that was paused or stalled has no pace, nor has one of less than {int} events, or one whose events come together', (least: number) => {
+  const [whole, disturbed, short, together] = [new StreamPace(), new StreamPace(), new StreamPace(), new StreamPace()]
   for (let event = 1; event < events; event++) for (const each of [whole, disturbed]) each.record(eventMs)
   disturbed.disturb()
+  for (let event = 1; event < events; event++) together.record(event === 1 ? eventMs : 0.2)
   for (let event = 1; event < least - 1; event++) short.record(eventMs)
-  assert.deepEqual([whole.pace, disturbed.pace, short.pace], [eventMs, undefined, undefined])
+  assert.deepEqual([whole, disturbed, short, together].map(({ pace }) => pace), [eventMs, undefined, undefined, undefined])
   short.record(eventMs)
   assert.equal(short.pace, eventMs)
 })
