--- a/packages/decisions/src/test/engine-speed.steps.ts
+++ b/packages/decisions/src/test/engine-speed.steps.ts
@@ -89,6 +89,17 @@
   for (const { known } of this.speeds) assert.equal(known, 1)
 })
 
+Then('a stream that was paused or stalled has no pace, nor has one of less than {int} events, or one whose events come together', (least: number) => {
+  const [whole, disturbed, short, together] = [new StreamPace(), new StreamPace(), new StreamPace(), new StreamPace()]
+  for (let event = 1; event < events; event++) for (const each of [whole, disturbed]) each.record(eventMs)
+  disturbed.disturb()
+  for (let event = 1; event < events; event++) together.record(event === 1 ? eventMs : 0.2)
+  for (let event = 1; event < least - 1; event++) short.record(eventMs)
+  assert.deepEqual([whole, disturbed, short, together].map(({ pace }) => pace), [eventMs, undefined, undefined, undefined])
+  short.record(eventMs)
+  assert.equal(short.pace, eventMs)
+})
+
 Then('its speed is not known, and counts as 1', () => {
   const speed = new EngineSpeed()
   speed.record([], 25, 0)
