Send a read that is overdue at a plain server to a second one

Cause: a look-up that meets a slow moment of one plain server waited for it, up to 3 latency targets, and was late. Change: when a read has no answer by the time at which a second upstream typically still answers within the route's target (and nine in ten have theirs), it is sent there as well, for one retry of the budget; the first usable answer is delivered and the other exchange is withdrawn. Bookings and streams are unchanged.

--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -31,24 +31,29 @@
   /** The caller's key was withdrawn while the request waited. */
   | 'key-withdrawn'
 
+/** The upstream of an exchange; without it, the only one that has the request. */
+interface FromUpstream { readonly from?: string }
+
 /** An event of a request. */
 export type RelayMessage =
   /** An upstream can take the request now. */
   | { readonly kind: 'placed', readonly upstream: string }
   | { readonly kind: 'unplaced', readonly cause: UnplacedCause }
-  | { readonly kind: 'refused', readonly refusal: UpstreamRefusal }
+  | { readonly kind: 'refused', readonly refusal: UpstreamRefusal } & FromUpstream
   /** No connection was made, and nothing was sent. */
-  | { readonly kind: 'unreachable' }
+  | { readonly kind: 'unreachable' } & FromUpstream
   /** The connection broke, or the upstream became silent, after bytes were sent. */
-  | { readonly kind: 'lost' }
+  | { readonly kind: 'lost' } & FromUpstream
+  /** A read has no answer by the time when another upstream could still answer it within the route's latency target. */
+  | { readonly kind: 'overdue' }
   /** The upstream has been silent for long, but may continue. */
   | { readonly kind: 'stalled' }
   /** The stalled upstream continued while another one was looked for. */
   | { readonly kind: 'moves-again' }
   /** A complete answer has arrived; `failed` when it is an error of the upstream itself. */
-  | { readonly kind: 'whole', readonly failed: boolean }
-  /** The first bytes of a stream have arrived. */
-  | { readonly kind: 'streaming' }
+  | { readonly kind: 'whole', readonly failed: boolean } & FromUpstream
+  /** The first bytes of an answer that is passed on as it arrives. */
+  | { readonly kind: 'streaming' } & FromUpstream
   | { readonly kind: 'stream-ended' }
   | { readonly kind: 'waited' }
   | { readonly kind: 'timeout' }
@@ -58,11 +63,13 @@
 
 /** What the entry must do. */
 export type RelayEffect =
-  /** Find an upstream outside `avoid`, or use the one named by `retryUpstream`. */
-  | { readonly kind: 'place', readonly avoid: ReadonlySet<string>, readonly retryUpstream?: string }
+  /** Find an upstream outside `avoid`, or use the one named by `retryUpstream`. `beside`: the current upstream goes on. */
+  | { readonly kind: 'place', readonly avoid: ReadonlySet<string>, readonly retryUpstream?: string, readonly beside?: true }
   | { readonly kind: 'send', readonly upstream: string }
-  /** Close the connection to the upstream, so that it stops working on the request. */
-  | { readonly kind: 'abandon' }
+  /** Send the request to a second upstream, while the first one goes on with it. */
+  | { readonly kind: 'send-beside', readonly upstream: string }
+  /** Close the connection to the named upstream, or to all, so that they stop working on the request. */
+  | { readonly kind: 'abandon', readonly upstream?: string }
   | { readonly kind: 'wait', readonly delay: Ms }
   /** Keep the complete answer that has arrived: it is an error, and another upstream may send a better answer. */
   | { readonly kind: 'hold' }
@@ -105,6 +112,9 @@
 
 type Effects = readonly RelayEffect[]
 
+/** The end of an exchange. */
+type ExchangeEnd = RelayMessage & { readonly kind: 'refused' | 'unreachable' | 'lost' | 'whole' }
+
 /** Progress of a request. */
 class Progress {
   /** Upstreams that bytes of the request may have reached. */
@@ -116,6 +126,10 @@
   missing = 0
   /** The upstream that has the request now. */
   current: string | undefined
+  /** The second upstream that has the request, beside the current one. */
+  beside: string | undefined
+  /** Whether a second upstream is looked for while the current one goes on. */
+  overdue = false
   /** The upstream to retry at, which lacked the adapter only for a moment. */
   retryUpstream: string | undefined
   /** Whether another upstream is looked for while the current one is silent. */
@@ -165,7 +179,7 @@
  */
 function handleStalled (request: RelayRequest, progress: Progress): Transition {
   if (progress.held !== undefined) return continueWith([])
-  if (progress.stalled || progress.current === undefined || !isIdempotent(request) || progress.tried.size >= request.maxAttempts) return continueWith([])
+  if (progress.stalled || progress.overdue || progress.beside !== undefined || progress.current === undefined || !isIdempotent(request) || progress.tried.size >= request.maxAttempts) return continueWith([])
   progress.stalled = true
   return continueWith([{ kind: 'place', avoid: progress.avoid }])
 }
@@ -181,6 +195,23 @@
   return continueWith([{ kind: 'abandon' }, { kind: 'send', upstream }])
 }
 
+/** Looks for a second upstream for a read that is overdue; the current one goes on with it. */
+function handleOverdue (request: RelayRequest, progress: Progress): Transition {
+  if (progress.held !== undefined || progress.begun || progress.stalled || progress.overdue) return continueWith([])
+  if (request.kind !== 'read-only' || progress.current === undefined || progress.beside !== undefined || progress.tried.size >= request.maxAttempts) return continueWith([])
+  progress.overdue = true
+  return continueWith([{ kind: 'place', avoid: progress.avoid, beside: true }])
+}
+
+function sendBeside (upstream: string, progress: Progress, deps: RelayDeps): Transition {
+  progress.overdue = false
+  if (progress.begun || progress.tried.has(upstream) || !deps.takeRetry()) return continueWith([])
+  progress.tried.add(upstream)
+  progress.sends++
+  progress.beside = upstream
+  return continueWith([{ kind: 'send-beside', upstream }])
+}
+
 /** Removes the search for an upstream from a result, since one runs already. */
 function dropPlacing (next: Transition): Transition {
   return next.over ? next : continueWith(next.effects.filter(({ kind }) => kind !== 'place' && kind !== 'wait'))
@@ -189,8 +220,10 @@
 function handlePlaced (upstream: string, request: RelayRequest, progress: Progress, deps: RelayDeps): Transition {
   if (progress.held !== undefined) {
     progress.stalled = false
+    progress.overdue = false
     return continueWith([])
   }
+  if (progress.overdue) return sendBeside(upstream, progress, deps)
   if (progress.stalled) return moveTo(upstream, progress, deps)
   // Access is checked before the first send only: a request that may have started to run is completed, also at another
   // upstream.
@@ -275,9 +308,11 @@
   switch (msg.kind) {
     case 'placed': return handlePlaced(msg.upstream, request, progress, deps)
     case 'unplaced':
-      if (!progress.stalled) return endWith(giveUp(progress, msg.cause))
+      if (!progress.stalled && !progress.overdue) return endWith(giveUp(progress, msg.cause))
       progress.stalled = false
+      progress.overdue = false
       return continueWith([])
+    case 'overdue': return handleOverdue(request, progress)
     case 'stalled': return handleStalled(request, progress)
     case 'moves-again':
       progress.stalled = false
@@ -288,12 +323,14 @@
     case 'held': return handleQuarantined(msg.cause, request, progress)
     case 'streaming':
       progress.begun = true
-      return continueWith([{ kind: 'deliver' }])
+      return continueWith([...abandonOther(msg.from, progress), { kind: 'deliver' }])
     case 'stream-ended': return endWith([{ kind: 'finish' }])
   }
   // The exchange has ended; the upstream no longer works on this request.
-  const isPlacing = progress.stalled
+  if (progress.beside !== undefined) return handleEndOfOne(msg, progress)
+  const isPlacing = progress.stalled || progress.overdue
   progress.stalled = false
+  progress.overdue = false
   progress.current = undefined
   progress.retryUpstream = undefined
   const next = handleExchangeEnd(msg, current!, request, progress)
@@ -301,8 +338,41 @@
   return isPlacing ? dropPlacing(next) : next
 }
 
+/** Leaves the request to the named one of its two upstreams, and stops work at the other. */
+function abandonOther (upstream: string | undefined, progress: Progress): Effects {
+  const { current, beside } = progress
+  if (beside === undefined || current === undefined) return []
+  progress.beside = undefined
+  progress.current = upstream
+  return [{ kind: 'abandon', upstream: upstream === current ? beside : current }]
+}
+
+/** Handles the end of an exchange while another upstream has the request as well: only a usable answer ends the request. */
+function handleEndOfOne (msg: ExchangeEnd, progress: Progress): Transition {
+  const other = msg.from === progress.current ? progress.beside : progress.current
+  if (msg.kind === 'whole' && !msg.failed) return endWith([...abandonOther(msg.from, progress), { kind: 'deliver' }, { kind: 'finish' }])
+  progress.current = other
+  progress.beside = undefined
+  switch (msg.kind) {
+    case 'unreachable':
+      progress.sends--
+      progress.tried.delete(msg.from!)
+      progress.unreachable.add(msg.from!)
+      return continueWith([])
+    case 'lost':
+      progress.mayHaveRun = true
+      return continueWith([])
+    case 'whole':
+      progress.mayHaveRun = true
+      progress.holdsError = true
+      return continueWith([{ kind: 'hold' }])
+    case 'refused': return continueWith([])
+    default: return assertNever(msg)
+  }
+}
+
 /** Handles the end of an exchange. */
-function handleExchangeEnd (msg: RelayMessage & { readonly kind: 'refused' | 'unreachable' | 'lost' | 'whole' }, upstream: string, request: RelayRequest, progress: Progress): Transition {
+function handleExchangeEnd (msg: ExchangeEnd, upstream: string, request: RelayRequest, progress: Progress): Transition {
   switch (msg.kind) {
     case 'refused': return handleRefused(upstream, msg.refusal, request, progress)
     case 'unreachable': return handleUnreachable(upstream, progress)
@@ -315,8 +385,8 @@
 /**
  * Runs one request.
  *
- * At most one upstream works on it at any time. It is sent to a further upstream only after a refusal that is certain,
- * or when running it twice does no harm.
+ * At most one upstream works on it at any time, and two on a read that is overdue. It is sent to a further upstream only
+ * after a refusal that is certain, or when running it twice does no harm.
  *
  * @param request - properties that decide about retries
  * @param deps - budget, access and quarantine
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -280,6 +280,7 @@
       origins: this._origins,
       onlySoftware: (service, since) => this._onlySoftware(service, since),
       verifyIncarnation: (upstream, openedAt) => this._verifyIncarnation(upstream, openedAt),
+      upstreams: service => this.members.serving(service).length,
       entries: () => this.peers.entryCount,
       budgetLimits: () => budgetLimits(this._settings)
     })
--- a/packages/direct/src/lib/metrics.ts
+++ b/packages/direct/src/lib/metrics.ts
@@ -17,6 +17,7 @@
   readonly requests = this._counter('hazelford_requests_total', 'Requests by route kind and end.', ['kind', 'end'])
   readonly sends = this._counter('hazelford_sends_total', 'Requests sent to upstreams, by outcome.', ['outcome'])
   readonly repeats = this._counter('hazelford_repeats_total', 'Repeats by whether the budget allowed them.', ['allowed'])
+  readonly overdueReads = this._counter('hazelford_overdue_reads_total', 'Reads that are overdue at an upstream, were sent to a second one, or were answered by that.', ['event'])
   readonly heldRequests = this._counter('hazelford_held_requests_total', 'Requests that this entry holds back, since upstreams ended under them.', [])
   readonly quarantinedParts = this._counter('hazelford_quarantined_parts_total', 'Prompt parts that this entry quarantined, since upstreams terminated while running requests with them.', [])
   readonly notices = this._counter('hazelford_upstream_notices_total', 'Changes of what upstreams say of themselves in answers: a request limit, that they leave, that they want rest.', ['notice'])
--- a/packages/direct/src/lib/relay-runner.ts
+++ b/packages/direct/src/lib/relay-runner.ts
@@ -11,6 +11,7 @@
 import type { FoundOrigin, OriginCoordinator } from './origin-coordinator.js'
 import type { Placer, SoftwareNeed } from './placer.js'
 import type { QuarantineCoordinator } from './quarantine-coordinator.js'
+import { ReadPacing } from './read-pacing.js'
 import { type BufferedCall, RelayTask } from './relay-task.js'
 import type { AdmittedCall } from './request-intake.js'
 import type { StreamOrigin } from './stream-origins.js'
@@ -31,6 +32,8 @@
   /** The one software version that can have served a service since a time; undefined when there may have been several. */
   readonly onlySoftware: (service: string, since: Ms) => Promise<string | undefined>
   readonly verifyIncarnation: (upstream: Upstream, openedAt: Ms) => Promise<boolean>
+  /** Number of upstreams that serve a service. */
+  readonly upstreams: (service: string) => number
   /** Number of entries that are running. */
   readonly entries: () => number
   readonly budgetLimits: () => SharedBudgetLimits
@@ -60,7 +63,11 @@
   /** Longest time limit that a caller has named. */
   private _longestPatience: Ms = 0
 
-  constructor (private readonly _options: RelayRunnerOptions) {}
+  private readonly _pacing: ReadPacing
+
+  constructor (private readonly _options: RelayRunnerOptions) {
+    this._pacing = new ReadPacing(_options.upstreams)
+  }
 
   /** Applies changed limits on retries; retries already spent stay spent. */
   updateRetryLimits (limits: SharedBudgetLimits): void { for (const budget of this._budgets.values()) budget.limit(limits) }
@@ -144,6 +151,13 @@
       software,
       verifyIncarnation: this._options.verifyIncarnation,
       began: began => this._recordOrigin(stream, { service, software: began }, call),
+      overdueTime: waited => this._pacing.overdueTime({ route: route.name, service, target: route.latencyTarget, waited }),
+      overdue: upstream => {
+        metrics.overdueReads.inc({ event: 'overdue' })
+        return this._pacing.recordOverdue(service, upstream.id)
+      },
+      silentUpstreams: () => this._pacing.isLinkSuspect(service) ? undefined : this._pacing.silentUpstreams(service),
+      besideEvent: event => metrics.overdueReads.inc({ event }),
       takeRepeat: () => this._takeRepeat(budget, id),
       isAllowed,
       quarantine: fingerprint => quarantine.causeOfRefusal(call.sharedParts, fingerprint),
@@ -154,6 +168,7 @@
       adapterBroken: (upstream, broken) => directory.removeReservation(upstream, broken),
       exchanged: (upstream, outcome, latency, serviceTime) => {
         if (outcome === 'answered') placer.recordServiceTime(service, serviceTime)
+        if (outcome === 'answered' && route.kind !== 'stream') this._pacing.record(route.name, service, serviceTime)
         this._recordExchange(upstream, outcome, latency, route)
       },
       over: ({ end, sends, firstData, longestGap, notRun, answeredSince, unframedFrom }) => {
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -2,7 +2,7 @@
  * Drives one request: performs the effects that its flow decides on.
  */
 import { assertNever, type CancelTimer, type Clock, type Log, type Ms, Task } from '@hazelford/core'
-import { type RequestedAdapter, type ExchangeOutcome, mayHaveCausedTermination, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey } from '@hazelford/decisions'
+import { type RequestedAdapter, type ExchangeOutcome, mayHaveCausedTermination, type OverdueTime, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
 import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
@@ -63,6 +63,14 @@
   readonly verifyIncarnation: (upstream: Upstream, openedAt: Ms) => Promise<boolean>
   /** Called when its stream, which may be resumed, sends its first event or goes on at the software that began it. */
   readonly began: (software: string) => void
+  /** When a plain read is overdue at an upstream, `waited` ms after its arrival; undefined when it is not sent to a second one. */
+  readonly overdueTime: (waited: Ms) => OverdueTime | undefined
+  /** Called when a read is overdue at an upstream; returns a function to be called when it ends there. */
+  readonly overdue: (upstream: Upstream) => () => void
+  /** Upstreams at which reads are overdue; undefined when this entry's link is the probable cause. */
+  readonly silentUpstreams: () => ReadonlySet<string> | undefined
+  /** Called when an overdue read was sent to a second upstream, or answered by it. */
+  readonly besideEvent: (event: 'sent' | 'answered') => void
   /** Takes one retry from the retry budget; false when the budget is spent. */
   readonly takeRepeat: () => boolean
   /** Whether its caller may still send it. */
@@ -111,12 +119,21 @@
 /** Time kept for the answer's first event before the caller leaves. */
 const firstEventMargin: Ms = 600
 
+/** An exchange with an upstream. `release` ends its accounts. */
+interface OpenExchange { readonly exchange: Exchange, readonly release: () => void }
+
 /** One request from its arrival to its answer. */
 export class RelayTask {
   private _task: Task<RelayMessage, RelayEffect> | undefined
   private readonly _deadline: Ms
   private _cancelTimeout: CancelTimer = () => {}
+  /** The exchange whose answer is passed on. */
   private _exchange: Exchange | undefined
+  /** Exchanges by upstream: two while an overdue read is at a second one. */
+  private readonly _exchanges = new Map<string, OpenExchange>()
+  private _cancelOverdue: CancelTimer = () => {}
+  /** Whether a second upstream is looked for while the first one goes on. */
+  private _isPlacingBeside = false
   private _upstream: Upstream | undefined
   private _version: number | undefined
   private _waits: PlacementWaits | undefined
@@ -204,7 +221,7 @@
   private _endAfterFault (error: Error): void {
     this._options.log.warn('request', 'ended by a fault of the entry.', { request: this._call.facts.id, error: error.stack })
     // A non-idempotent request keeps running at its upstream, as when its caller leaves.
-    if (this._route.kind !== 'non-idempotent') this._exchange?.abandon()
+    if (this._route.kind !== 'non-idempotent') this._abandon()
     this._answer.break()
     this._end('broken')
   }
@@ -212,9 +229,12 @@
   private _perform (effect: RelayEffect): void {
     const { log } = this._options
     switch (effect.kind) {
-      case 'place': return this._place(effect.avoid, effect.retryUpstream)
+      case 'place': return this._place(effect.avoid, effect.retryUpstream, effect.beside)
       case 'send': return this._send()
-      case 'abandon': return this._abandon()
+      case 'send-beside':
+        this._options.besideEvent('sent')
+        return this._send()
+      case 'abandon': return this._abandon(effect.upstream)
       case 'wait':
         this._options.clock.after(effect.delay, () => this._post({ kind: 'waited' }))
         return
@@ -250,13 +270,14 @@
     return Math.max(0, Math.min(this._remaining * loadShare, leavesAfter - waited))
   }
 
-  private _place (avoid: ReadonlySet<string>, retryUpstream: string | undefined): void {
-    if (this._software.kind !== 'unknown' || this._verifyOrigin === undefined) return this._placeAt(this._software, avoid, retryUpstream)
+  private _place (avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside = false): void {
+    if (this._software.kind !== 'unknown' || this._verifyOrigin === undefined) return this._placeAt(this._software, avoid, retryUpstream, beside)
     this._verifyOrigin().then(() => this._placeAt(this._software, avoid, retryUpstream), (error: Error) => this._endAfterFault(error))
   }
 
-  private _placeAt (software: SoftwareNeed, avoid: ReadonlySet<string>, retryUpstream: string | undefined): void {
+  private _placeAt (software: SoftwareNeed, avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside = false): void {
     if (this._over) return
+    this._isPlacingBeside = beside
     // A stream may be resumed many seconds after its request arrived. If a new version of its adapter was declared since
     // then, that version is in force at the other upstream; with the version of the first placement, the stream would
     // start over on weights that were replaced.
@@ -266,7 +287,7 @@
       service: this._service,
       want: this._want,
       urgency: this._call.priority,
-      avoid,
+      avoid: beside ? new Set([...avoid, ...this._options.silentUpstreams() ?? []]) : avoid,
       software,
       patience: this._longestWait,
       prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget, ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }) },
@@ -310,6 +331,10 @@
 
   private _applyPlacement (placed: Placement): void {
     if (this._remaining <= 0) return this._post({ kind: 'timeout' })
+    const isBeside = this._isPlacingBeside
+    this._isPlacingBeside = false
+    // An upstream that failed lately answers no sooner than the one that has the request.
+    if (isBeside && placed.kind === 'placed' && !placed.upstream.health.accepts(this._options.clock.now())) return this._post({ kind: 'unplaced', cause: 'no-upstream' })
     const stall = this._stall
     this._stall = stall === 'placing' && placed.kind === 'unplaced' ? 'unplaced' : 'none'
     // The stream goes on at its upstream. If it were moved now, another engine would have to read its prompt again.
@@ -336,13 +361,22 @@
     this._hasClearedParts = false
     const resumed = this._answer.begun ? this._lastEventId : undefined
     log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, software: upstream.record.software, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...this._waitFields(), outstanding: upstream.outstanding, rateLimit: upstream.notices.limit.rate, version: this._version, resumedAfter: resumed })
-    const release = upstream.open(this._want?.adapter === undefined ? undefined : requestedAdapterKey(this._want))
+    const isBeside = this._exchanges.size > 0
+    const releaseSlot = upstream.open(this._want?.adapter === undefined ? undefined : requestedAdapterKey(this._want))
     if (this._want !== undefined) upstream.recordPrompt(facts.promptTokens)
+    const endOverdue = isBeside ? () => {} : this._watchOverdue(upstream)
+    const release = (): void => {
+      releaseSlot()
+      endOverdue()
+    }
+    const refund = this._refund
+    const from = upstream.id
     const close = (outcome: ExchangeOutcome, latency?: Ms): void => {
       release()
+      this._exchanges.delete(from)
+      this._isPlacingBeside = false
       this._options.exchanged(upstream, outcome, latency, clock.now() - sentAt)
     }
-    this._closeExchange = release
     let firstByte: Ms | undefined
     const first = (): Ms => (firstByte ??= clock.now() - sentAt)
     const forwarded = codec.forwardHeaders(headers, {
@@ -354,7 +388,7 @@
       ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }),
       ...(resumed === undefined ? {} : { lastEventId: resumed })
     })
-    this._exchange = new Exchange(clock, codec, upstream.pool, {
+    const exchange = new Exchange(clock, codec, upstream.pool, {
       id: facts.id,
       instance: upstream.id,
       host: upstream.record.host,
@@ -375,13 +409,13 @@
         close('refused')
         log.info('request', 'refused by upstream.', { request: facts.id, upstream: upstream.id, refusal })
         if (refusal === 'adapter-missing' && this._want !== undefined) this._options.adapterBroken(upstream.id, this._want)
-        this._post({ kind: 'refused', refusal })
+        this._post({ kind: 'refused', refusal, from })
       },
       unreachable: cause => {
         close('unreachable')
-        this._refund()
+        refund()
         log.info('request', 'upstream unreachable.', { request: facts.id, upstream: upstream.id, cause })
-        this._post({ kind: 'unreachable' })
+        this._post({ kind: 'unreachable', from })
       },
       stalled: cause => this._recordStall(upstream, cause, clock.now() - sentAt),
       lost: (cause, kind) => {
@@ -390,7 +424,7 @@
         log.info('request', 'answer lost.', { request: facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(clock.now() - sentAt), fingerprint: this.fingerprint, parts: this._call.sharedParts })
         // A restart that was found by its report shows nothing about this request, which came after it.
         if (kind !== 'other-software') this._reportSuspect(upstream, kind === 'broke')
-        this._post({ kind: 'lost' })
+        this._post({ kind: 'lost', from })
       },
       whole: answer => {
         const failed = answer.status >= 500
@@ -399,23 +433,55 @@
         else if (answer.status < 300) this._clearParts(sentAt)
         close(failed ? 'error' : 'answered', first())
         this._completeAnswer = answer
-        this._post({ kind: 'whole', failed })
+        this._upstream = upstream
+        this._sentAt = sentAt
+        if (isBeside && !failed) this._options.besideEvent('answered')
+        this._post({ kind: 'whole', failed, from })
       },
       begin: head => {
         first()
+        this._exchange = exchange
+        this._upstream = upstream
+        this._sentAt = sentAt
         this._isFramed = head.framed
         if (!this._answer.begun) this._head = head
       },
-      data: (bytes, lastEventId) => this._data(bytes, lastEventId),
+      data: (bytes, lastEventId) => this._data(bytes, lastEventId, from),
       end: () => {
         close('answered', first())
         if (!this._isFramed) this._reportUnframedEnd(upstream)
         else if (this._upstreamDataSince !== undefined) this._clearParts(this._upstreamDataSince)
         if (this._sends === 1) upstream.recordStream(this._longestGap > this._route.gapTarget && this._route.gapTarget > 0)
-        if (!this._answer.begun && this._head !== undefined) this._post({ kind: 'streaming' })
+        if (!this._answer.begun && this._head !== undefined) this._post({ kind: 'streaming', from })
         this._post({ kind: 'stream-ended' })
       }
     })
+    this._exchange = exchange
+    this._exchanges.set(from, { exchange, release })
+  }
+
+  /**
+   * Has a plain read sent to a second upstream when it is overdue at the first one.
+   *
+   * @returns a function to be called when the read ends at the first upstream
+   */
+  private _watchOverdue (upstream: Upstream): () => void {
+    const { clock, log, overdueTime, overdue, silentUpstreams } = this._options
+    const waited = clock.now() - this._call.arrivedAt
+    const due = this._route.kind === 'read-only' && this._want === undefined && this._sends < this._route.maxAttempts ? overdueTime(waited) : undefined
+    if (due === undefined || due.after >= this._remaining) return () => {}
+    let ended = (): void => {}
+    this._cancelOverdue = clock.after(due.after, () => {
+      ended = overdue(upstream)
+      const silent = silentUpstreams()
+      log.info('request', 'overdue.', { request: this._call.facts.id, upstream: upstream.id, after: Math.round(due.after), target: this._route.latencyTarget, typical: Math.round(due.typical), silent: silent?.size, follows: silent === undefined ? 'none, the link is suspected' : 'a second upstream' })
+      if (silent === undefined) return
+      this._post({ kind: 'overdue' })
+    })
+    return () => {
+      this._cancelOverdue()
+      ended()
+    }
   }
 
   /** Log fields with the parts of the wait of a stream that needed an adapter. */
@@ -424,8 +490,6 @@
     return { forAdapter: Math.round(this._waits.adapter), atDoor: Math.round(this._waits.admissionWait) }
   }
 
-  private _closeExchange: () => void = () => {}
-
   private get _isStream (): boolean { return this._route.kind === 'stream' }
 
   private get _repeatable (): boolean {
@@ -465,7 +529,7 @@
     return Math.max(slowFloor, slowFactor * this._route.latencyTarget)
   }
 
-  private _data (bytes: Buffer, lastEventId: number | undefined): void {
+  private _data (bytes: Buffer, lastEventId: number | undefined, from: string): void {
     if (this._over) return
     if (lastEventId !== undefined) this._lastEventId = lastEventId
     if (this._stall === 'placing') this._stall = 'over'
@@ -474,7 +538,7 @@
     if (!this._answer.begun) {
       if (this._isStream && this._repeatable) this._recordOrigin()
       this._pending = bytes
-      this._post({ kind: 'streaming' })
+      this._post({ kind: 'streaming', from })
       return
     }
     this._write(bytes)
@@ -539,17 +603,24 @@
     if (whole !== undefined) this._answer.whole(whole)
   }
 
-  private _abandon (): void {
-    this._exchange?.abandon()
-    this._closeExchange()
+  /** Stops work at the named upstream, or at all. */
+  private _abandon (upstream?: string): void {
+    for (const [id, { exchange, release }] of this._exchanges) {
+      if (upstream !== undefined && id !== upstream) continue
+      exchange.abandon()
+      release()
+      this._exchanges.delete(id)
+    }
   }
 
   private _end (end: RelayEnd, notRun = false): void {
     this._over = true
     this._cancelTimeout()
     // A non-idempotent request keeps running at its upstream; its answer is discarded.
-    this._exchange?.ignore()
-    this._closeExchange()
+    for (const { exchange, release } of this._exchanges.values()) {
+      exchange.ignore()
+      release()
+    }
     if (end === 'delivered' && !this._answer.ended) this._answer.end()
     this._options.over({ end, sends: this._sends, firstData: this._firstData, longestGap: this._longestGap, notRun, answeredSince: this._upstreamDataSince ?? this._sentAt, unframedFrom: this._isFramed ? undefined : this._upstream })
   }
