--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -29,6 +29,30 @@
     feature: 'packages/decisions/src/test/relay-flow.feature',
     scenario: 'any sequence of outcomes'
   },
+  {
+    guarantee: 'direct requests: only a read is sent to a second upstream while the first one has it',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: 'request.kind !== \'read-only\' || progress.current === undefined || progress.beside',
+    replace: 'progress.current === undefined || progress.beside',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'a booking is never at two servers'
+  },
+  {
+    guarantee: 'direct requests: a read that one upstream has answered is withdrawn from the other',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: '...abandonOther(msg.from, progress), { kind: \'deliver\' }, { kind: \'finish\' }',
+    replace: '{ kind: \'deliver\' }, { kind: \'finish\' }',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'a read is overdue'
+  },
+  {
+    guarantee: 'direct requests: a read of a caller that has left is withdrawn from both upstreams',
+    file: 'packages/direct/dist/lib/relay-task.js',
+    find: 'if (upstream !== undefined && id !== upstream)',
+    replace: 'if (this._exchange !== exchange)',
+    feature: 'platform/src/test/overdue-reads.feature',
+    scenario: 'a caller leaves while two servers have its read'
+  },
   {
     guarantee: 'direct requests: nothing is sent for a caller that has disconnected',
     file: 'packages/direct/dist/lib/relay-task.js',
