Leave half of the retries to requests that failed

Cause: reads that are overdue, and would be answered anyway, could spend the retries of requests that no upstream has any more. Change: an overdue read takes a retry only while less than half of its entry's part of the budget is spent.

--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -2,6 +2,7 @@
  * Decisions for one request that an entry sends to upstreams directly, from its admission to its one answer.
  */
 import { assertNever, type Ms } from '@hazelford/core'
+import type { RetryCause } from './shared-retry-budget.js'
 
 /** Why an upstream refused a placed request. After each of them the request certainly did not run. */
 export type UpstreamRefusal = 'full' | 'other-instance' | 'adapter-missing'
@@ -93,7 +94,7 @@
 /** Functions that the entry provides to the decisions. */
 export interface RelayDeps {
   /** Takes a retry from the service's budget; false when it is spent. */
-  readonly takeRetry: () => boolean
+  readonly takeRetry: (cause: RetryCause) => boolean
   /** Whether the caller may still send the request. */
   readonly isAllowed: () => boolean
   /** Why the request is quarantined; undefined when it is not. */
@@ -187,7 +188,7 @@
 /** Moves the request from a silent upstream to one that can take it now. */
 function moveTo (upstream: string, progress: Progress, deps: RelayDeps): Transition {
   progress.stalled = false
-  if (!deps.takeRetry()) return continueWith([])
+  if (!deps.takeRetry('failed')) return continueWith([])
   progress.mayHaveRun = true
   progress.tried.add(upstream)
   progress.sends++
@@ -205,7 +206,7 @@
 
 function sendBeside (upstream: string, progress: Progress, deps: RelayDeps): Transition {
   progress.overdue = false
-  if (progress.begun || progress.tried.has(upstream) || !deps.takeRetry()) return continueWith([])
+  if (progress.begun || progress.tried.has(upstream) || !deps.takeRetry('overdue')) return continueWith([])
   progress.tried.add(upstream)
   progress.sends++
   progress.beside = upstream
@@ -230,7 +231,7 @@
   if (progress.sends === 0 && !deps.isAllowed()) return endWith(giveUp(progress, 'key-withdrawn'))
   if (progress.sends > 0) {
     if (!progress.tried.has(upstream) && progress.tried.size >= request.maxAttempts) return endWith(giveUp(progress, 'attempts-spent'))
-    if (!deps.takeRetry()) return endWith(giveUp(progress, 'budget-spent'))
+    if (!deps.takeRetry('failed')) return endWith(giveUp(progress, 'budget-spent'))
   }
   progress.tried.add(upstream)
   progress.sends++
--- a/packages/decisions/src/lib/shared-retry-budget.ts
+++ b/packages/decisions/src/lib/shared-retry-budget.ts
@@ -18,6 +18,17 @@
  */
 const usedShare = 0.8
 
+/**
+ * Why a request is sent again.
+ *
+ * - `failed`: no upstream has it any more, and without another one its caller gets no answer.
+ * - `overdue`: an upstream still has it, and may answer late.
+ */
+export type RetryCause = 'failed' | 'overdue'
+
+/** Share of what an entry may use that overdue requests leave to failed ones. */
+const leftToFailed = 0.5
+
 /** Times of past events within a window, oldest first. */
 class EventWindow {
   private _times: Ms[] = []
@@ -58,12 +69,13 @@
    *
    * @param now - time
    * @param entries - entries that share the slack, at least 1
+   * @param cause - why the request is sent again
    * @returns false when the budget is spent
    */
-  takeRetry (now: Ms, entries: number): boolean {
+  takeRetry (now: Ms, entries: number, cause: RetryCause = 'failed'): boolean {
     const { ratio, slack, window } = this._limits
     const allowed = usedShare * (ratio * this._requests.count(now, window) + slack / Math.max(1, entries))
-    if (this._retries.count(now, window) + 1 > allowed) return false
+    if (this._retries.count(now, window) + 1 > allowed * (cause === 'overdue' ? 1 - leftToFailed : 1)) return false
     this._retries.add(now)
     return true
   }
--- a/packages/direct/src/lib/relay-runner.ts
+++ b/packages/direct/src/lib/relay-runner.ts
@@ -2,7 +2,7 @@
  * Runs admitted requests, and keeps the state that they share.
  */
 import { assertNever, type Clock, type Log, type Ms } from '@hazelford/core'
-import { type RequestedAdapter, type ExchangeOutcome, type RelayFailure, type RouteTable, RouteTargets, type SharedBudgetLimits, SharedRetryBudget, type Suspect } from '@hazelford/decisions'
+import { type RequestedAdapter, type ExchangeOutcome, type RelayFailure, type RetryCause, type RouteTable, RouteTargets, type SharedBudgetLimits, SharedRetryBudget, type Suspect } from '@hazelford/decisions'
 import type { CallCodec, Route } from '@hazelford/ports'
 import type { AdapterDirectory } from './adapter-directory.js'
 import type { CurrentConfig } from './current-config.js'
@@ -158,7 +158,7 @@
       },
       silentUpstreams: () => this._pacing.isLinkSuspect(service) ? undefined : this._pacing.silentUpstreams(service),
       besideEvent: event => metrics.overdueReads.inc({ event }),
-      takeRepeat: () => this._takeRepeat(budget, id),
+      takeRepeat: cause => this._takeRepeat(budget, id, cause),
       isAllowed,
       quarantine: fingerprint => quarantine.causeOfRefusal(call.sharedParts, fingerprint),
       answerLost: (upstream, suspects, broke) => quarantine.recordLostAnswer(upstream, suspects, broke),
@@ -202,10 +202,10 @@
     return budget
   }
 
-  private _takeRepeat (budget: SharedRetryBudget, request: string): boolean {
-    const allowed = budget.takeRetry(this._options.clock.now(), this._options.entries())
+  private _takeRepeat (budget: SharedRetryBudget, request: string, cause: RetryCause): boolean {
+    const allowed = budget.takeRetry(this._options.clock.now(), this._options.entries(), cause)
     this._options.metrics.repeats.inc({ allowed: String(allowed) })
-    if (!allowed) this._options.log.info('request', 'retry budget spent.', { request, entries: this._options.entries() })
+    if (!allowed) this._options.log.info('request', 'retry budget spent.', { request, cause, entries: this._options.entries() })
     return allowed
   }
 
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -2,7 +2,7 @@
  * Drives one request: performs the effects that its flow decides on.
  */
 import { assertNever, type CancelTimer, type Clock, type Log, type Ms, Task } from '@hazelford/core'
-import { type RequestedAdapter, type ExchangeOutcome, mayHaveCausedTermination, type OverdueTime, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey } from '@hazelford/decisions'
+import { type RequestedAdapter, type ExchangeOutcome, mayHaveCausedTermination, type OverdueTime, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey, type RetryCause } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
 import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
@@ -72,7 +72,7 @@
   /** Called when an overdue read was sent to a second upstream, or answered by it. */
   readonly besideEvent: (event: 'sent' | 'answered') => void
   /** Takes one retry from the retry budget; false when the budget is spent. */
-  readonly takeRepeat: () => boolean
+  readonly takeRepeat: (cause: RetryCause) => boolean
   /** Whether its caller may still send it. */
   readonly isAllowed: () => boolean
   /** Why the request is quarantined; undefined when it is not. */
--- a/packages/direct/src/test/plain-reads.feature
+++ b/packages/direct/src/test/plain-reads.feature
@@ -24,6 +24,10 @@
     And a read is overdue when nine in ten have their answers, and not before a second server would typically need the rest of the target
     And no read is overdue when hardly any could be answered within the rest of the target
 
+  Scenario: a failing server while reads are overdue
+    Guards against requests that fail for lack of a retry, since reads that would be answered anyway have spent the budget.
+    Then overdue reads use half of an entry's retries at most, and requests that failed can use the rest
+
   Scenario: an entry's link is cut
     Guards against reads that an entry sends again over its own broken link.
     Then the link is suspected when reads are overdue at most of the servers, and no longer once they have ended
--- a/packages/direct/src/test/plain-reads.steps.ts
+++ b/packages/direct/src/test/plain-reads.steps.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
-import { overdueTime, ServiceTimes } from '@hazelford/decisions'
+import { overdueTime, ServiceTimes, SharedRetryBudget } from '@hazelford/decisions'
 import { ReadPacing } from '../lib/read-pacing.js'
 import { type PlainResult, type PlainWorkload, simulatePlainLoad } from './support/plain-load-simulation.js'
 
@@ -81,3 +81,10 @@
   assert.deepEqual([...pacing.silentUpstreams('shop')], [])
   assert.equal(pacing.isLinkSuspect('shop'), false)
 })
+
+Then('overdue reads use half of an entry\'s retries at most, and requests that failed can use the rest', () => {
+  const budget = new SharedRetryBudget({ ratio: 0.2, slack: 0, window: 10_000 })
+  for (let n = 0; n < 100; n++) budget.recordRequest(n)
+  const taken = (cause: 'overdue' | 'failed'): number => Array.from({ length: 100 }, () => budget.takeRetry(100, 1, cause)).filter(Boolean).length
+  assert.deepEqual([taken('overdue'), taken('failed'), taken('overdue')], [8, 8, 0])
+})
