--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -290,6 +290,7 @@
       referencePaces: this._referencePaces,
       onlySoftware: (service, since) => this._onlySoftware(service, since),
       verifyIncarnation: (upstream, openedAt) => this._verifyIncarnation(upstream, openedAt),
+      upstreams: service => this.members.serving(service).length,
       entries: () => this.peers.entryCount,
       budgetLimits: () => budgetLimits(this._settings),
       organisationEnded: (organisation, end) => this._organisationEnded(organisation, end)
