Share a short engine between organisations and priorities

Cause: the order in an engine's queue ignores whose the requests are, and priority counts strictly without a bound. An organisation that floods, or that has the first priority, takes the engine from all others. Change: FairShares orders the queue while requests will soon be late (rate or batch slots): least recently served organisation first within a priority, at least a tenth (or half of its share of the offered load) for each less urgent priority, and one step of priority less for an organisation that has taken over half of the engine.

--- a/packages/decisions/src/lib/prompt-throttle.ts
+++ b/packages/decisions/src/lib/prompt-throttle.ts
@@ -2,6 +2,7 @@
  * Admits prompts to one engine at the rate at which the engine reads them.
  */
 import type { Ms } from '@hazelford/core'
+import { FairShares } from './fair-shares.js'
 import { promptTokensPerMs } from './place-request.js'
 
 /** A request that waits for admission. */
@@ -12,6 +13,8 @@
   readonly urgency: number
   /** Latest time at which its first event is in time. */
   readonly dueAt: Ms
+  /** Organisation that sends the request; undefined without one, and from an entry of a version that does not send it. */
+  readonly organisation?: string
 }
 
 /**
@@ -58,6 +61,11 @@
 
 interface WaitingPrompt extends QueuedPrompt { askedAt: Ms }
 
+/** What is too little for all waiting requests to be in time. */
+type Shortage = 'none' | 'rate' | 'batch-slots'
+
+interface WaitingQueue { readonly inOrder: readonly WaitingPrompt[], readonly shortage: Shortage }
+
 /**
  * Limits the rate of prompts.
  *
@@ -67,7 +75,8 @@
  * the largest that the engine can read, more requests are late at any load.
  *
  * While all requests can be in time, those that must start first go first. When they can't, urgent requests go first,
- * and those that will be late anyway go last: served by age alone, all of them would be late.
+ * and those that will be late anyway go last: served by age alone, all of them would be late. Between organisations the
+ * engine is then shared by {@link FairShares}.
  */
 export class PromptThrottle {
   private readonly _waiting = new Map<string, WaitingPrompt>()
@@ -78,6 +87,9 @@
   private _unreadSince: Ms = 0
   /** Whether a waiting request can't be in time even at the highest rate. */
   private _isSaturated = false
+  private readonly _shares = new FairShares<WaitingPrompt>()
+  /** Expected wait of the last request in the queue for a batch slot. */
+  private _slotWait: Ms = 0
 
   /** Prompt tokens that are admitted and not yet read, or that wait for admission. */
   backlog (now: Ms): number {
@@ -98,10 +110,18 @@
   /** Queues a prompt. Its position depends on its due time, however often its entry asks. */
   enqueue (prompt: QueuedPrompt, now: Ms): void {
     const earlier = this._waiting.get(prompt.id)
-    if (earlier === undefined) this._waiting.set(prompt.id, { ...prompt, askedAt: now })
-    else earlier.askedAt = now
+    if (earlier !== undefined) {
+      earlier.askedAt = now
+      return
+    }
+    const waiting = { ...prompt, askedAt: now }
+    this._waiting.set(prompt.id, waiting)
+    this._shares.recordArrival(waiting, prompt.tokens, now)
   }
 
+  /** Share of the prompt tokens that one organisation received while the engine was short, 0 to 1. */
+  shareOf (organisation: string | undefined, now: Ms): number { return this._shares.share(organisation, now) }
+
   /**
    * Removes a request from the queue. If a request were admitted after its caller has left, its prompt would count as
    * being read, and the requests behind it would wait for a prompt that never comes.
@@ -113,16 +133,20 @@
    *
    * @param now - time
    * @param batchSlots - requests that the engine can start
+   * @param slotWait - expected wait of the last request in the queue for a batch slot
    * @returns their ids, in order of admission
    */
-  admit (now: Ms, batchSlots = Infinity): readonly string[] {
+  admit (now: Ms, batchSlots = Infinity, slotWait: Ms = 0): readonly string[] {
     this._dropAbandoned(now)
-    const queue = this._admissionOrder(now)
-    this._isSaturated = queue.some(prompt => this._isLate(prompt, now))
-    this._setRate(queue, now)
+    this._slotWait = slotWait
+    const queue = this._queue(now)
+    this._isSaturated = queue.inOrder.some(prompt => this._isLate(prompt, now))
+    this._setRate(queue.inOrder, now)
     const admitted: string[] = []
-    for (const { id, tokens } of queue) {
+    for (const prompt of this._admissionOrder(queue, now)) {
+      const { id, tokens } = prompt
       if (admitted.length >= batchSlots || this._unread > maxUnreadBefore(tokens)) break
+      if (queue.shortage !== 'none') this._shares.recordServed(prompt, [...this._waiting.values()], { now, cost: promptCost })
       this._waiting.delete(id)
       this._unread += tokens
       admitted.push(id)
@@ -132,7 +156,7 @@
 
   /** Time at which the next request can be admitted; undefined when none waits. */
   nextAdmissionAt (now: Ms): Ms | undefined {
-    const [next] = this._admissionOrder(now)
+    const [next] = this._admissionOrder(this._queue(now), now)
     return next === undefined ? undefined : now + Math.max(0, this._unreadAt(now) - maxUnreadBefore(next.tokens)) / this._rate
   }
 
@@ -140,10 +164,21 @@
     for (const { id, askedAt } of this._waiting.values()) if (now - askedAt > queuedPromptTtl) this._waiting.delete(id)
   }
 
-  private _admissionOrder (now: Ms): readonly WaitingPrompt[] {
+  /** The waiting requests in the order in which those of one organisation are admitted, and what is short. */
+  private _queue (now: Ms): WaitingQueue {
     const byStart = [...this._waiting.values()].sort((a, b) => this._compareStarts(a, b, now))
-    if (this._neededRate(byStart, now) <= this._maxRate * feasibleShare) return byStart
-    return byStart.sort((a, b) => this._compareUrgency(a, b, now))
+    const shortage = this._shortage(byStart, now)
+    return { inOrder: shortage === 'rate' ? byStart.sort((a, b) => this._compareUrgency(a, b, now)) : byStart, shortage }
+  }
+
+  private _admissionOrder ({ inOrder, shortage }: WaitingQueue, now: Ms): Iterable<WaitingPrompt> {
+    return shortage === 'none' ? inOrder : this._shares.order(inOrder, { now, cost: promptCost, isLate: prompt => this._isLate(prompt, now) })
+  }
+
+  /** What will soon make requests late. */
+  private _shortage (byStart: readonly WaitingPrompt[], now: Ms): Shortage {
+    if (this._neededRate(byStart, now) > this._maxRate * feasibleShare) return 'rate'
+    return byStart.some(prompt => !this._isLate(prompt, now) && this._isLate(prompt, now + this._slotWait)) ? 'batch-slots' : 'none'
   }
 
   private _compareStarts (a: WaitingPrompt, b: WaitingPrompt, now: Ms): number {
@@ -195,5 +230,7 @@
   }
 }
 
+function promptCost ({ tokens }: WaitingPrompt): number { return tokens }
+
 /** Prompt tokens that may be unread when a prompt is admitted. */
 function maxUnreadBefore (tokens: number): number { return Math.max(0, unreadLimit - tokens) }
--- a/packages/direct/src/lib/engine-admission.ts
+++ b/packages/direct/src/lib/engine-admission.ts
@@ -26,6 +26,8 @@
   readonly urgency: number
   /** Ms until its first event is due. */
   readonly dueIn: Ms
+  /** Organisation that sends the request; undefined without one, and from an entry of a version that does not send it. */
+  readonly organisation?: string
 }
 
 /** Longest time between two checks of the queue while a batch slot is free. */
@@ -78,10 +80,10 @@
    * @param answerIn - ms after which the wait is given up
    * @returns whether the request was admitted
    */
-  admit ({ entry, request, tokens, urgency, dueIn }: AdmissionRequest, answerIn: Ms): Promise<boolean> {
+  admit ({ entry, request, tokens, urgency, dueIn, organisation }: AdmissionRequest, answerIn: Ms): Promise<boolean> {
     const id = `${entry} ${request}`
     const now = this._clock.now()
-    this._throttle.enqueue({ id, tokens, urgency, dueAt: now + dueIn }, now)
+    this._throttle.enqueue({ id, tokens, urgency, dueAt: now + dueIn, ...(organisation === undefined ? {} : { organisation }) }, now)
     return new Promise(resolve => {
       const cancel = this._clock.after(answerIn, () => {
         this._waiting.delete(id)
@@ -100,7 +102,8 @@
 
   private _admitDue (): void {
     const now = this._clock.now()
-    for (const id of this._throttle.admit(now, this._slots.free(now))) this._waiting.get(id)?.()
+    const slotWait = this._slots.expectedWait(this._throttle.waiting - 1, this._serviceTime(), now)
+    for (const id of this._throttle.admit(now, this._slots.free(now), slotWait)) this._waiting.get(id)?.()
     const next = this._throttle.nextAdmissionAt(now)
     if (next === undefined || this._timer !== undefined) return
     // Requests that arrive meanwhile may raise the prompt rate, so the next request may be admitted sooner.
