Share adapter slots between organisations, and predict the wait for one

Cause: the order of pending adapters weighs requests and priority alone: an adapter of few less urgent requests can wait for ever, and a large organisation takes the adapter slots of all. A request that finds every adapter slot in use learns how many wait ahead of it, which says little about time. Change: while several organisations wait, loads that an organisation received beyond the mean of those waiting reduce its weight, and one load of ten goes to the adapter that has waited longest. The plan learns how often adapter slots become free while an adapter waits, and answers with the expected wait (optional field, ignored by earlier builds). Nothing is decided by it yet; it is logged.

--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -6,6 +6,7 @@
 import { AdapterDemand, type RequestedAdapter, requestedAdapterKey, type DemandTerms } from './adapter-demand.js'
 import { AdapterUses } from './adapter-uses.js'
 import { LoadTimes } from './load-times.js'
+import { SlotTurnover } from './slot-turnover.js'
 
 /** Next action of the plan. */
 export type PlanAction =
@@ -24,9 +25,9 @@
   | { readonly kind: 'coming' }
   /**
    * Every adapter slot is in use, or requests still run on an older version: another engine can have the adapter
-   * sooner.
+   * sooner. `wait`: ms until the adapter is expected to be loaded here, if that can be predicted.
    */
-  | { readonly kind: 'occupied' }
+  | { readonly kind: 'occupied', readonly wait?: Ms }
 
 /**
  * Time for which an adapter stays loaded for a request whose entry was notified that it may send it; requests start
@@ -91,6 +92,7 @@
   private readonly _demand = new AdapterDemand()
   private readonly _uses = new AdapterUses()
   private readonly _loadTimes = new LoadTimes()
+  private readonly _turnover = new SlotTurnover()
   /** The order that got no answer; it is sent again before any other. */
   private _unansweredOrder: PlanAction & { readonly kind: 'load' | 'unload' } | undefined
   private _orderRetries = 0
@@ -200,7 +202,7 @@
     if (terms.missing && slot !== undefined) this._invalidate(slot, now)
     const ready = this.reserve(requested, now)
     if (ready !== undefined) return ready
-    if (!terms.mayWait && this._isOccupied(key, slot, now)) return { kind: 'occupied' }
+    if (!terms.mayWait && this._isOccupied(key, slot, now)) return this._occupied(requested, slot, terms, now)
     this._demand.enqueue(requested, terms, now)
     return { kind: 'coming' }
   }
@@ -213,6 +215,12 @@
     return free <= 0 && this._countEvictable(now) <= ahead
   }
 
+  private _occupied (requested: RequestedAdapter, slot: Slot | undefined, terms: LoadRequestTerms, now: Ms): Readiness {
+    const ahead = this._demand.countAhead(requested, terms, now, key => !this._slots.has(key))
+    const wait = slot === undefined ? this._turnover.expectedWait(ahead, now) : undefined
+    return { kind: 'occupied', ...(wait === undefined ? {} : { wait: wait + this._loadTimes.expected(requestedAdapterKey(requested)) }) }
+  }
+
   private _countEvictable (now: Ms): number {
     let count = 0
     for (const [key, slot] of this._slots) if (this._isEvictable(key, slot, now)) count++
@@ -269,6 +277,7 @@
    */
   nextAction (now: Ms): PlanAction {
     this._demand.dropExpired(now)
+    this._turnover.recordWaiting(this._demand.keys().some(key => !this._slots.has(key)), now)
     if (this._needsReport) return now >= this._reportAt ? { kind: 'report' } : { kind: 'idle', until: this._reportAt }
     if (this._unansweredOrder !== undefined) return this._unansweredOrder
     const due = this._loadToConfirm(now)
@@ -456,6 +465,7 @@
   }
 
   private _loadStarted (key: string, slot: Slot, now: Ms): void {
+    this._demand.recordLoad(key, now)
     slot.state = 'in-transit'
     slot.orderedAt = now
     slot.isLate = false
@@ -481,6 +491,7 @@
     if (slot === undefined) return
     if (outcome === 'holds') {
       this._slots.delete(key)
+      this._turnover.recordFreed(now)
       return
     }
     slot.state = 'unloading'
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -34,8 +34,10 @@
   | { readonly kind: 'coming', readonly atDoor?: Ms }
   /**
    * `line`: number of adapters that already wait for an adapter slot there, or of requests that wait for a batch slot.
+   * `wait`: ms until the adapter is expected to be loaded there; undefined when that can't be predicted, and from a holder of
+   * a version that does not predict it.
    */
-  | { readonly kind: 'unavailable', readonly cause: UnavailableCause, readonly line?: number, readonly load?: EngineLoad }
+  | { readonly kind: 'unavailable', readonly cause: UnavailableCause, readonly line?: number, readonly wait?: Ms, readonly load?: EngineLoad }
 
 /** A request's prompt that waits for admission to an engine. */
 export interface PromptRequest {
@@ -206,9 +208,11 @@
     const now = clock.now()
     this._plan.recordUse(entry, uses, now)
     if (this._backoff > 0) return Promise.resolve(this._plan.reserve(want, now) ?? backoffAnswer)
-    const readiness = this._plan.requestAdapter(want, { urgency, until: now + patience, dueAt: now + (prompt?.dueIn ?? Infinity), missing, mayWait, repeated }, now)
+    const { organisation } = prompt ?? {}
+    const terms = { urgency, until: now + patience, dueAt: now + (prompt?.dueIn ?? Infinity), missing, mayWait, repeated, ...(organisation === undefined ? {} : { organisation }) }
+    const readiness = this._plan.requestAdapter(want, terms, now)
     if (readiness.kind === 'ready') return Promise.resolve(readiness)
-    if (readiness.kind === 'occupied') return Promise.resolve({ kind: 'unavailable', cause: 'every slot is in use', line: this._plan.waiting })
+    if (readiness.kind === 'occupied') return Promise.resolve({ kind: 'unavailable', cause: 'every slot is in use', line: this._plan.waiting, ...(readiness.wait === undefined ? {} : { wait: Math.round(readiness.wait) }) })
     return new Promise(resolve => {
       const waiter: Waiter = { want, since: now, resolve, cancel: () => {} }
       waiter.cancel = clock.after(answerIn, () => this._settle(waiter, { kind: 'coming' }))
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peer-messages.ts
@@ -66,7 +66,7 @@
 export type LoadRequestReply = { readonly news?: RecentLoadsUpdate, readonly loads?: readonly DigestRow[] } & (
   | { readonly kind: 'ready', readonly lasts: Ms, readonly version?: number, readonly load?: EngineLoad, readonly atDoor?: Ms }
   | { readonly kind: 'coming', readonly atDoor?: Ms }
-  | { readonly kind: 'unavailable', readonly cause: UnavailableCause, readonly line?: number, readonly load?: EngineLoad }
+  | { readonly kind: 'unavailable', readonly cause: UnavailableCause, readonly line?: number, readonly wait?: Ms, readonly load?: EngineLoad }
 )
 
 /** A poll for changes in the store. */
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -79,13 +79,13 @@
 const leavingMargin: Ms = 100
 
 /** An upstream at which a request may queue, and the number of adapters that already wait there. */
-interface UpstreamQueue { readonly upstream: Upstream, readonly length: number }
+interface UpstreamQueue { readonly upstream: Upstream, readonly length: number, readonly wait: Ms | undefined }
 
 /** The result of requesting an adapter of one upstream. */
 type AdapterAttempt =
   | Omit<Placement & { readonly kind: 'placed' }, 'refund'>
   /** `cause`: the holder's answer; undefined when the request has no time left or the upstream is leaving. */
-  | { readonly kind: 'not-there', readonly cause?: UnavailableCause, readonly line: number }
+  | { readonly kind: 'not-there', readonly cause?: UnavailableCause, readonly line: number, readonly wait?: Ms }
 
 /** The result of requesting an adapter of one upstream that may announce a request limit. */
 type Attempt =
@@ -225,10 +225,10 @@
         continue
       }
       if (attempt.cause !== undefined) causes[attempt.cause] = (causes[attempt.cause] ?? 0) + 1
-      if (canQueue(attempt.cause) && this._options.directory.canRequestLoad(upstream.id)) queues.push({ upstream, length: attempt.line })
+      if (canQueue(attempt.cause) && this._options.directory.canRequestLoad(upstream.id)) queues.push({ upstream, length: attempt.line, wait: attempt.wait })
     }
     queues.sort((a, b) => a.length - b.length)
-    this._options.log.info('request', 'adapter not to be had.', { request: query.prompt.request, ...want, causes, standsAt: queues[0]?.upstream.id, ahead: queues[0]?.length, limitedFor: retryAfter === Infinity ? undefined : Math.round(retryAfter), left: Math.round(until - this._now) })
+    this._options.log.info('request', 'adapter not to be had.', { request: query.prompt.request, ...want, causes, standsAt: queues[0]?.upstream.id, ahead: queues[0]?.length, waits: queues.map(({ wait }) => wait), limitedFor: retryAfter === Infinity ? undefined : Math.round(retryAfter), left: Math.round(until - this._now) })
     for (let turn = 0; until > this._now && !query.cancelled(); turn++) {
       // Without a holder to send load orders, a queue would never advance.
       const open = queues.filter(({ upstream }) => this._isOpen(upstream) && this._options.directory.canRequestLoad(upstream.id))
@@ -263,7 +263,7 @@
       const patience = until - this._now
       if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return { kind: 'not-there', line: 0 }
       const outcome = await this._options.directory.ensure(upstream, { ...loadQuery, missing, repeated, patience, prompt: { ...prompt, dueIn: dueAt - this._now } })
-      if (outcome.kind === 'unavailable') return { kind: 'not-there', cause: outcome.cause, line: outcome.line ?? 0 }
+      if (outcome.kind === 'unavailable') return { kind: 'not-there', cause: outcome.cause, line: outcome.line ?? 0, ...(outcome.wait === undefined ? {} : { wait: outcome.wait }) }
       admissionWait += outcome.atDoor ?? 0
       // While the request waited, the upstream may have announced that it leaves.
       if (outcome.kind === 'ready') return this._isOpen(upstream) ? { kind: 'placed', upstream, version: outcome.version, waits: { adapter: 0, admissionWait } } : { kind: 'not-there', line: 0 }
