Refuse at once what can't get an adapter slot in its time

Cause: a request for which every adapter slot is in use queues for all of its patience and ends as adapter-unavailable, also where the holders could know that its turn can't come. The number of adapters ahead alone says little: later, more urgent or more popular ones go first. Change: SlotTurnover learns the intervals at which adapter slots become free while adapters wait, and how far waits are stretched by later adapters. Loads are shared between organisations by the third power of their excess over the mean. Requests that waited because of shares are logged once a second per engine; waits by organisation are counted. Credit goes to the more urgent requests of an organisation first.

--- a/packages/decisions/src/lib/adapter-demand.ts
+++ b/packages/decisions/src/lib/adapter-demand.ts
@@ -46,6 +46,11 @@
 /** Half-life of the loads counted for each organisation: some times a caller's longest usual wait. */
 const loadsHalfLife: Ms = 6_000
 const organisationsCounted = 1_000
+/**
+ * Power of an organisation's multiple of the mean loads by which its adapters lose weight: an organisation with few requests
+ * is then served as often as one with many, and less urgent requests still less often than urgent ones.
+ */
+const shareExponent = 3
 /**
  * While organisations compete, one load of this many goes to the adapter that has waited longest, whatever its priority
  * and the number of its requests.
@@ -96,9 +101,13 @@
   /**
    * Drops adapters whose waiting requests have all given up. Loaded nevertheless, they would take slots from adapters
    * with waiting requests.
+   *
+   * @returns their keys
    */
-  dropExpired (now: Ms): void {
-    for (const [key, { until }] of this._pending) if (until <= now) this._pending.delete(key)
+  dropExpired (now: Ms): readonly string[] {
+    const expired = [...this._pending].filter(([, { until }]) => until <= now).map(([key]) => key)
+    for (const key of expired) this._pending.delete(key)
+    return expired
   }
 
   /**
@@ -154,6 +163,6 @@
   private _weight ({ want, urgency, dueAt, organisations }: PendingAdapter, shares: ReadonlyMap<string, number> | undefined, now: Ms): number {
     const timeliness = now + loadLeadTime <= dueAt ? 1 : lateWeight
     const share = shares === undefined ? 1 : Math.min(...[...organisations].map(organisation => shares.get(organisation) ?? 0))
-    return this.popularity(requestedAdapterKey(want), now) * urgencyFactor ** -urgency * timeliness / Math.max(1, share)
+    return this.popularity(requestedAdapterKey(want), now) * urgencyFactor ** -urgency * timeliness / Math.max(1, share) ** shareExponent
   }
 }
--- a/packages/decisions/src/lib/adapter-plan.ts
+++ b/packages/decisions/src/lib/adapter-plan.ts
@@ -202,7 +202,10 @@
     if (terms.missing && slot !== undefined) this._invalidate(slot, now)
     const ready = this.reserve(requested, now)
     if (ready !== undefined) return ready
-    if (!terms.mayWait && this._isOccupied(key, slot, now)) return this._occupied(requested, slot, terms, now)
+    const isOccupied = this._isOccupied(key, slot, now)
+    const ahead = isOccupied && slot === undefined && !this._demand.isPending(key) ? this._demand.countAhead(requested, terms, now, other => !this._slots.has(other)) : undefined
+    if (!terms.mayWait && isOccupied) return this._occupied(key, ahead, now)
+    if (ahead !== undefined) this._turnover.beginWait(key, ahead, now)
     this._demand.enqueue(requested, terms, now)
     return { kind: 'coming' }
   }
@@ -215,10 +218,9 @@
     return free <= 0 && this._countEvictable(now) <= ahead
   }
 
-  private _occupied (requested: RequestedAdapter, slot: Slot | undefined, terms: LoadRequestTerms, now: Ms): Readiness {
-    const ahead = this._demand.countAhead(requested, terms, now, key => !this._slots.has(key))
-    const wait = slot === undefined ? this._turnover.expectedWait(ahead, now) : undefined
-    return { kind: 'occupied', ...(wait === undefined ? {} : { wait: wait + this._loadTimes.expected(requestedAdapterKey(requested)) }) }
+  private _occupied (key: string, ahead: number | undefined, now: Ms): Readiness {
+    const wait = ahead === undefined ? undefined : this._turnover.expectedWait(ahead, now)
+    return { kind: 'occupied', ...(wait === undefined ? {} : { wait: wait + this._loadTimes.expected(key) }) }
   }
 
   private _countEvictable (now: Ms): number {
@@ -276,7 +278,7 @@
    * @param now - time
    */
   nextAction (now: Ms): PlanAction {
-    this._demand.dropExpired(now)
+    for (const key of this._demand.dropExpired(now)) this._turnover.endWait(key, now)
     this._turnover.recordWaiting(this._demand.keys().some(key => !this._slots.has(key)), now)
     if (this._needsReport) return now >= this._reportAt ? { kind: 'report' } : { kind: 'idle', until: this._reportAt }
     if (this._unansweredOrder !== undefined) return this._unansweredOrder
@@ -466,6 +468,7 @@
 
   private _loadStarted (key: string, slot: Slot, now: Ms): void {
     this._demand.recordLoad(key, now)
+    this._turnover.endWait(key, now)
     slot.state = 'in-transit'
     slot.orderedAt = now
     slot.isLate = false
--- a/packages/decisions/src/lib/prompt-throttle.ts
+++ b/packages/decisions/src/lib/prompt-throttle.ts
@@ -59,10 +59,32 @@
 /** Time from the last prompt token that an engine reads to the first event. */
 const firstEventTime: Ms = 60
 
-interface WaitingPrompt extends QueuedPrompt { askedAt: Ms }
+/** A request that waited noticeably since requests of others went first by their shares. */
+export interface DeferredPrompt {
+  readonly id: string
+  readonly organisation: string | undefined
+  readonly waited: Ms
+  /** Number of requests that went first. */
+  readonly overtakenBy: number
+}
+
+/** Wait from which a caller notices that requests of others went first. */
+const noticeableWait: Ms = 250
+
+interface WaitingPrompt extends QueuedPrompt {
+  readonly since: Ms
+  askedAt: Ms
+  /** Number of requests that went first by their shares. */
+  overtakenBy: number
+}
 
-/** What is too little for all waiting requests to be in time. */
-type Shortage = 'none' | 'rate' | 'batch-slots'
+/**
+ * What is too little for all waiting requests to be in time.
+ *
+ * - `rate`: the rate that they need is close to the highest one.
+ * - `time`: some of them are late, or will be once a batch slot is free.
+ */
+type Shortage = 'none' | 'rate' | 'time'
 
 interface WaitingQueue { readonly inOrder: readonly WaitingPrompt[], readonly shortage: Shortage }
 
@@ -88,6 +110,9 @@
   /** Whether a waiting request can't be in time even at the highest rate. */
   private _isSaturated = false
   private readonly _shares = new FairShares<WaitingPrompt>()
+  /** Requests that were withdrawn lately. The entry of most of them asks again at once. */
+  private readonly _withdrawn = new Map<string, WaitingPrompt>()
+  private readonly _deferred: DeferredPrompt[] = []
   /** Expected wait of the last request in the queue for a batch slot. */
   private _slotWait: Ms = 0
 
@@ -114,11 +139,16 @@
       earlier.askedAt = now
       return
     }
-    const waiting = { ...prompt, askedAt: now }
+    const before = this._withdrawn.get(prompt.id)
+    this._withdrawn.delete(prompt.id)
+    const waiting = { ...prompt, since: before?.since ?? now, overtakenBy: before?.overtakenBy ?? 0, askedAt: now }
     this._waiting.set(prompt.id, waiting)
-    this._shares.recordArrival(waiting, prompt.tokens, now)
+    if (before === undefined) this._shares.recordArrival(waiting, prompt.tokens, now)
   }
 
+  /** Returns the requests admitted since the last call that waited noticeably because of shares. */
+  takeDeferred (): readonly DeferredPrompt[] { return this._deferred.splice(0) }
+
   /** Share of the prompt tokens that one organisation received while the engine was short, 0 to 1. */
   shareOf (organisation: string | undefined, now: Ms): number { return this._shares.share(organisation, now) }
 
@@ -126,7 +156,12 @@
    * Removes a request from the queue. If a request were admitted after its caller has left, its prompt would count as
    * being read, and the requests behind it would wait for a prompt that never comes.
    */
-  withdraw (id: string): void { this._waiting.delete(id) }
+  withdraw (id: string): void {
+    const prompt = this._waiting.get(id)
+    if (prompt === undefined) return
+    this._waiting.delete(id)
+    this._withdrawn.set(id, prompt)
+  }
 
   /**
    * Admits requests.
@@ -146,7 +181,8 @@
     for (const prompt of this._admissionOrder(queue, now)) {
       const { id, tokens } = prompt
       if (admitted.length >= batchSlots || this._unread > maxUnreadBefore(tokens)) break
-      if (queue.shortage !== 'none') this._shares.recordServed(prompt, [...this._waiting.values()], { now, cost: promptCost })
+      if (queue.shortage !== 'none') this._recordShare(prompt, queue, now)
+      this._recordDeferral(prompt, now)
       this._waiting.delete(id)
       this._unread += tokens
       admitted.push(id)
@@ -161,7 +197,23 @@
   }
 
   private _dropAbandoned (now: Ms): void {
-    for (const { id, askedAt } of this._waiting.values()) if (now - askedAt > queuedPromptTtl) this._waiting.delete(id)
+    for (const prompts of [this._waiting, this._withdrawn]) {
+      for (const { id, askedAt } of prompts.values()) if (now - askedAt > queuedPromptTtl) prompts.delete(id)
+    }
+  }
+
+  /** Records a request that is admitted while the engine is short, and those that it overtakes. */
+  private _recordShare (prompt: WaitingPrompt, { inOrder }: WaitingQueue, now: Ms): void {
+    this._shares.recordServed(prompt, [...this._waiting.values()], { now, cost: promptCost })
+    for (const other of inOrder) {
+      if (other === prompt) break
+      if (this._waiting.has(other.id)) other.overtakenBy++
+    }
+  }
+
+  private _recordDeferral ({ id, organisation, overtakenBy, since }: WaitingPrompt, now: Ms): void {
+    const waited = now - since
+    if (overtakenBy > 0 && waited >= noticeableWait) this._deferred.push({ id, organisation, waited, overtakenBy })
   }
 
   /** The waiting requests in the order in which those of one organisation are admitted, and what is short. */
@@ -175,10 +227,9 @@
     return shortage === 'none' ? inOrder : this._shares.order(inOrder, { now, cost: promptCost, isLate: prompt => this._isLate(prompt, now) })
   }
 
-  /** What will soon make requests late. */
   private _shortage (byStart: readonly WaitingPrompt[], now: Ms): Shortage {
     if (this._neededRate(byStart, now) > this._maxRate * feasibleShare) return 'rate'
-    return byStart.some(prompt => !this._isLate(prompt, now) && this._isLate(prompt, now + this._slotWait)) ? 'batch-slots' : 'none'
+    return byStart.some(prompt => this._isLate(prompt, now + this._slotWait)) ? 'time' : 'none'
   }
 
   private _compareStarts (a: WaitingPrompt, b: WaitingPrompt, now: Ms): number {
--- a/packages/decisions/src/test/fair-shares.feature
+++ b/packages/decisions/src/test/fair-shares.feature
@@ -34,3 +34,6 @@
 
   Scenario: nothing to share
     Then with one organisation, with none, or with room to spare, requests are admitted as they were without shares
+
+  Scenario: a request that waited because of shares
+    Then it is reported with its organisation, its wait from its first request on, and the number of requests that went first
--- a/packages/decisions/src/test/fair-shares.steps.ts
+++ b/packages/decisions/src/test/fair-shares.steps.ts
@@ -143,3 +143,23 @@
   assertAsBefore(arrivals(fc.constant('o1'), 4_000, 0), now => now % 500)
   assertAsBefore(arrivals(fc.constantFrom('o1', 'o2', undefined), 300, 60).map(list => list.map(each => ({ ...each, dueIn: 1_000 + each.dueIn, slots: 2 }))), () => 0)
 })
+
+Then('it is reported with its organisation, its wait from its first request on, and the number of requests that went first', () => {
+  const throttle = new PromptThrottle()
+  const prompt = (id: string, organisation: string, dueAt: number): QueuedPrompt => ({ id, organisation, tokens: 2_000, urgency: 1, dueAt })
+  for (let n = 0; n < 4; n++) throttle.enqueue(prompt(`a${n}`, 'a', 300 + n), 0)
+  throttle.enqueue(prompt('b', 'b', 400), 0)
+  const order: string[] = []
+  for (let now = 0; now < 1_000 && order.length < 5; now += 10) {
+    if (now === 100) {
+      // The entry's call has ended, and it asks again.
+      throttle.withdraw('a3')
+      throttle.enqueue(prompt('a3', 'a', 303), now)
+    }
+    order.push(...throttle.admit(now))
+  }
+  assert.deepEqual(order, ['a0', 'b', 'a1', 'a2', 'a3'])
+  const last = throttle.takeDeferred().at(-1)!
+  assert.ok(last.id === 'a3' && last.organisation === 'a' && last.overtakenBy === 1 && last.waited >= 250, JSON.stringify(last))
+  assert.deepEqual(throttle.takeDeferred(), [])
+})
--- a/packages/direct/src/lib/credit-queue.ts
+++ b/packages/direct/src/lib/credit-queue.ts
@@ -31,6 +31,7 @@
 interface Waiter {
   readonly account: string
   readonly cost: number
+  readonly urgency: number
   readonly decide: (admission: Admission) => void
 }
 
@@ -86,21 +87,22 @@
    * Takes a request's usage from an account's credit; synchronous unless the request has to wait for credit.
    *
    * @param patience - ms that the request may wait
+   * @param urgency - priority; 0 is the most urgent. More urgent requests of an account get its credit first.
    */
-  admit (account: string, cost: number, patience: Ms = longestWait): Admission | Promise<Admission> {
+  admit (account: string, cost: number, patience: Ms = longestWait, urgency = 0): Admission | Promise<Admission> {
     const at = this._instant
     const pool = this._pool(account)
     pool.count(cost, at.now)
-    const isFirst = !this._waiting.some(waiter => waiter.account === account)
+    const isFirst = !this._waiting.some(waiter => waiter.account === account && waiter.urgency <= urgency)
     const spending = isFirst ? pool.spend(cost, at) : pool.expectedAvailability(at.now)
     switch (spending.kind) {
       case 'spent':
         if (pool.isLow(at)) this._reportSoon()
         return this._admitted(account, cost)
       case 'closed': return this._refused(account, cost, spending.retryAfter)
-      case 'held': return this._options.waitsForCredit ? this._wait(account, cost, patience) : this._refused(account, cost, spending.retryAfter)
+      case 'held': return this._options.waitsForCredit ? this._wait(account, cost, patience, urgency) : this._refused(account, cost, spending.retryAfter)
       case 'short': {
-        const admission = this._wait(account, cost, patience)
+        const admission = this._wait(account, cost, patience, urgency)
         this._report()
         return admission
       }
@@ -108,7 +110,7 @@
     }
   }
 
-  private _wait (account: string, cost: number, patience: Ms): Promise<Admission> {
+  private _wait (account: string, cost: number, patience: Ms, urgency: number): Promise<Admission> {
     return new Promise(resolve => {
       // The answer may come later than this: an entry that is cut off from its peers tries several of them in turn.
       const cancel = this._options.clock.after(Math.min(longestWait, patience), () => {
@@ -118,15 +120,21 @@
       const waiter: Waiter = {
         account,
         cost,
+        urgency,
         decide: admission => {
           cancel()
           resolve(admission)
         }
       }
-      this._waiting.push(waiter)
+      this._enqueue(waiter)
     })
   }
 
+  private _enqueue (waiter: Waiter): void {
+    const behind = this._waiting.findIndex(({ account, urgency }) => account === waiter.account && urgency > waiter.urgency)
+    this._waiting.splice(behind < 0 ? this._waiting.length : behind, 0, waiter)
+  }
+
   private _admitted (account: string, cost: number): Admission {
     const pool = this._pool(account)
     let isOpen = true
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -298,7 +298,7 @@
       verifier: new ConfigVerifier({ clock, log, withdrawWithin: () => this._settings.withdraw_within_ms, viewAge, query: () => this._view.queryConfig() }),
       viewAge,
       applyWithin: () => this._settings.apply_within_ms,
-      admit: ({ name, limit }, tokens, patience) => limit === undefined ? { kind: 'admitted', refund: () => {} } : this._usage.admit(name, usageOf(limit, tokens), patience),
+      admit: ({ name, limit }, tokens, patience, urgency) => limit === undefined ? { kind: 'admitted', refund: () => {} } : this._usage.admit(name, usageOf(limit, tokens), patience, urgency),
       relay: admitted => this._runner.run(admitted)
     })
   }
--- a/packages/direct/src/lib/engine-admission.ts
+++ b/packages/direct/src/lib/engine-admission.ts
@@ -2,7 +2,7 @@
  * Admission control of one engine: admits a request when a batch slot is free and its prompt can be read.
  */
 import type { CancelTimer, Clock, Ms } from '@hazelford/core'
-import { BatchSlots, PromptThrottle } from '@hazelford/decisions'
+import { BatchSlots, type DeferredPrompt, PromptThrottle } from '@hazelford/decisions'
 
 /** What is known of an engine's load. */
 export interface EngineLoad {
@@ -38,6 +38,13 @@
  */
 const longestFullCheckPause: Ms = 100
 
+/** A request that waited noticeably because of shares, with the state of the queue when it was admitted. */
+export interface Deferral extends DeferredPrompt {
+  /** Share of the prompt tokens that its organisation received while the engine was short, 0 to 1. */
+  readonly share: number
+  readonly queued: number
+}
+
 /** Admission queue of one engine, by due time and priority. */
 export class EngineAdmission {
   private readonly _throttle = new PromptThrottle()
@@ -49,8 +56,9 @@
   /**
    * @param slots - requests that the engine runs at once
    * @param _serviceTime - mean service time of a request in ms, 0 when unknown
+   * @param _deferred - called when a request is admitted that waited noticeably because of shares
    */
-  constructor (private readonly _clock: Clock, slots: number, private readonly _serviceTime: () => Ms) {
+  constructor (private readonly _clock: Clock, slots: number, private readonly _serviceTime: () => Ms, private readonly _deferred: (deferral: Deferral) => void = () => {}) {
     this._slots = new BatchSlots(slots)
   }
 
@@ -104,6 +112,7 @@
     const now = this._clock.now()
     const slotWait = this._slots.expectedWait(this._throttle.waiting - 1, this._serviceTime(), now)
     for (const id of this._throttle.admit(now, this._slots.free(now), slotWait)) this._waiting.get(id)?.()
+    for (const deferred of this._throttle.takeDeferred()) this._deferred({ ...deferred, share: this._throttle.shareOf(deferred.organisation, now), queued: this.queued })
     const next = this._throttle.nextAdmissionAt(now)
     if (next === undefined || this._timer !== undefined) return
     // Requests that arrive meanwhile may raise the prompt rate, so the next request may be admitted sooner.
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -4,7 +4,7 @@
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { AdapterPlan, type RequestedAdapter, type PlanAction, type Readiness, requestedAdapterKey } from '@hazelford/decisions'
 import { compareStartTimes, type EngineControl, type EngineSpec, type LoadTarget, type EngineOrderOutcome } from '@hazelford/ports'
-import { EngineAdmission, type EngineLoad } from './engine-admission.js'
+import { type Deferral, EngineAdmission, type EngineLoad } from './engine-admission.js'
 import { LivenessProbe } from './liveness-probe.js'
 import { RecentLoads, type RecentLoadsUpdate } from './recent-loads.js'
 
@@ -129,6 +129,9 @@
 /** Pause before an order or a report is retried, also while the lease may have ended. */
 const retryPause: Ms = 200
 
+/** Least time between two log lines of one engine on requests that waited because of shares. */
+const deferralLogInterval: Ms = 1_000
+
 const backoffAnswer: LoadRequestAnswer = { kind: 'unavailable', cause: 'the engine wants rest' }
 
 /** Runs an {@link AdapterPlan} against its engine. */
@@ -149,6 +152,7 @@
   /** Until when the last order without an answer may still arrive at the engine. */
   private _ordersArriveUntil: Ms = -Infinity
   private _released = false
+  private _deferralLoggedAt: Ms = -Infinity
   /** Cancels the timer after which the plan runs again. */
   private _cancelSleep: (() => void) | undefined
 
@@ -197,7 +201,14 @@
 
   private _createAdmission (): EngineAdmission {
     const { clock, spec, serviceTime } = this._options
-    return new EngineAdmission(clock, spec.slots, serviceTime)
+    return new EngineAdmission(clock, spec.slots, serviceTime, deferral => this._logDeferral(deferral))
+  }
+
+  private _logDeferral ({ id, organisation, waited, overtakenBy, share, queued }: Deferral): void {
+    const { clock, log, upstream } = this._options
+    if (clock.now() - this._deferralLoggedAt < deferralLogInterval) return
+    this._deferralLoggedAt = clock.now()
+    log.info('request', 'waited for its organisation\'s turn.', { upstream, request: id, organisation, waited: Math.round(waited), overtakenBy, share: Number(share.toFixed(2)), queued })
   }
 
   /** The engine's load now. */
--- a/packages/direct/src/lib/metrics.ts
+++ b/packages/direct/src/lib/metrics.ts
@@ -28,6 +28,7 @@
   readonly firstByte = this._histogram('hazelford_first_byte_ms', 'From a send to the first byte of its answer.', ['kind'])
   readonly loadStall = this._histogram('hazelford_load_stall_ms', 'Wait of requests for an adapter.', [])
   private readonly _organisationRequests = this._counter('hazelford_organisation_requests_total', 'Requests by organisation and end.', ['organisation', 'end'])
+  private readonly _organisationWaits = this._counter('hazelford_organisation_wait_ms_total', 'Ms that requests waited before they were sent, by organisation and by what they waited for.', ['organisation', 'cause'])
   private readonly _organisations = new Set<string>()
   readonly open = new Gauge({ name: 'hazelford_open_requests', help: 'Requests without their whole answer.', registers: [this._registry] })
   /** Returns the age of the view in ms, at each scrape. */
@@ -44,9 +45,18 @@
   }
 
   /** Counts a request of an organisation by its end. */
-  countOrganisation (name: string, end: string): void {
+  countOrganisation (name: string, end: string): void { this._organisationRequests.inc({ organisation: this._organisationLabel(name), end }) }
+
+  /** Counts the waits of a request of an organisation, in ms. */
+  countOrganisationWaits (name: string, adapter: number, admission: number): void {
+    const organisation = this._organisationLabel(name)
+    this._organisationWaits.inc({ organisation, cause: 'adapter' }, adapter)
+    this._organisationWaits.inc({ organisation, cause: 'admission' }, admission)
+  }
+
+  private _organisationLabel (name: string): string {
     if (this._organisations.size < organisationsNamed) this._organisations.add(name)
-    this._organisationRequests.inc({ organisation: this._organisations.has(name) ? name : otherOrganisations, end })
+    return this._organisations.has(name) ? name : otherOrganisations
   }
 
   text (): Promise<string> { return this._registry.metrics() }
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -2,7 +2,7 @@
  * Finds an upstream for a request: ranks the candidates and gets the adapter loaded there.
  */
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { type RequestedAdapter, DecayedCounter, type PlacementCandidate, rankCandidates, rendezvousOrder, replicasFor, MovingAverage, type UnplacedCause } from '@hazelford/decisions'
+import { type RequestedAdapter, DecayedCounter, hopelessWait, type PlacementCandidate, rankCandidates, rendezvousOrder, replicasFor, MovingAverage, type UnplacedCause } from '@hazelford/decisions'
 import type { AdapterDirectory, EnsureQuery } from './adapter-directory.js'
 import type { UnavailableCause } from './engine-holder.js'
 import type { Membership } from './membership.js'
@@ -75,6 +75,8 @@
 const minRequestsCounted = 20
 /** Time over which the returns of callers refused during a backoff are spread, so that they don't return together. */
 const backoffSpread: Ms = 400
+/** Spread of the returns of callers whose turn can't come in time, as a share of the wait. */
+const turnSpread = 0.3
 /** An upstream that leaves within this time is sent no more requests. */
 const leavingMargin: Ms = 100
 
@@ -217,7 +219,8 @@
     const causes: Partial<Record<UnavailableCause, number>> = {}
     let retryAfter: Ms = Infinity
     for (const upstream of candidates) {
-      if (queues.length >= maxQueues) break
+      // The adapter may be loaded at a further upstream if no queue advances in time.
+      if (queues.length >= maxQueues && this._hopelessWait(queues, until) === undefined) break
       const attempt = await this._awaitWithinLimit(upstream, query, { want, urgency: query.urgency, missing: query.retryUpstream === upstream.id, mayWait: false, repeated: query.retryUpstream === upstream.id }, until)
       if (attempt.kind === 'placed') return attempt
       if (attempt.kind === 'over-limit') {
@@ -229,6 +232,8 @@
     }
     queues.sort((a, b) => a.length - b.length)
     this._options.log.info('request', 'adapter not to be had.', { request: query.prompt.request, ...want, causes, standsAt: queues[0]?.upstream.id, ahead: queues[0]?.length, waits: queues.map(({ wait }) => wait), limitedFor: retryAfter === Infinity ? undefined : Math.round(retryAfter), left: Math.round(until - this._now) })
+    const wait = this._hopelessWait(queues, until)
+    if (wait !== undefined) return { kind: 'unplaced', cause: 'adapter-unavailable', retryAfter: Math.min(wait, retryAfter) * (1 + Math.random() * turnSpread) }
     for (let turn = 0; until > this._now && !query.cancelled(); turn++) {
       // Without a holder to send load orders, a queue would never advance.
       const open = queues.filter(({ upstream }) => this._isOpen(upstream) && this._options.directory.canRequestLoad(upstream.id))
@@ -240,6 +245,10 @@
     return retryAfter === Infinity || queues.length > 0 ? { kind: 'unplaced', cause: 'adapter-unavailable' } : { kind: 'unplaced', cause: 'upstream-limit', retryAfter }
   }
 
+  private _hopelessWait (queues: readonly UpstreamQueue[], until: Ms): Ms | undefined {
+    return hopelessWait(queues.map(({ wait }) => wait), until - this._now)
+  }
+
   /** Waits for an adapter at one upstream, if the upstream's limit leaves room for a request. */
   private async _awaitWithinLimit (upstream: Upstream, query: PlacementQuery, loadQuery: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<Attempt> {
     const admission = await this._options.admit(upstream)
--- a/packages/direct/src/lib/relay-runner.ts
+++ b/packages/direct/src/lib/relay-runner.ts
@@ -9,7 +9,7 @@
 import type { EntryMetrics } from './metrics.js'
 import type { NoticeCoordinator } from './notice-coordinator.js'
 import type { FoundOrigin, OriginCoordinator } from './origin-coordinator.js'
-import type { Placer, SoftwareNeed } from './placer.js'
+import type { Placement, PlacementQuery, Placer, SoftwareNeed } from './placer.js'
 import type { QuarantineCoordinator } from './quarantine-coordinator.js'
 import { type BufferedCall, RelayTask } from './relay-task.js'
 import type { AdmittedCall } from './request-intake.js'
@@ -140,7 +140,7 @@
       log,
       codec,
       want: requestedAdapter,
-      place: query => placer.place(query),
+      place: query => this._place(query),
       software,
       verifyIncarnation: this._options.verifyIncarnation,
       began: began => this._recordOrigin(stream, { service, software: began }, call),
@@ -174,6 +174,15 @@
     incoming.onGone(() => task.callerGone())
   }
 
+  private async _place (query: PlacementQuery): Promise<Placement> {
+    const placement = await this._options.placer.place(query)
+    const { organisation } = query.prompt
+    if (organisation !== undefined && placement.kind === 'placed' && placement.waits !== undefined) {
+      this._options.metrics.countOrganisationWaits(organisation, Math.max(0, placement.waits.adapter), placement.waits.admissionWait)
+    }
+    return placement
+  }
+
   private _recordOrigin (stream: string, origin: StreamOrigin, { arrivedAt, facts: { patience } }: BufferedCall): void {
     const returnsUntil = arrivedAt + Math.min(patience ?? longestReturn, longestReturn)
     this._options.origins.record(stream, origin, Math.max(0, returnsUntil - this._options.clock.now()))
--- a/packages/direct/src/lib/request-intake.ts
+++ b/packages/direct/src/lib/request-intake.ts
@@ -41,9 +41,9 @@
   readonly applyWithin: () => Ms
   /**
    * Takes a request's usage from its organisation's credit; synchronous unless the request has to wait for credit, for
-   * `patience` ms at most.
+   * `patience` ms at most, more urgent ones first.
    */
-  readonly admit: (organisation: Organisation, tokens: number | undefined, patience: Ms) => Admission | Promise<Admission>
+  readonly admit: (organisation: Organisation, tokens: number | undefined, patience: Ms, urgency: number) => Admission | Promise<Admission>
   readonly relay: (admitted: AdmittedCall) => void
 }
 
@@ -168,7 +168,7 @@
       incoming.answer.fail({ kind: 'over-limit', organisation: organisation.name, retryAfter })
     }
     const patience = incoming.arrivedAt + Math.min(facts.patience ?? Infinity, route.timeout) - clock.now()
-    const admission = admit(organisation, facts.declaresTokens ? facts.promptTokens + facts.maxOutputTokens : undefined, patience)
+    const admission = admit(organisation, facts.declaresTokens ? facts.promptTokens + facts.maxOutputTokens : undefined, patience, organisation.priority ?? route.priority)
     // This is the turn of the event loop in which the request was read, so a close of its connection can't have been
     // missed.
     if (!(admission instanceof Promise)) decided(admission)
--- a/packages/direct/src/lib/usage-coordinator.ts
+++ b/packages/direct/src/lib/usage-coordinator.ts
@@ -112,10 +112,11 @@
    * Takes a request's usage from an account.
    *
    * @param patience - ms that the request may wait for credit; the longest wait of any request by default
+   * @param urgency - priority; more urgent requests of the account get its credit first
    * @returns synchronously when credit is available, or when the allocator has lately answered that it has none
    */
-  admit (account: string, cost: number, patience?: Ms): Admission | Promise<Admission> {
-    return this._limits.has(account) ? this._queue(this._shardOf(account)).admit(account, cost, patience) : { kind: 'admitted', refund: () => {} }
+  admit (account: string, cost: number, patience?: Ms, urgency?: number): Admission | Promise<Admission> {
+    return this._limits.has(account) ? this._queue(this._shardOf(account)).admit(account, cost, patience, urgency) : { kind: 'admitted', refund: () => {} }
   }
 
   /**
--- a/packages/direct/src/test/usage.feature
+++ b/packages/direct/src/test/usage.feature
@@ -76,3 +76,7 @@
   Scenario: the retry-after of a refusal
     Guards against a retry-after so short that the caller is refused again.
     Then a caller refused for the limit of an upstream or an organisation gets a retry-after of 100 ms or more
+
+  Scenario: credit by priority
+    Guards against urgent requests that are refused for lack of credit while less urgent ones, which came a moment earlier, get it.
+    Then requests that wait for credit get it by priority, and those of one priority in the order in which they came
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
 import { type Clock, FakeClock, type Ms, silentLog, sleep } from '@hazelford/core'
-import { rendezvousOrder, type UsageBounds } from '@hazelford/decisions'
+import { rendezvousOrder, type UsageBounds, type UsageGrant } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import fc from 'fast-check'
 import { limitBounds } from '../lib/notice-coordinator.js'
@@ -298,3 +298,20 @@
   assert.equal(this.admission.kind, 'over-limit')
   assert.equal(this.waitedMs, ms)
 })
+
+Then('requests that wait for credit get it by priority, and those of one priority in the order in which they came', async () => {
+  const clock = new FakeClock()
+  let grant: (grants: readonly UsageGrant[]) => void = () => {}
+  const queue = new CreditQueue({ clock, log: silentLog, node: 'entry', startedAt: 0, isNeeded: () => true, waitsForCredit: true, summary: { add: () => {} }, report: () => new Promise(resolve => { grant = resolve }) })
+  const admitted: string[] = []
+  const settled = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
+  for (const [name, urgency] of [['opener', 1], ['late', 2], ['first', 1], ['urgent', 0], ['second', 1]] as const) {
+    Promise.resolve(queue.admit('organisation', 1, 1_000, urgency)).then(({ kind }) => { if (kind === 'admitted') admitted.push(name) }, assert.fail)
+  }
+  grant([{ account: 'organisation', granted: 0, wait: 0 }])
+  await settled()
+  grant([{ account: 'organisation', granted: 4, wait: 50 }])
+  await settled()
+  assert.deepEqual(admitted, ['urgent', 'opener', 'first', 'second'])
+  queue.stop()
+})
