--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -4,7 +4,7 @@
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { AdapterPlan, EngineSpeed, type RequestedAdapter, type PlanAction, type Readiness, requestedAdapterKey } from '@hazelford/decisions'
 import { compareStartTimes, type EngineControl, type EngineSpec, type LoadTarget, type EngineOrderOutcome } from '@hazelford/ports'
-import { EngineAdmission, type EngineLoad } from './engine-admission.js'
+import { type Deferral, EngineAdmission, type EngineLoad } from './engine-admission.js'
 import { LivenessProbe } from './liveness-probe.js'
 import { RecentLoads, type RecentLoadsUpdate } from './recent-loads.js'
 import type { StreamReport } from './stream-report.js'
@@ -35,8 +35,10 @@
   | { readonly kind: 'coming', readonly atDoor?: Ms }
   /**
    * `line`: number of adapters that already wait for an adapter slot there, or of requests that wait for a batch slot.
+   * `wait`: ms until the adapter is expected to be loaded there; undefined when that can't be predicted, and from a holder of
+   * a version that does not predict it.
    */
-  | { readonly kind: 'unavailable', readonly cause: UnavailableCause, readonly line?: number, readonly load?: EngineLoad }
+  | { readonly kind: 'unavailable', readonly cause: UnavailableCause, readonly line?: number, readonly wait?: Ms, readonly load?: EngineLoad }
 
 /** A request's prompt that waits for admission to an engine. */
 export interface PromptRequest {
@@ -121,6 +123,9 @@
 /** Pause before an order or a report is retried, also while the lease may have ended. */
 const retryPause: Ms = 200
 
+/** Least time between two log lines of one engine on requests that waited because of shares. */
+const deferralLogInterval: Ms = 1_000
+
 const backoffAnswer: LoadRequestAnswer = { kind: 'unavailable', cause: 'the engine wants rest' }
 
 /** Runs an {@link AdapterPlan} against its engine. */
@@ -142,6 +147,7 @@
   /** Until when the last order without an answer may still arrive at the engine. */
   private _ordersArriveUntil: Ms = -Infinity
   private _released = false
+  private _deferralLoggedAt: Ms = -Infinity
   /** Cancels the timer after which the plan runs again. */
   private _cancelSleep: (() => void) | undefined
 
@@ -191,11 +197,18 @@
 
   private _createAdmission (): EngineAdmission {
     const { clock, spec, serviceTime } = this._options
-    const admission = new EngineAdmission(clock, spec.slots, () => serviceTime() / this._speed.speed)
+    const admission = new EngineAdmission(clock, spec.slots, () => serviceTime() / this._speed.speed, deferral => this._logDeferral(deferral))
     admission.setSpeed(this._speed.speed)
     return admission
   }
 
+  private _logDeferral ({ id, organisation, waited, overtakenBy, share, queued }: Deferral): void {
+    const { clock, log, upstream } = this._options
+    if (clock.now() - this._deferralLoggedAt < deferralLogInterval) return
+    this._deferralLoggedAt = clock.now()
+    log.info('request', 'waited for its organisation\'s turn.', { upstream, request: id, organisation, waited: Math.round(waited), overtakenBy, share: Number(share.toFixed(2)), queued })
+  }
+
   /** The engine's load now. */
   get load (): EngineLoad {
     const { known } = this._speed
@@ -219,9 +232,11 @@
     const now = clock.now()
     this._plan.recordUse(entry, uses, now)
     if (this._backoff > 0) return Promise.resolve(this._plan.reserve(want, now) ?? backoffAnswer)
-    const readiness = this._plan.requestAdapter(want, { urgency, until: now + patience, dueAt: now + (prompt?.dueIn ?? Infinity), missing, mayWait, repeated }, now)
+    const { organisation } = prompt ?? {}
+    const terms = { urgency, until: now + patience, dueAt: now + (prompt?.dueIn ?? Infinity), missing, mayWait, repeated, ...(organisation === undefined ? {} : { organisation }) }
+    const readiness = this._plan.requestAdapter(want, terms, now)
     if (readiness.kind === 'ready') return Promise.resolve(readiness)
-    if (readiness.kind === 'occupied') return Promise.resolve({ kind: 'unavailable', cause: 'every slot is in use', line: this._plan.waiting })
+    if (readiness.kind === 'occupied') return Promise.resolve({ kind: 'unavailable', cause: 'every slot is in use', line: this._plan.waiting, ...(readiness.wait === undefined ? {} : { wait: Math.round(readiness.wait) }) })
     return new Promise(resolve => {
       const waiter: Waiter = { want, since: now, resolve, cancel: () => {} }
       waiter.cancel = clock.after(answerIn, () => this._settle(waiter, { kind: 'coming' }))
