Name the fields of a call instead of spreading objects

Cause: a profile of an entry under bench:direct had 9.8 in 100 of its processor time in RequestIntake._read itself, and 3.6 in the request's fingerprint. Both spread an object and add or replace fields, which V8 does on its slow path here. Change: the fields are named.

--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -177,7 +177,10 @@
   }
 
   /** Identity of the request, equal for each attempt at it. */
-  get fingerprint (): string { return (this._fingerprint ??= requestFingerprint({ ...this._call, ...this._call.facts })) }
+  get fingerprint (): string {
+    const { method, host, path, body, organisation, facts: { model, adapter } } = this._call
+    return (this._fingerprint ??= requestFingerprint({ method, host, path, body, organisation, model, adapter }))
+  }
 
   /** Parts of its prompt that other requests may have in common with it. */
   get sharedParts (): readonly string[] { return this._call.sharedParts }
--- a/packages/direct/src/lib/request-intake.ts
+++ b/packages/direct/src/lib/request-intake.ts
@@ -138,10 +138,16 @@
     const service = pickService(route, facts.value.id)
     if (service === undefined) return incoming.answer.fail({ kind: 'no-route' })
     const organisation = identity.kind === 'organisation' ? identity.organisation : undefined
+    const { method, host, target, headers, body, arrivedAt } = incoming
+    // A spread of `incoming`, which holds closures, takes fifty times as long.
     const call: BufferedCall = {
-      ...incoming,
       facts: facts.value,
-      path: incoming.target,
+      method,
+      host,
+      path: target,
+      headers,
+      body,
+      arrivedAt,
       byKey: table.config.access.kind === 'by-key',
       organisation: organisation?.name,
       priority: organisation?.priority ?? route.priority,
