--- a/packages/bench/src/lib/guards/shared-guards.ts
+++ b/packages/bench/src/lib/guards/shared-guards.ts
@@ -151,5 +151,37 @@
     replace: 'true ? most',
     feature: 'packages/direct/src/test/usage.feature',
     scenario: 'entries that report to several allocators by turns'
+  },
+  {
+    guarantee: 'engines: entries of a build without strengths do not hand engines back and forth',
+    file: 'packages/decisions/dist/lib/entry-strength.js',
+    find: 'isMixed ? undefined',
+    replace: 'false ? undefined',
+    feature: 'packages/decisions/src/test/entry-strength.feature',
+    scenario: 'entries of the build before hand engines back'
+  },
+  {
+    guarantee: 'engines: a bound on what the loss of one entry takes',
+    file: 'packages/decisions/dist/lib/engine-assignment.js',
+    find: 'receiver.held < limit &&',
+    replace: '',
+    feature: 'packages/decisions/src/test/entry-strength.feature',
+    scenario: 'engines move in circles between uneven entries'
+  },
+  {
+    guarantee: 'load requests of other entries are checked',
+    file: 'packages/direct/dist/lib/load-request-messages.js',
+    find: 'isUpTo(value.tokens, maxPromptTokens)',
+    replace: 'true',
+    feature: 'packages/direct/src/test/load-request-messages.feature',
+    scenario: 'a number that is none'
+  },
+  {
+    guarantee: 'operators: the state of a draining upstream is not hidden by an older view',
+    file: 'packages/cli/dist/lib/queries/upstream-report.js',
+    find: '(draining ?? row).state',
+    replace: 'row.state',
+    feature: 'packages/cli/src/test/entry-views.feature',
+    scenario: 'an upstream that leaves'
   }
 ]
