Take an adapter's share from its requests only when there are several

Cause: each of 30 entries receives some 70 requests in the time that counts, so one request is more than the share of 1 in 100 from which an adapter gets a second home. Requests for a rare adapter then go to either of two homes, and both load it. Change: a share counts from 1.25 requests, recent ones in full (adapterShare).

--- a/packages/decisions/src/lib/place-request.ts
+++ b/packages/decisions/src/lib/place-request.ts
@@ -181,6 +181,25 @@
 const minSlotShareFactor = 1
 const homesPerShare = 2
 
+/** Requests that must be counted before an adapter's share of them is used. */
+const minRequestsCounted = 20
+/**
+ * Requests for an adapter, recent ones in full, from which its share is used. One request alone shows nothing: of the
+ * requests that one of many entries receives, it is a share that would make any adapter popular.
+ */
+const minRequestsOfAdapter = 1.25
+
+/**
+ * Share of a service's requests that are for an adapter, as one entry sees it.
+ *
+ * @param requests - for the adapter, decayed
+ * @param all - for the service, decayed
+ * @returns 0 to 1; 0 where too few requests are known
+ */
+export function adapterShare (requests: number, all: number): number {
+  return all < minRequestsCounted || requests < minRequestsOfAdapter ? 0 : requests / all
+}
+
 /**
  * Number of home upstreams of an adapter.
  *
--- a/packages/decisions/src/test/direct-decisions.feature
+++ b/packages/decisions/src/test/direct-decisions.feature
@@ -27,6 +27,12 @@
     slots and three thousand adapters of the usual popularity.
     Then further homes take at most a quarter of the slots, where these are few as where they are many
 
+  Scenario: popularity at one of many entries
+    Every rarely requested adapter is loaded on two engines. This happens when an entry receives so few of all requests that
+    a single one makes its adapter look popular.
+    Then an adapter that an entry has seen requested once has one home, however few requests the entry receives
+    But one that is requested for a tenth of the time has more homes at each of 30 entries
+
   Scenario: a copy away from home
     Most of the rarely requested adapters are loaded on two engines, and the weight store's rate is spent on the second
     copies. This happens when the home's slots are all in use, another engine loads the adapter, and seconds later the next
--- a/packages/decisions/src/test/direct-decisions.steps.ts
+++ b/packages/decisions/src/test/direct-decisions.steps.ts
@@ -5,7 +5,7 @@
 import { Then } from '@cucumber/cucumber'
 import fc from 'fast-check'
 import type { Route, RouteConfig } from '@hazelford/ports'
-import { type PlacementCandidate, rankCandidates, replicasFor } from '../lib/place-request.js'
+import { adapterShare, type PlacementCandidate, rankCandidates, replicasFor } from '../lib/place-request.js'
 import { pickService, RouteTable } from '../lib/route-table.js'
 import { SharedRetryBudget } from '../lib/shared-retry-budget.js'
 import { UpstreamHealth } from '../lib/upstream-health.js'
@@ -118,6 +118,15 @@
   }
 })
 
+Then('an adapter that an entry has seen requested once has one home, however few requests the entry receives', () => {
+  for (let all = 1; all <= 200; all++) assert.equal(replicasFor(adapterShare(1, all), 38, 16), 1)
+})
+
+Then('one that is requested for a tenth of the time has more homes at each of 30 entries', () => {
+  // Each entry has counted some 70 requests within the last seconds.
+  assert.ok(replicasFor(adapterShare(7, 70), 38, 16) > 1)
+})
+
 Then('a request for an adapter goes where it was loaded recently, and not home for a second copy', () => {
   const [best] = rankCandidates([candidate('home', { rank: 0 }), candidate('lately', { rank: 4, adapter: 'recent', running: 9 })], oneHome)
   assert.equal(best?.id, 'lately')
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placer.ts
@@ -2,7 +2,7 @@
  * Finds an upstream for a request: ranks the candidates and gets the adapter loaded there.
  */
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { type RequestedAdapter, DecayedCounter, homesWithSpeed, homeWeight, hopelessWait, type PlacementCandidate, rankCandidates, replicasFor, MovingAverage, type UnplacedCause, weightedRendezvousOrder } from '@hazelford/decisions'
+import { adapterShare, type RequestedAdapter, DecayedCounter, homesWithSpeed, homeWeight, hopelessWait, type PlacementCandidate, rankCandidates, replicasFor, MovingAverage, type UnplacedCause, weightedRendezvousOrder } from '@hazelford/decisions'
 import type { AdapterDirectory, EnsureQuery } from './adapter-directory.js'
 import type { UnavailableCause } from './engine-holder.js'
 import type { Membership } from './membership.js'
@@ -71,8 +71,6 @@
 const popularityHalfLife: Ms = 5_000
 /** Weight of each new service time in the mean, so that about thirty requests determine it. */
 const serviceTimeWeight = 0.05
-/** Requests counted before an adapter's share of them is used. */
-const minRequestsCounted = 20
 /** Time over which the returns of callers refused during a backoff are spread, so that they don't return together. */
 const backoffSpread: Ms = 400
 /** Spread of the returns of callers whose turn can't come in time, as a share of the wait. */
@@ -354,11 +352,10 @@
 
   /** Number of homes of an adapter; `ranks`: positions of the upstreams in its rendezvous order. */
   private _replicas (service: string, want: RequestedAdapter, upstreams: readonly Upstream[], ranks: ReadonlyMap<string, number> | undefined): number {
-    const now = this._now
-    const total = this._popularity.read(service, now)
     if (ranks === undefined) return upstreams.length
-    if (total < minRequestsCounted) return 1
-    const wanted = replicasFor(this._popularity.read(`${service} ${want.model}/${want.adapter}`, now) / total, upstreams.length, this._options.adapterSlots(service))
+    const now = this._now
+    const share = adapterShare(this._popularity.read(`${service} ${want.model}/${want.adapter}`, now), this._popularity.read(service, now))
+    const wanted = replicasFor(share, upstreams.length, this._options.adapterSlots(service))
     const speeds: number[] = []
     for (const { id, speed } of upstreams) speeds[ranks.get(id)!] = speed
     return homesWithSpeed(wanted, speeds)
