--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -8,7 +8,7 @@
   {
     guarantee: 'engines that are slower are home to fewer adapters',
     file: 'packages/decisions/dist/lib/place-request.js',
-    find: 'speed ** homeWeightExponent',
+    find: 'return speed;',
     replace: '1',
     feature: 'packages/decisions/src/test/speed-placement.feature',
     scenario: 'homes of adapters follow the speeds'
--- a/packages/decisions/src/lib/place-request.ts
+++ b/packages/decisions/src/lib/place-request.ts
@@ -71,13 +71,6 @@
  * prompt, the streams that run there stand still, and all of them are late when several long prompts arrive together.
  */
 export const promptTokensPerMs = 35
-/**
- * Cost of a pause beyond the route's target: the caller gets the answer, but later than it is of full use, which is about
- * half of a failed request.
- */
-const pauseCost: Ms = 400
-/** Chance that a stream in a full batch of a median engine has a pause beyond the route's target. */
-const fullBatchPauseChance = 0.1
 /** A failed request costs its caller about one latency target. */
 const failureCost: Ms = 800
 
@@ -104,38 +97,25 @@
   return Math.max(0, running + 1 - slots) * Math.max(queueCost, serviceTime / slots)
 }
 
-/**
- * Costs beyond those at a median engine, less than 0 at a faster one: reading the request's own prompt, and pauses of its
- * stream.
- *
- * An engine that is k times slower holds each stream k times as long and stops it k times as long for each prompt, so the
- * chance of a pause grows with the square of k.
- */
-function speedCost ({ running, slots, speed }: PlacementCandidate, { promptTokens }: PlacementContext): Ms {
-  const pauseChance = Math.min(1, running / slots) * fullBatchPauseChance
-  return promptTokens / promptTokensPerMs * (1 / speed - 1) + pauseCost * (Math.min(1, pauseChance / speed ** 2) - pauseChance)
+/** Time by which the request's own prompt is read later than at a median engine; less than 0 at a faster one. */
+function promptReadingCost ({ speed }: PlacementCandidate, { promptTokens }: PlacementContext): Ms {
+  return promptTokens / promptTokensPerMs * (1 / speed - 1)
 }
 
 function cost (candidate: PlacementCandidate, context: PlacementContext): Ms {
   const { speed } = candidate
   return adapterCost(candidate, context) + (candidate.sameZone ? 0 : crossZoneCost) + candidate.running / candidate.slots * fullBatchCost / speed +
     batchSlotWait(candidate, context) / speed + candidate.promptBacklog / promptTokensPerMs / speed + candidate.failureShare * failureCost + candidate.latency +
-    speedCost(candidate, context)
+    promptReadingCost(candidate, context)
 }
 
 /**
- * Exponent of an engine's speed in its share of the adapters. A stream on an engine that is k times slower is stopped k
- * times as long by each prompt and is there for k times as many of them; with 1/k² of the requests it is stopped for no
- * longer than elsewhere.
- */
-const homeWeightExponent = 2
-
-/**
- * Weight of an engine among the homes of adapters.
+ * Weight of an engine among the homes of adapters. An engine that is k times slower holds each stream, and the adapter slot
+ * of its adapter, k times as long; with 1/k of the requests it uses as many adapter slots as the others.
  *
  * @param speed - relative to the median engine of its service
  */
-export function homeWeight (speed: number): number { return speed ** homeWeightExponent }
+export function homeWeight (speed: number): number { return speed }
 
 /**
  * Number of first homes of an adapter that have the speed of a number of median engines.
