--- a/packages/decisions/src/lib/early-refusal.ts
+++ b/packages/decisions/src/lib/early-refusal.ts
@@ -5,7 +5,7 @@
 
 /**
  * Factor by which each predicted wait must exceed the time that a request has left. Predictions err: of the requests beyond
- * this factor under one in a hundred would have been served, of those beyond their time alone one in fourteen.
+ * this factor one in fifty would have been served, of those beyond their time alone one in twenty.
  */
 const certainty = 1.5
 /** Least excess over that time: short waits vary by more than their length. */
--- a/packages/decisions/src/test/slots-under-load.feature
+++ b/packages/decisions/src/test/slots-under-load.feature
@@ -22,3 +22,6 @@
   Scenario: predictions that are not certain
     Guards against refusals while an adapter slot may become free in time.
     Then nothing is refused at once at a load that the slots can carry, without predictions, or where one upstream has none
+
+  Scenario: adapters of one organisation, or of none
+    Then they are loaded in the order of requests, priority and timeliness, as without shares
--- a/packages/decisions/src/test/slots-under-load.steps.ts
+++ b/packages/decisions/src/test/slots-under-load.steps.ts
@@ -3,7 +3,10 @@
  */
 import assert from 'node:assert/strict'
 import { Then } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import { AdapterDemand } from '../lib/adapter-demand.js'
 import { hopelessWait } from '../lib/early-refusal.js'
+import { propertyOptions } from './support/property-options.js'
 import { simulateSlots, type SlotLoad, type SlotResult, type SlotSender } from './support/slot-simulation.js'
 
 /** Value of a late stream to its caller, where a stream in time counts 1. */
@@ -70,3 +73,22 @@
   assert.equal(hopelessWait([undefined], 100), undefined)
   assert.equal(hopelessWait([60_000, undefined, 60_000], 100), undefined)
 })
+
+Then('they are loaded in the order of requests, priority and timeliness, as without shares', () => {
+  const request = fc.record({ adapter: fc.integer({ min: 0, max: 8 }), urgency: fc.integer({ min: 0, max: 2 }), dueIn: fc.integer({ min: 0, max: 1_000 }) })
+  fc.assert(fc.property(fc.array(request, { maxLength: 40 }), fc.constantFrom('o1', undefined), (requests, organisation) => {
+    const demand = new AdapterDemand()
+    const plain = new Map<string, { count: number, urgency: number, dueAt: number, since: number }>()
+    requests.forEach(({ adapter, urgency, dueIn }, n) => {
+      const key = `base/a${adapter}`
+      const before = plain.get(key)
+      plain.set(key, { count: (before?.count ?? 0) + 1, urgency: Math.min(urgency, before?.urgency ?? Infinity), dueAt: Math.max(dueIn, before?.dueAt ?? 0), since: before?.since ?? n })
+      demand.count(key, 0)
+      demand.enqueue({ model: 'base', adapter: `a${adapter}` }, { urgency, until: 10_000, dueAt: dueIn, ...(organisation === undefined ? {} : { organisation }) }, 0)
+      if (n % 3 === 0) demand.recordLoad(key, 0)
+    })
+    const weight = ({ count, urgency, dueAt }: { count: number, urgency: number, dueAt: number }): number => count * 3 ** -urgency * (dueAt >= 400 ? 1 : 0.3)
+    const expected = [...plain].sort(([, a], [, b]) => weight(b) - weight(a) || a.since - b.since).map(([key]) => key)
+    assert.deepEqual(demand.byPriority(0).map(({ want }) => `base/${want.adapter}`), expected)
+  }), propertyOptions)
+})
