Shares: sum of what was served in one counter; a late request alone is no shortage

Cause: the share of an organisation summed over all organisations for each waiting request; and one request that was late for its adapter's load put all others in the order of shares, though the engine had room. Change: one decayed total; shares apply while requests will soon be late for lack of rate or of a batch slot, or when all waiting ones are late.

--- a/packages/decisions/src/lib/fair-shares.ts
+++ b/packages/decisions/src/lib/fair-shares.ts
@@ -40,6 +40,7 @@
  * sends a burst waits behind the others for seconds and not for longer.
  */
 const servedHalfLife: Ms = 4_000
+const totalKey = 'all'
 const organisationsKept = 1_000
 const levelsKept = 100
 
@@ -83,7 +84,8 @@
   private readonly _served = new DecayedCounter(servedHalfLife, organisationsKept)
   private readonly _offered = new DecayedCounter(servedHalfLife, levelsKept)
   private readonly _owed = new Map<number, number>()
-  private readonly _organisations = new Set<string>()
+  /** What all organisations were served. */
+  private readonly _total = new DecayedCounter(servedHalfLife, 1)
 
   /** Counts a request that arrives. */
   recordArrival ({ urgency }: R, cost: number, now: Ms): void { this._offered.add(String(urgency), now, cost) }
@@ -91,13 +93,7 @@
   /** Share of what was served while the engine was short that one organisation received, 0 to 1. */
   share (organisation: string | undefined, now: Ms): number {
     const served = this._served.read(organisation ?? '', now)
-    return served === 0 ? 0 : served / this._totalServed(now)
-  }
-
-  private _totalServed (now: Ms): number {
-    let total = 0
-    for (const organisation of this._organisations) total += this._served.read(organisation, now)
-    return total
+    return served === 0 ? 0 : served / this._total.read(totalKey, now)
   }
 
   /**
@@ -130,13 +126,7 @@
     if (this._owed.size > levelsKept) this._owed.clear()
     new Ledger(new Map(), this._owed).record(organisation, this._effectiveUrgency(request, now), cost(request), this._minShares([...levels], now))
     this._served.add(organisation, now, cost(request))
-    this._keep(organisation, now)
-  }
-
-  private _keep (organisation: string, now: Ms): void {
-    this._organisations.add(organisation)
-    if (this._organisations.size <= organisationsKept) return
-    for (const each of this._organisations) if (this._served.read(each, now) < 1) this._organisations.delete(each)
+    this._total.add(totalKey, now, cost(request))
   }
 
   private _levels (requests: readonly R[], now: Ms): Map<number, Level<R>> {
--- a/packages/decisions/src/lib/prompt-throttle.ts
+++ b/packages/decisions/src/lib/prompt-throttle.ts
@@ -82,7 +82,7 @@
  * What is too little for all waiting requests to be in time.
  *
  * - `rate`: the rate that they need is close to the highest one.
- * - `time`: some of them are late, or will be once a batch slot is free.
+ * - `time`: all of them are late, or some will be once a batch slot is free.
  */
 type Shortage = 'none' | 'rate' | 'time'
 
@@ -229,7 +229,8 @@
 
   private _shortage (byStart: readonly WaitingPrompt[], now: Ms): Shortage {
     if (this._neededRate(byStart, now) > this._maxRate * feasibleShare) return 'rate'
-    return byStart.some(prompt => this._isLate(prompt, now + this._slotWait)) ? 'time' : 'none'
+    const inTime = byStart.filter(prompt => !this._isLate(prompt, now))
+    return inTime.length === 0 || inTime.some(prompt => this._isLate(prompt, now + this._slotWait)) ? 'time' : 'none'
   }
 
   private _compareStarts (a: WaitingPrompt, b: WaitingPrompt, now: Ms): number {
