Check the organisation of a load request's prompt

Cause: holders use the field to share an engine between organisations; it arrives from other entries. Change: a load request whose organisation is no text is rejected.

--- a/packages/direct/src/lib/load-request-messages.ts
+++ b/packages/direct/src/lib/load-request-messages.ts
@@ -24,10 +24,10 @@
 
 function isPrompt (value: unknown): boolean {
   // JSON has no infinity: the time of a request without a due time arrives as null.
-  return isRecord(value) && isText(value.request) && isUpTo(value.tokens, maxPromptTokens) && (value.dueIn === null || typeof value.dueIn === 'number')
+  return isRecord(value) && isText(value.request) && isUpTo(value.tokens, maxPromptTokens) && (value.dueIn === null || typeof value.dueIn === 'number') && isOptional(value.organisation, isText)
 }
 
-/** Reads a load request; undefined when it is malformed. Fields of later versions are kept. */
+/** Reads a load request; undefined when it is malformed. Fields of later versions are kept, and its `paces` unchecked. */
 export function readLoadRequest (body: unknown): LoadRequestMessage | undefined {
   if (!isRecord(body)) return undefined
   const { upstream, want, urgency, patience, answerIn, missing, mayWait, repeated, entry, uses, outstanding, prompt, streams, paused, heard } = body
--- a/packages/direct/src/test/load-request-messages.steps.ts
+++ b/packages/direct/src/test/load-request-messages.steps.ts
@@ -25,5 +25,6 @@
     assert.equal(readLoadRequest({ ...request, prompt: { ...request.prompt, tokens: value } }), undefined)
   }
   for (const field of ['want', 'urgency', 'patience', 'missing', 'streams', 'heard', 'entry', 'uses']) assert.equal(readLoadRequest({ ...request, [field]: { [field]: 1 } }), undefined, field)
+  assert.equal(readLoadRequest({ ...request, prompt: { ...request.prompt, organisation: 7 } }), undefined)
   assert.equal(readUse([]), undefined)
 })
