--- a/packages/direct/src/lib/load-request-messages.ts
+++ b/packages/direct/src/lib/load-request-messages.ts
@@ -27,7 +27,7 @@
   return isRecord(value) && isText(value.request) && isUpTo(value.tokens, maxPromptTokens) && (value.dueIn === null || typeof value.dueIn === 'number') && isOptional(value.organisation, isText)
 }
 
-/** Reads a load request; undefined when it is malformed. Fields of later versions are kept, and its `paces` unchecked. */
+/** Reads a load request; undefined when it is malformed. Fields of later versions are kept; `paces` have a reader of their own. */
 export function readLoadRequest (body: unknown): LoadRequestMessage | undefined {
   if (!isRecord(body)) return undefined
   const { upstream, want, urgency, patience, answerIn, missing, mayWait, repeated, entry, uses, outstanding, prompt, streams, paused, heard } = body
