Compare paces within the entry that measures them

Change: an entry divides each pace by that of all streams it relayed lately and reports the ratio; the holder needs no reference. A stream whose shortest gaps are under 0.75 of its pace was read late, and an entry with one such stream for three others compares none.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -270,6 +270,14 @@
     feature: 'packages/decisions/src/test/engine-speed.feature',
     scenario: 'streams that something else than their engine delays'
   },
+  {
+    guarantee: 'speeds: an entry that reads events late compares no streams',
+    file: 'packages/decisions/dist/lib/engine-speed.js',
+    find: 'const isBusy = ',
+    replace: 'const isBusy = false && ',
+    feature: 'packages/decisions/src/test/engine-speed.feature',
+    scenario: 'a third of the engines is slow'
+  },
   {
     guarantee: 'speeds: a measured slowness replaces the learned one',
     file: 'packages/decisions/dist/lib/prompt-throttle.js',
--- a/packages/decisions/src/lib/engine-speed.ts
+++ b/packages/decisions/src/lib/engine-speed.ts
@@ -2,7 +2,7 @@
  * Speed of one engine relative to the others of its service.
  */
 import type { Ms } from '@hazelford/core'
-import { PaceWindow, type PaceWindowLimits } from './pace-window.js'
+import { type MeasuredPace, PaceWindow, type PaceWindowLimits } from './pace-window.js'
 
 /**
  * Samples of one engine. A slow engine of 30 ends a stream or two in a second, so four samples come within some seconds;
@@ -12,6 +12,9 @@
 /** Samples of all engines of a service, from one entry. */
 const referenceSamples: PaceWindowLimits = { capacity: 48, ttl: 60_000, least: 6 }
 
+/** Streams that an entry may have read late for each one that it has not, if its comparisons are to count. */
+const maxLateReads = 1 / 3
+
 /** Factor between two neighbouring speeds. */
 const step = 1.25
 /** Speeds are limited to 0.21 to 3.81, so that a wrong estimate neither starves an engine nor floods it. */
@@ -31,27 +34,46 @@
 export interface SpeedEstimate {
   readonly speed: number
   readonly before: number
-  /** Typical ms between two events of the engine's streams, and of those of all engines. */
-  readonly pace: Ms
-  readonly reference: Ms
+  /** Typical pace of the engine's streams, as a multiple of that of all engines. */
+  readonly pace: number
   readonly samples: number
   /** Share by which the pace may be wrong. */
   readonly error: number
 }
 
-/** Typical pace of all engines of each service, as one entry sees it. */
-export class ReferencePaces {
+function windowOf (windows: Map<string, PaceWindow>, service: string): PaceWindow {
+  const window = windows.get(service) ?? new PaceWindow(referenceSamples)
+  windows.set(service, window)
+  return window
+}
+
+/**
+ * Compares the pace of each stream with that of all streams of its service which the same entry has relayed lately. So
+ * what delays an entry's streams, whichever engine sends them, does not count.
+ */
+export class RelativePaces {
   private readonly _services = new Map<string, PaceWindow>()
+  private readonly _lateReads = new Map<string, PaceWindow>()
 
-  /** Records the pace in ms of a stream of a service. */
-  record (service: string, pace: Ms, now: Ms): void {
-    const window = this._services.get(service) ?? new PaceWindow(referenceSamples)
-    this._services.set(service, window)
-    window.add(pace, now)
+  /**
+   * Records a stream of a service.
+   *
+   * @param pace - its pace
+   * @returns its pace as a multiple of the typical one; undefined while too few are known, or too many were read late
+   */
+  record (service: string, pace: MeasuredPace, now: Ms): number | undefined {
+    const paces = windowOf(this._services, service)
+    const lateReads = windowOf(this._lateReads, service)
+    if (pace === 'read-late') {
+      lateReads.add(0, now)
+      return undefined
+    }
+    paces.add(pace, now)
+    const reference = paces.typical(now)
+    // Events of slow engines are seldom read together, so the remaining streams are not typical ones.
+    const isBusy = lateReads.count(now) > paces.count(now) * maxLateReads
+    return reference === undefined || isBusy ? undefined : pace / reference
   }
-
-  /** Typical pace in ms of the streams of a service; undefined while too few are known. */
-  of (service: string, now: Ms): Ms | undefined { return this._services.get(service)?.typical(now) }
 }
 
 /** Speed at a number of steps. */
@@ -102,22 +124,21 @@
   age (now: Ms): Ms | undefined { return this._measuredAt === undefined ? undefined : now - this._measuredAt }
 
   /**
-   * Records paces of streams.
+   * Records streams.
    *
-   * @param paces - ms between events of streams of this engine
-   * @param reference - typical pace in ms of its service; undefined when unknown
+   * @param paces - pace of each, as a multiple of that of all engines
    * @param now - time
    * @returns the estimate, if it changes the speed
    */
-  record (paces: readonly Ms[], reference: Ms | undefined, now: Ms): SpeedEstimate | undefined {
+  record (paces: readonly number[], now: Ms): SpeedEstimate | undefined {
     if (paces.length === 0) return undefined
     for (const pace of paces) this._window.add(pace, now)
     const pace = this._window.typical(now)
-    if (pace === undefined || reference === undefined) return undefined
+    if (pace === undefined) return undefined
     this._measuredAt = now
     const before = this.speed
-    this._steps = this._nextSteps(stepsOf(reference / pace))
-    return this.speed === before ? undefined : { speed: this.speed, before, pace: round(pace, 1), reference: round(reference, 1), samples: this._window.count(now), error: round(this._window.error, 3) }
+    this._steps = this._nextSteps(-stepsOf(pace))
+    return this.speed === before ? undefined : { speed: this.speed, before, pace: round(pace, 2), samples: this._window.count(now), error: round(this._window.error, 3) }
   }
 
   private _nextSteps (measured: number): number {
--- a/packages/decisions/src/lib/pace-window.ts
+++ b/packages/decisions/src/lib/pace-window.ts
@@ -11,6 +11,12 @@
 const undisturbedShare = 0.15
 /** Share of the paces of several streams that are shorter than the typical one, for the same reason. */
 const typicalShare = 1 / 3
+/**
+ * Share of the times that may be shorter than most of the pace. An engine sends no event sooner than its steps take; where
+ * events come sooner, their entry has read them late and together.
+ */
+const lateReadShare = 0.05
+const mostOfPace = 0.75
 /** Number of times between events that are kept of one stream, the latest ones. */
 const gapsPerStream = 64
 /** Shortest pace that counts: events that come faster were sent, or read, together. */
@@ -23,6 +29,9 @@
   return [...samples].sort((a, b) => a - b)[Math.floor(samples.length * share)]!
 }
 
+/** Pace of a stream in ms; `read-late`: its entry was too busy to read the events as they came. */
+export type MeasuredPace = Ms | 'read-late'
+
 /** Measures the pace of one stream: the ms between two of its events while its engine does nothing else. */
 export class StreamPace {
   private readonly _gaps: Ms[] = []
@@ -35,11 +44,11 @@
   /** Records that something other than its engine has delayed the stream, so that it has no pace. */
   disturb (): void { this._isDisturbed = true }
 
-  /** The pace in ms; undefined for a stream with too few events, one whose events came together, and one that was disturbed. */
-  get pace (): Ms | undefined {
+  /** The pace in ms; undefined for a stream with too few events, and for one that was disturbed. */
+  get pace (): MeasuredPace | undefined {
     if (this._isDisturbed || this._gaps.length < minGaps) return undefined
     const pace = quantile(this._gaps, undisturbedShare)
-    return pace >= shortestPace ? pace : undefined
+    return pace >= shortestPace && quantile(this._gaps, lateReadShare) >= pace * mostOfPace ? pace : 'read-late'
   }
 }
 
@@ -53,13 +62,13 @@
   readonly least: number
 }
 
-/** Typical pace of the streams that ended lately. */
+/** Typical pace of the streams that ended lately, in the unit of its samples. */
 export class PaceWindow {
-  private _samples: { readonly pace: Ms, readonly at: Ms }[] = []
+  private _samples: { readonly pace: number, readonly at: Ms }[] = []
 
   constructor (private readonly _limits: PaceWindowLimits) {}
 
-  add (pace: Ms, now: Ms): void {
+  add (pace: number, now: Ms): void {
     if (this._samples.length >= this._limits.capacity) this._samples.shift()
     this._samples.push({ pace, at: now })
   }
@@ -70,8 +79,8 @@
     return this._samples.length
   }
 
-  /** The typical pace in ms; undefined with too few samples. */
-  typical (now: Ms): Ms | undefined {
+  /** The typical pace; undefined with too few samples. */
+  typical (now: Ms): number | undefined {
     return this.count(now) < this._limits.least ? undefined : quantile(this._paces, typicalShare)
   }
 
@@ -81,7 +90,7 @@
     return (quantile(paces, typicalShare * 1.5) - quantile(paces, typicalShare / 2)) / 2 / quantile(paces, typicalShare)
   }
 
-  private get _paces (): readonly Ms[] { return this._samples.map(({ pace }) => pace) }
+  private get _paces (): readonly number[] { return this._samples.map(({ pace }) => pace) }
 
   private _dropOld (now: Ms): void {
     const { ttl } = this._limits
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -4,7 +4,7 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
-import { type QuarantineLimits, ReferencePaces, type RouteTable, type SharedBudgetLimits, type Suspect, type UsageBounds } from '@hazelford/decisions'
+import { type QuarantineLimits, RelativePaces, type RouteTable, type SharedBudgetLimits, type Suspect, type UsageBounds } from '@hazelford/decisions'
 import type { EngineControl } from '@hazelford/ports'
 import { AdapterDirectory } from './adapter-directory.js'
 import { CallerServer, createReadyServer } from './caller-server.js'
@@ -106,7 +106,7 @@
   private readonly _usage: UsageCoordinator
   private readonly _notices: NoticeCoordinator
   private readonly _origins: OriginCoordinator
-  private readonly _referencePaces = new ReferencePaces()
+  private readonly _relativePaces = new RelativePaces()
   private readonly _servers: Server[] = []
   private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, readonly linkMbps: number, port: number }
   private _settings: DirectSettings
@@ -179,7 +179,6 @@
       notifyTakeover: (former, msg) => this._notifyTakeover(former, msg),
       loaded: took => _options.metrics.loadStall.observe(took),
       serviceTime: service => this._placer.serviceTime(service),
-      referencePace: service => this._referencePaces.of(service, clock.now()),
       holderTurn: settings.holder_turn_ms,
       era: () => this._store.era,
       ...(_options.settleTime === undefined ? {} : { settleTime: _options.settleTime })
@@ -282,7 +281,7 @@
       quarantine: this._quarantine,
       notices: this._notices,
       origins: this._origins,
-      referencePaces: this._referencePaces,
+      relativePaces: this._relativePaces,
       onlySoftware: (service, since) => this._onlySoftware(service, since),
       verifyIncarnation: (upstream, openedAt) => this._verifyIncarnation(upstream, openedAt),
       entries: () => this.peers.entryCount,
--- a/packages/direct/src/lib/engine-coordinator.ts
+++ b/packages/direct/src/lib/engine-coordinator.ts
@@ -29,8 +29,6 @@
   readonly loaded: (took: Ms) => void
   /** Mean service time in ms of a request of a service, 0 when unknown. */
   readonly serviceTime: (service: string) => Ms
-  /** Typical pace in ms of the streams of a service; undefined when unknown. */
-  readonly referencePace: (service: string) => Ms | undefined
   /** Notifies the former holder of an engine that this entry has taken the engine over. */
   readonly notifyTakeover: NotifyTakeover
   /** Ms within which the orders of two holders to one engine must not alternate: A, then B, then A again. */
@@ -453,7 +451,7 @@
   }
 
   private _startHolding (upstream: Upstream, fence: number): void {
-    const { clock, log, self, control, engineSpec, serviceTime, referencePace, loaded } = this._options
+    const { clock, log, self, control, engineSpec, serviceTime, loaded } = this._options
     const spec = engineSpec(upstream.record.service)
     if (spec === undefined) return
     this._unheldSince.delete(upstream.id)
@@ -472,7 +470,6 @@
       backoffUntil: () => upstream.notices.backoffUntil,
       serviceTime: () => serviceTime(upstream.record.service),
       ...(upstream.reportedSpeed === undefined ? {} : { speed: upstream.reportedSpeed }),
-      referencePace: () => referencePace(upstream.record.service),
       loaded
     }))
     log.info('loads', 'engine held.', { upstream: upstream.id, fence })
--- a/packages/direct/src/lib/engine-holder.ts
+++ b/packages/direct/src/lib/engine-holder.ts
@@ -101,8 +101,6 @@
   readonly loaded: (took: Ms) => void
   /** Last known speed of the engine; undefined when none is known. */
   readonly speed?: number
-  /** Typical pace in ms of the streams of the engine's service; undefined when unknown. */
-  readonly referencePace: () => Ms | undefined
 }
 
 interface Waiter {
@@ -206,9 +204,9 @@
   get speed (): EngineSpeed { return this._speed }
 
   private _recordStreams ({ streams, paused, paces = [] }: StreamReport): void {
-    const { clock, log, upstream, referencePace } = this._options
+    const { clock, log, upstream } = this._options
     this._admission.recordStreams(streams, paused)
-    const change = this._speed.record(paces, referencePace(), clock.now())
+    const change = this._speed.record(paces, clock.now())
     if (change === undefined) return
     this._admission.setSpeed(change.speed)
     log.info('loads', 'engine speed changed.', { upstream, fence: this.fence, ...change })
--- a/packages/direct/src/lib/relay-runner.ts
+++ b/packages/direct/src/lib/relay-runner.ts
@@ -2,7 +2,7 @@
  * Runs admitted requests, and keeps the state that they share.
  */
 import { assertNever, type Clock, type Log, type Ms } from '@hazelford/core'
-import { type RequestedAdapter, type ExchangeOutcome, type ReferencePaces, type RelayFailure, type RouteTable, RouteTargets, type SharedBudgetLimits, SharedRetryBudget, type Suspect } from '@hazelford/decisions'
+import { type RequestedAdapter, type ExchangeOutcome, type RelativePaces, type RelayFailure, type RouteTable, RouteTargets, type SharedBudgetLimits, SharedRetryBudget, type Suspect } from '@hazelford/decisions'
 import type { CallCodec, Route } from '@hazelford/ports'
 import type { AdapterDirectory } from './adapter-directory.js'
 import type { CurrentConfig } from './current-config.js'
@@ -28,7 +28,7 @@
   readonly quarantine: QuarantineCoordinator
   readonly notices: NoticeCoordinator
   readonly origins: OriginCoordinator
-  readonly referencePaces: ReferencePaces
+  readonly relativePaces: RelativePaces
   /** The one software version that can have served a service since a time; undefined when there may have been several. */
   readonly onlySoftware: (service: string, since: Ms) => Promise<string | undefined>
   readonly verifyIncarnation: (upstream: Upstream, openedAt: Ms) => Promise<boolean>
@@ -158,8 +158,7 @@
         this._recordExchange(upstream, outcome, latency, route)
       },
       streamEnded: (upstream, paused, pace) => {
-        upstream.endedStreams.record(paused, pace)
-        if (pace !== undefined) this._options.referencePaces.record(service, pace, clock.now())
+        upstream.endedStreams.record(paused, pace === undefined ? undefined : this._options.relativePaces.record(service, pace, clock.now()))
       },
       over: ({ end, sends, firstData, longestGap, notRun, answeredSince, unframedFrom }) => {
         const took = clock.now() - call.arrivedAt
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -2,7 +2,7 @@
  * Drives one request: performs the effects that its flow decides on.
  */
 import { assertNever, type CancelTimer, type Clock, type Log, type Ms, Task } from '@hazelford/core'
-import { type RequestedAdapter, type ExchangeOutcome, mayHaveCausedTermination, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey, StreamPace } from '@hazelford/decisions'
+import { type RequestedAdapter, type ExchangeOutcome, type MeasuredPace, mayHaveCausedTermination, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey, StreamPace } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
 import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
@@ -82,10 +82,10 @@
   /** Called when an exchange with an upstream has ended or stalled; `serviceTime`: ms from the send until then. */
   readonly exchanged: (upstream: Upstream, outcome: ExchangeOutcome, latency: Ms | undefined, serviceTime: Ms) => void
   /**
-   * Called when a stream has ended that one engine sent completely; `paused`: whether it had too long a pause; `pace`: its
-   * typical ms between events, undefined when not measured.
+   * Called when a stream has ended that one engine sent completely; `paused`: whether it had too long a pause; `pace`:
+   * undefined when not measured.
    */
-  readonly streamEnded: (upstream: Upstream, paused: boolean, pace: Ms | undefined) => void
+  readonly streamEnded: (upstream: Upstream, paused: boolean, pace: MeasuredPace | undefined) => void
   /** Called when the request has ended. */
   readonly over: (summary: RelaySummary) => void
 }
--- a/packages/direct/src/lib/stream-report.ts
+++ b/packages/direct/src/lib/stream-report.ts
@@ -1,7 +1,6 @@
 /**
  * What entries report to an engine's holder of streams that ended there.
  */
-import type { Ms } from '@hazelford/core'
 import { isNonNegativeNumber } from './non-negative-number.js'
 
 /** Streams that ended at an engine since an entry's last report. */
@@ -10,35 +9,35 @@
   /** Number of them that had a pause above the route's target. */
   readonly paused: number
   /**
-   * Ms between events that is typical of each of them, for those with enough events and nothing that delayed them;
-   * undefined without one, and from an entry of a version that does not measure it.
+   * Pace of each of them, as a multiple of that of all streams of the service which the entry has relayed lately, for
+   * those with enough events and nothing that delayed them; undefined without one, and from an entry of a version that does not measure it.
    */
-  readonly paces?: readonly Ms[]
+  readonly paces?: readonly number[]
 }
 
 /** Largest number of paces in one report; further ones are left out. */
 const maxPaces = 8
-/** Largest pace that counts: callers wait no longer for an event. */
-const longestPace: Ms = 60_000
+/** Largest multiple that counts. */
+const largestPace = 1_000
 
-function isPace (value: unknown): value is Ms { return isNonNegativeNumber(value) && value > 0 && value <= longestPace }
+function isPace (value: unknown): value is number { return isNonNegativeNumber(value) && value > 0 && value <= largestPace }
 
 /** Counts streams that end at one engine until they are reported. */
 export class EndedStreams {
   private _streams = 0
   private _paused = 0
-  private _paces: Ms[] = []
+  private _paces: number[] = []
 
   /**
    * Records a stream that ended.
    *
    * @param paused - whether it had too long a pause
-   * @param pace - typical ms between its events; undefined when not measured
+   * @param pace - its pace as a multiple of that of all streams; undefined when not measured
    */
-  record (paused: boolean, pace: Ms | undefined): void {
+  record (paused: boolean, pace: number | undefined): void {
     this._streams++
     if (paused) this._paused++
-    if (pace !== undefined && this._paces.length < maxPaces) this._paces.push(Math.round(pace * 10) / 10)
+    if (pace !== undefined && this._paces.length < maxPaces) this._paces.push(Math.round(pace * 1_000) / 1_000)
   }
 
   /** Returns the report and starts a new one. */
