--- a/packages/decisions/src/test/speed-placement.steps.ts
+++ b/packages/decisions/src/test/speed-placement.steps.ts
@@ -137,7 +137,7 @@
         return idlePace / own * (1 + fullBatchSlowdown * Math.min(1, fullness * share / own))
       })
       const reference = [...paces].sort((a, b) => a - b)[engines.length / 2]!
-      measured.forEach(({ speed }, n) => speed.record(Array.from({ length: 24 }, () => paces[n]!), reference, round * 5_000))
+      measured.forEach(({ speed }, n) => speed.record(Array.from({ length: 24 }, () => paces[n]! / reference), round * 5_000))
       history.push(measured.map(({ speed }) => speed.speed).join())
     }
     assert.equal(new Set(history.slice(rounds)).size, 1, `at ${fullness} of the slots: ${[...new Set(history)].join(' | ')}`)
