Split the package direct by what its modules do

Change: store, peers, engines, usage, relay, placing, quarantine, operators; files are moved, only paths of imports and of guards change. One guard named text that the code has not had since a former change; it does again.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -15,7 +15,7 @@
   },
   {
     guarantee: 'direct answers: the request id must match the request',
-    file: 'packages/direct/dist/lib/exchange.js',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
     find: 'facts.requestId !== undefined && facts.requestId !== this._call.id',
     replace: 'false',
     feature: 'platform/src/test/answers.feature',
@@ -23,7 +23,7 @@
   },
   {
     guarantee: 'direct answers: an answer without a length is passed on without one',
-    file: 'packages/direct/dist/lib/caller-answer.js',
+    file: 'packages/direct/dist/lib/relay/caller-answer.js',
     find: 'answer.framed ?',
     replace: 'true ?',
     feature: 'platform/src/test/answers.feature',
@@ -55,7 +55,7 @@
   },
   {
     guarantee: 'direct requests: a read of a caller that has left is withdrawn from both upstreams',
-    file: 'packages/direct/dist/lib/relay-task.js',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
     find: 'if (upstream !== undefined && id !== upstream)',
     replace: 'if (this._exchange !== exchange)',
     feature: 'platform/src/test/overdue-reads.feature',
@@ -63,15 +63,15 @@
   },
   {
     guarantee: 'direct requests: nothing is sent for a caller that has disconnected',
-    file: 'packages/direct/dist/lib/relay-task.js',
-    find: 'setImmediate(() => setImmediate(() => this._placed(placed)));',
-    replace: 'this._placed(placed);',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'setImmediate(() => setImmediate(() => {',
+    replace: '(run => run())((() => {',
     feature: 'platform/src/test/answers.feature',
     scenario: 'before its request was read'
   },
   {
     guarantee: 'store outage: servers whose records have lapsed stay members',
-    file: 'packages/direct/dist/lib/membership.js',
+    file: 'packages/direct/dist/lib/placing/membership.js',
     find: 'goneAt > now && upstream.record.state === \'ready\'',
     replace: 'false',
     feature: 'platform/src/test/store.feature',
@@ -79,7 +79,7 @@
   },
   {
     guarantee: 'direct configuration: an older version never replaces a newer one',
-    file: 'packages/direct/dist/lib/current-config.js',
+    file: 'packages/direct/dist/lib/store/current-config.js',
     find: 'this._table !== undefined && config.version <= this._table.version',
     replace: 'false',
     feature: 'platform/src/test/store.feature',
@@ -87,7 +87,7 @@
   },
   {
     guarantee: 'direct configuration: the state is read again when the store has lost its history',
-    file: 'packages/direct/dist/lib/store-mirror.js',
+    file: 'packages/direct/dist/lib/store/store-mirror.js',
     find: 'this._known = false;\n            return \'heard\';',
     replace: 'return \'heard\';',
     feature: 'platform/src/test/store.feature',
@@ -103,7 +103,7 @@
   },
   {
     guarantee: 'large configuration: the store is listed when its changes are too large',
-    file: 'packages/direct/dist/lib/store-mirror.js',
+    file: 'packages/direct/dist/lib/store/store-mirror.js',
     find: 'Math.max(minWatchBytes, this._listingBytes * maxWatchShare)',
     replace: 'Infinity',
     feature: 'platform/src/test/large-configurations.feature',
@@ -111,7 +111,7 @@
   },
   {
     guarantee: 'large configuration: followers get the differences of a listing',
-    file: 'packages/direct/dist/lib/store-mirror.js',
+    file: 'packages/direct/dist/lib/store/store-mirror.js',
     find: 'this.feed.relist(listing.items, listing.revision)',
     replace: 'this.feed.reset(listing.revision)',
     feature: 'packages/direct/src/test/propagation.feature',
@@ -119,7 +119,7 @@
   },
   {
     guarantee: 'large configuration: parts of an answer are signs that the store answers',
-    file: 'packages/direct/dist/lib/store-mirror.js',
+    file: 'packages/direct/dist/lib/store/store-mirror.js',
     find: 'this._receivedAt = now;',
     replace: '',
     feature: 'packages/direct/src/test/propagation.feature',
@@ -127,7 +127,7 @@
   },
   {
     guarantee: 'large configuration: an answer that turns a watcher away is none',
-    file: 'packages/direct/dist/lib/json-client.js',
+    file: 'packages/direct/dist/lib/peers/json-client.js',
     find: 'if (res.statusCode === 200)',
     replace: '',
     feature: 'platform/src/test/followers.feature',
@@ -143,7 +143,7 @@
   },
   {
     guarantee: 'store order: the answer of a watch is dropped after a peer\'s view',
-    file: 'packages/direct/dist/lib/store-mirror.js',
+    file: 'packages/direct/dist/lib/store/store-mirror.js',
     find: 'if (this._isRelistDue)\n                return \'overtaken\';',
     replace: '',
     feature: 'packages/direct/src/test/store-mirror.feature',
@@ -151,7 +151,7 @@
   },
   {
     guarantee: 'route timeout: no request waits longer for credit',
-    file: 'packages/direct/dist/lib/credit-queue.js',
+    file: 'packages/direct/dist/lib/usage/credit-queue.js',
     find: 'Math.min(longestWait, patience)',
     replace: 'longestWait',
     feature: 'packages/direct/src/test/usage.feature',
@@ -159,7 +159,7 @@
   },
   {
     guarantee: 'route timeout: a request that is not read completely is answered',
-    file: 'packages/direct/dist/lib/caller-server.js',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
     find: 'fail({ kind: \'body-incomplete\' });',
     replace: ';',
     feature: 'platform/src/test/answers.feature',
@@ -175,7 +175,7 @@
   },
   {
     guarantee: 'leaving upstreams: an upstream\'s own notice that it leaves is followed',
-    file: 'packages/direct/dist/lib/notice-coordinator.js',
+    file: 'packages/direct/dist/lib/placing/notice-coordinator.js',
     find: 'this._options.leavingAnnounced(upstream);',
     replace: '',
     feature: 'platform/src/test/notices.feature',
@@ -183,7 +183,7 @@
   },
   {
     guarantee: 'leaving upstreams: all entries are notified',
-    file: 'packages/direct/dist/lib/notice-coordinator.js',
+    file: 'packages/direct/dist/lib/placing/notice-coordinator.js',
     find: 'if (source === \'its answer\')',
     replace: 'if (false)',
     feature: 'platform/src/test/notices.feature',
@@ -191,7 +191,7 @@
   },
   {
     guarantee: 'upstreams in backoff: they get no requests',
-    file: 'packages/direct/dist/lib/placer.js',
+    file: 'packages/direct/dist/lib/placing/placer.js',
     find: 'upstream.notices.backoffUntil <= this._now &&',
     replace: '',
     feature: 'platform/src/test/notices.feature',
@@ -199,16 +199,16 @@
   },
   {
     guarantee: 'upstreams in backoff: they get no load orders and no probes',
-    file: 'packages/direct/dist/lib/engine-holder.js',
+    file: 'packages/direct/dist/lib/engines/engine-holder.js',
     find: 'if (this._backoff > 0) {',
     replace: 'if (false) {',
-    also: { file: 'packages/direct/dist/lib/liveness-probe.js', find: 'if (!this._options.mayProbe())', replace: 'if (false)' },
+    also: { file: 'packages/direct/dist/lib/engines/liveness-probe.js', find: 'if (!this._options.mayProbe())', replace: 'if (false)' },
     feature: 'platform/src/test/notices.feature',
     scenario: 'servers that refuse an entry\'s requests'
   },
   {
     guarantee: 'stopped entries: no peer is pinged any more',
-    file: 'packages/direct/dist/lib/peer-suspects.js',
+    file: 'packages/direct/dist/lib/peers/peer-suspects.js',
     find: 'if (this._stopped)',
     replace: 'if (false)',
     feature: 'platform/src/test/ended-entries.feature',
@@ -216,7 +216,7 @@
   },
   {
     guarantee: 'stopped entries: no load or unload order is sent any more',
-    file: 'packages/direct/dist/lib/engine-coordinator.js',
+    file: 'packages/direct/dist/lib/engines/engine-coordinator.js',
     find: 'if (this._stopped)',
     replace: 'if (false)',
     feature: 'platform/src/test/ended-entries.feature',
@@ -232,7 +232,7 @@
   },
   {
     guarantee: 'engines: a new holder sends no order before the former one has stopped',
-    file: 'packages/direct/dist/lib/takeover.js',
+    file: 'packages/direct/dist/lib/engines/takeover.js',
     find: 'await Promise.all(this._options.formers.map(former => this._awaitEnd(former)))',
     replace: '',
     feature: 'packages/direct/src/test/takeovers.feature',
@@ -240,7 +240,7 @@
   },
   {
     guarantee: 'engines: a former holder counts as stopped once its last order can not arrive any more',
-    file: 'packages/direct/dist/lib/engine-holder.js',
+    file: 'packages/direct/dist/lib/engines/engine-holder.js',
     find: 'this._ordersArriveUntil = clock.now() + orderTransit',
     replace: '',
     feature: 'packages/direct/src/test/takeovers.feature',
@@ -248,7 +248,7 @@
   },
   {
     guarantee: 'engines: all earlier claimants that may still send orders are notified',
-    file: 'packages/direct/dist/lib/claim-history.js',
+    file: 'packages/direct/dist/lib/engines/claim-history.js',
     find: ', ...recorded?.formers ?? []',
     replace: '',
     feature: 'packages/direct/src/test/takeovers.feature',
@@ -256,7 +256,7 @@
   },
   {
     guarantee: 'engines: a holder turn holds across a restart of the entry',
-    file: 'packages/direct/dist/lib/engine-coordinator.js',
+    file: 'packages/direct/dist/lib/engines/engine-coordinator.js',
     find: '(!isEarlierHolder || this._reclaimCooldown.isOver(this._startedAt, now))',
     replace: 'true',
     feature: 'packages/direct/src/test/takeovers.feature',
@@ -264,7 +264,7 @@
   },
   {
     guarantee: 'engines: a new holder waits for orders of a terminated one that are on their way',
-    file: 'packages/direct/dist/lib/takeover.js',
+    file: 'packages/direct/dist/lib/engines/takeover.js',
     find: "if (answer === 'terminated')",
     replace: 'if (false)',
     feature: 'packages/direct/src/test/takeovers.feature',
@@ -272,7 +272,7 @@
   },
   {
     guarantee: 'engines: a lost claim is repeated on a newer view only',
-    file: 'packages/direct/dist/lib/engine-coordinator.js',
+    file: 'packages/direct/dist/lib/engines/engine-coordinator.js',
     find: 'if (this._wouldLoseAgain(upstream.id, now))',
     replace: 'if (false)',
     feature: 'packages/direct/src/test/takeovers.feature',
@@ -320,7 +320,7 @@
   },
   {
     guarantee: 'speeds: reports of other entries are checked',
-    file: 'packages/direct/dist/lib/stream-report.js',
+    file: 'packages/direct/dist/lib/engines/stream-report.js',
     find: 'paces.filter(isPace)',
     replace: 'paces',
     feature: 'packages/direct/src/test/engine-speed.feature',
@@ -328,7 +328,7 @@
   },
   {
     guarantee: 'speeds: a load without a speed leaves the last one',
-    file: 'packages/direct/dist/lib/upstream.js',
+    file: 'packages/direct/dist/lib/placing/upstream.js',
     find: 'readSpeed(speed) ?? this._speed',
     replace: 'readSpeed(speed) ?? 1',
     feature: 'packages/direct/src/test/engine-speed.feature',
@@ -336,7 +336,7 @@
   },
   {
     guarantee: 'speeds: a successor starts from the speed that its entry knows',
-    file: 'packages/direct/dist/lib/engine-holder.js',
+    file: 'packages/direct/dist/lib/engines/engine-holder.js',
     find: 'new EngineSpeed(_options.speed)',
     replace: 'new EngineSpeed()',
     feature: 'packages/direct/src/test/engine-speed.feature',
@@ -344,7 +344,7 @@
   },
   {
     guarantee: 'speeds: a restarted engine is measured anew',
-    file: 'packages/direct/dist/lib/engine-holder.js',
+    file: 'packages/direct/dist/lib/engines/engine-holder.js',
     find: 'this._speed = new EngineSpeed(1);',
     replace: '',
     feature: 'packages/direct/src/test/engine-speed.feature',
--- a/packages/bench/src/lib/guards/shared-guards.ts
+++ b/packages/bench/src/lib/guards/shared-guards.ts
@@ -7,7 +7,7 @@
 export const sharedGuards: readonly Guard[] = [
   {
     guarantee: 'quarantine: before a request is quarantined, entries that have answered it recently are asked',
-    file: 'packages/direct/dist/lib/quarantine-coordinator.js',
+    file: 'packages/direct/dist/lib/quarantine/quarantine-coordinator.js',
     find: 'this._quarantine.recordAnswered(key, this._now - age);',
     replace: '',
     also: { file: 'packages/decisions/dist/lib/request-quarantine.js', find: ' || (this.answeredAt(request, now) ?? -Infinity) > terminatedSince)', replace: ')' },
@@ -16,16 +16,16 @@
   },
   {
     guarantee: 'quarantine: a planned termination does not count as a crash',
-    file: 'packages/direct/dist/lib/termination-detector.js',
+    file: 'packages/direct/dist/lib/quarantine/termination-detector.js',
     find: 'if (upstream.record.state === \'draining\')',
     replace: 'if (false)',
-    also: { file: 'packages/direct/dist/lib/termination-detector.js', find: 'if (upstream.record.state !== \'draining\')', replace: 'if (true)' },
+    also: { file: 'packages/direct/dist/lib/quarantine/termination-detector.js', find: 'if (upstream.record.state !== \'draining\')', replace: 'if (true)' },
     feature: 'platform/src/test/ending-requests.feature',
     scenario: 'servers that leave terminate while requests still run there'
   },
   {
     guarantee: 'quarantine: quarantined requests are recorded in the store',
-    file: 'packages/direct/dist/lib/quarantine-coordinator.js',
+    file: 'packages/direct/dist/lib/quarantine/quarantine-coordinator.js',
     find: 'await store.commit(',
     replace: 'await (async () => ({ isErr: () => false, value: { kind: "lost" } }))(',
     feature: 'platform/src/test/ending-requests.feature',
@@ -33,7 +33,7 @@
   },
   {
     guarantee: 'quarantine: terminations are reported by prompt parts',
-    file: 'packages/direct/dist/lib/part-coordinator.js',
+    file: 'packages/direct/dist/lib/quarantine/part-coordinator.js',
     find: 'const parts = groupByPart(lost);',
     replace: 'const parts = [];',
     feature: 'platform/src/test/crashing-parts.feature',
@@ -65,7 +65,7 @@
   },
   {
     guarantee: 'quarantine: an answer that may have been cut short clears no part',
-    file: 'packages/direct/dist/lib/relay-task.js',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
     find: 'if (!this._isFramed)\n',
     replace: 'if (false)\n',
     feature: 'platform/src/test/crashing-parts.feature',
@@ -73,16 +73,16 @@
   },
   {
     guarantee: 'quarantine: after it one entry admits one request at a time, and one termination is enough',
-    file: 'packages/direct/dist/lib/quarantine-coordinator.js',
+    file: 'packages/direct/dist/lib/quarantine/quarantine-coordinator.js',
     find: 'if (prober !== this._options.node || this._now - (this._probedAt.get(key) ?? -Infinity) < probeInterval)',
     replace: 'if (false)',
-    also: { file: 'packages/direct/dist/lib/quarantine-coordinator.js', find: 'this._countOnProbation(suspectKey({ kind: \'part\', id }), upstream, at);', replace: '' },
+    also: { file: 'packages/direct/dist/lib/quarantine/quarantine-coordinator.js', find: 'this._countOnProbation(suspectKey({ kind: \'part\', id }), upstream, at);', replace: '' },
     feature: 'platform/src/test/crashing-parts.feature',
     scenario: 'a part whose quarantine is over'
   },
   {
     guarantee: 'limits of upstreams: each send counts against the upstream\'s request limit',
-    file: 'packages/direct/dist/lib/notice-coordinator.js',
+    file: 'packages/direct/dist/lib/placing/notice-coordinator.js',
     find: 'return this._limits.admit(upstream.id, 1);',
     replace: 'return { kind: \'admitted\', refund: () => { } };',
     feature: 'platform/src/test/notices.feature',
@@ -90,7 +90,7 @@
   },
   {
     guarantee: 'limits of upstreams: the end of a limit reaches all entries',
-    file: 'packages/direct/dist/lib/usage-coordinator.js',
+    file: 'packages/direct/dist/lib/usage/usage-coordinator.js',
     find: 'this._limits.size > 0 || this._options.clock.now() - this._endedAt < reportAfterEnd',
     replace: 'this._limits.size > 0',
     feature: 'platform/src/test/notices.feature',
@@ -98,7 +98,7 @@
   },
   {
     guarantee: 'usage limits: entries that were listed recently are counted',
-    file: 'packages/direct/dist/lib/peer-table.js',
+    file: 'packages/direct/dist/lib/peers/peer-table.js',
     find: 'this._entries.size + this._left.size',
     replace: 'this._entries.size',
     feature: 'packages/direct/src/test/usage.feature',
@@ -106,7 +106,7 @@
   },
   {
     guarantee: 'retry budget: entries that were listed recently are counted',
-    file: 'packages/direct/dist/lib/peer-table.js',
+    file: 'packages/direct/dist/lib/peers/peer-table.js',
     find: 'this._entries.size + this._left.size',
     replace: 'this._entries.size',
     feature: 'packages/direct/src/test/peers.feature',
@@ -114,7 +114,7 @@
   },
   {
     guarantee: 'usage limits: an entry detects soon that it is cut off',
-    file: 'packages/direct/dist/lib/usage-coordinator.js',
+    file: 'packages/direct/dist/lib/usage/usage-coordinator.js',
     find: 'asked *= 2',
     replace: 'asked *= 1',
     feature: 'packages/direct/src/test/usage.feature',
@@ -122,7 +122,7 @@
   },
   {
     guarantee: 'long answers between entries are compressed',
-    file: 'packages/direct/dist/lib/serve-peers.js',
+    file: 'packages/direct/dist/lib/peers/serve-peers.js',
     find: 'plain.length >= compressFrom',
     replace: 'false',
     feature: 'packages/direct/src/test/peers.feature',
@@ -130,7 +130,7 @@
   },
   {
     guarantee: 'limits of upstreams: upstreams that failed recently are tried before callers are refused',
-    file: 'packages/direct/dist/lib/placer.js',
+    file: 'packages/direct/dist/lib/placing/placer.js',
     find: 'if (!isLimited || ',
     replace: 'if (true || ',
     feature: 'platform/src/test/notices.feature',
@@ -138,7 +138,7 @@
   },
   {
     guarantee: 'usage limits: an entry without a configuration does not allocate',
-    file: 'packages/direct/dist/lib/usage-coordinator.js',
+    file: 'packages/direct/dist/lib/usage/usage-coordinator.js',
     find: '!isConfigured()',
     replace: 'false',
     feature: 'packages/direct/src/test/usage.feature',
@@ -170,7 +170,7 @@
   },
   {
     guarantee: 'load requests of other entries are checked',
-    file: 'packages/direct/dist/lib/load-request-messages.js',
+    file: 'packages/direct/dist/lib/engines/load-request-messages.js',
     find: 'isUpTo(value.tokens, maxPromptTokens)',
     replace: 'true',
     feature: 'packages/direct/src/test/load-request-messages.feature',
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -3,12 +3,12 @@
  *
  * @packageDocumentation
  */
-export * from './lib/change-feed.js'
+export * from './lib/store/change-feed.js'
 export * from './lib/direct-entry.js'
 export * from './lib/entry-settings.js'
-export * from './lib/hop-headers.js'
-export * from './lib/json-client.js'
+export * from './lib/relay/hop-headers.js'
+export * from './lib/peers/json-client.js'
 export * from './lib/json-log.js'
 export * from './lib/metrics.js'
-export * from './lib/notice-messages.js'
+export * from './lib/placing/notice-messages.js'
 export * from './lib/platform-port.js'
--- a/packages/direct/src/lib/adapter-directory.ts
+++ b/packages/direct/src/lib/engines/adapter-directory.ts
@@ -6,11 +6,11 @@
 import type { EngineCoordinator } from './engine-coordinator.js'
 import type { LoadRequest, LoadRequestOutcome } from './engine-holder.js'
 import { type DigestRow, type LoadDigest, pickDigests, readDigests, toDigestRow } from './load-digest.js'
-import type { PeerClient } from './peer-client.js'
-import { PeerSuspects } from './peer-suspects.js'
-import type { PeerTable } from './peer-table.js'
+import type { PeerClient } from '../peers/peer-client.js'
+import { PeerSuspects } from '../peers/peer-suspects.js'
+import type { PeerTable } from '../peers/peer-table.js'
 import type { StreamReport } from './stream-report.js'
-import type { Upstream } from './upstream.js'
+import type { Upstream } from '../placing/upstream.js'
 
 /**
  * How long an engine is skipped after the entry listed as its holder answered that it does not hold it. Another entry
--- a/packages/direct/src/lib/claim-history.ts
+++ b/packages/direct/src/lib/engines/claim-history.ts
@@ -2,7 +2,7 @@
  * Earlier claims of engines, whose claimants may still send orders.
  */
 import type { Ms } from '@hazelford/core'
-import type { HolderRecord } from './peer-table.js'
+import type { HolderRecord } from '../peers/peer-table.js'
 
 /** The record in the store of the entry that claimed an engine last. */
 export interface ClaimRecord extends HolderRecord {
--- a/packages/direct/src/lib/claim-records.ts
+++ b/packages/direct/src/lib/engines/claim-records.ts
@@ -3,7 +3,7 @@
  */
 import type { Log } from '@hazelford/core'
 import type { Store } from '@hazelford/ports'
-import { encodeClaimRecord, holderKey, lastHolderKey, type PeerAddress, type PeerTable } from './peer-table.js'
+import { encodeClaimRecord, holderKey, lastHolderKey, type PeerAddress, type PeerTable } from '../peers/peer-table.js'
 
 /** What the records need. */
 export interface ClaimRecordsOptions {
--- a/packages/direct/src/lib/load-request-messages.ts
+++ b/packages/direct/src/lib/engines/load-request-messages.ts
@@ -2,8 +2,8 @@
  * Checks load requests and reports of use of other entries. A number that is none would stay in the engine's counts of
  * requests and prompt tokens, and no request would be admitted there any more.
  */
-import { isNonNegativeNumber } from './non-negative-number.js'
-import type { LoadRequestMessage, UseMessage } from './peer-messages.js'
+import { isNonNegativeNumber } from '../non-negative-number.js'
+import type { LoadRequestMessage, UseMessage } from '../peers/peer-messages.js'
 
 /** Largest number of open requests that an entry may report: one for each port of its address. */
 const maxOutstanding = 65_535
--- a/packages/direct/src/lib/stream-report.ts
+++ b/packages/direct/src/lib/engines/stream-report.ts
@@ -1,7 +1,7 @@
 /**
  * What entries report to an engine's holder of streams that ended there.
  */
-import { isNonNegativeNumber } from './non-negative-number.js'
+import { isNonNegativeNumber } from '../non-negative-number.js'
 
 /** Streams that ended at an engine since an entry's last report. */
 export interface StreamReport {
--- a/packages/direct/src/lib/takeover.ts
+++ b/packages/direct/src/lib/engines/takeover.ts
@@ -4,8 +4,8 @@
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import type { FormerHolder } from './claim-history.js'
 import { orderTransit } from './engine-holder.js'
-import type { TakeoverMessage } from './peer-messages.js'
-import type { PeerAddress } from './peer-table.js'
+import type { TakeoverMessage } from '../peers/peer-messages.js'
+import type { PeerAddress } from '../peers/peer-table.js'
 
 /** What a notice shows of a former holder: it sends no more orders, or its process has terminated. */
 export type TakeoverAnswer = 'stopped' | 'terminated'
--- a/packages/direct/src/lib/operator-view.ts
+++ b/packages/direct/src/lib/operators/operator-view.ts
@@ -4,10 +4,10 @@
 import type { Clock, OperatorView, OrganisationView, UpstreamView } from '@hazelford/core'
 import type { RouteTable } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
-import type { LoadDigest } from './load-digest.js'
-import { activityWindow, type OrganisationActivity, type OrganisationCounts } from './organisation-activity.js'
-import type { PeerTable } from './peer-table.js'
-import type { Upstream } from './upstream.js'
+import type { LoadDigest } from '../engines/load-digest.js'
+import { activityWindow, type OrganisationActivity, type OrganisationCounts } from '../usage/organisation-activity.js'
+import type { PeerTable } from '../peers/peer-table.js'
+import type { Upstream } from '../placing/upstream.js'
 
 /** Rows of one answer; the JSON of as many stays under some hundred KB. */
 const maxUpstreams = 1_000
--- a/packages/direct/src/lib/peer-messages.ts
+++ b/packages/direct/src/lib/peers/peer-messages.ts
@@ -3,13 +3,13 @@
  */
 import type { Ms } from '@hazelford/core'
 import type { UsageGrant } from '@hazelford/decisions'
-import type { EngineLoad } from './engine-admission.js'
-import type { LoadRequest, LoadRequestOutcome, UnavailableCause } from './engine-holder.js'
-import type { DigestRow } from './load-digest.js'
-import type { RecentLoadsUpdate } from './recent-loads.js'
-import type { NoticeMessage } from './notice-messages.js'
-import type { StreamReport } from './stream-report.js'
-import type { UsageMessage } from './usage-coordinator.js'
+import type { EngineLoad } from '../engines/engine-admission.js'
+import type { LoadRequest, LoadRequestOutcome, UnavailableCause } from '../engines/engine-holder.js'
+import type { DigestRow } from '../engines/load-digest.js'
+import type { RecentLoadsUpdate } from '../engines/recent-loads.js'
+import type { NoticeMessage } from '../placing/notice-messages.js'
+import type { StreamReport } from '../engines/stream-report.js'
+import type { UsageMessage } from '../usage/usage-coordinator.js'
 
 /** Path of each call. */
 export const peerPaths = {
--- a/packages/direct/src/lib/peer-state.ts
+++ b/packages/direct/src/lib/peers/peer-state.ts
@@ -4,7 +4,7 @@
 import { type Clock, type Instant, instantOf, type Log, type Ms, sleep } from '@hazelford/core'
 import type { AdapterVersion, RouteConfig, UpstreamRecord } from '@hazelford/ports'
 import type { PeerClient } from './peer-client.js'
-import type { Departure } from './membership.js'
+import type { Departure } from '../placing/membership.js'
 import type { HolderListing, PeerAddress } from './peer-table.js'
 
 /** Everything an entry needs to serve. */
--- a/packages/direct/src/lib/peer-table.ts
+++ b/packages/direct/src/lib/peers/peer-table.ts
@@ -4,7 +4,7 @@
 import { isIPv4 } from 'node:net'
 import type { Clock, Ms } from '@hazelford/core'
 import type { StoreEvent, StoreItem } from '@hazelford/ports'
-import { ClaimHistory, type ClaimRecord, type FormerHolder } from './claim-history.js'
+import { ClaimHistory, type ClaimRecord, type FormerHolder } from '../engines/claim-history.js'
 
 /** Prefix of hazelford's own keys. */
 export const systemKeyPrefix = 'hazelford/'
--- a/packages/direct/src/lib/notice-coordinator.ts
+++ b/packages/direct/src/lib/placing/notice-coordinator.ts
@@ -4,14 +4,14 @@
 import { assertNever, type Clock, type Log, type Ms } from '@hazelford/core'
 import { type CreditLimit, type NoticeChange, rendezvousOrder, type UsageBounds, type UsageGrant } from '@hazelford/decisions'
 import type { UpstreamNotice } from '@hazelford/ports'
-import type { EntryMetrics } from './metrics.js'
+import type { EntryMetrics } from '../metrics.js'
 import type { NoticeMessage, NoticeRow } from './notice-messages.js'
-import type { PeerClient } from './peer-client.js'
-import type { LimitReply, LimitReport } from './peer-messages.js'
-import type { PeerAddress } from './peer-table.js'
+import type { PeerClient } from '../peers/peer-client.js'
+import type { LimitReply, LimitReport } from '../peers/peer-messages.js'
+import type { PeerAddress } from '../peers/peer-table.js'
 import type { Upstream } from './upstream.js'
-import { UsageCoordinator } from './usage-coordinator.js'
-import type { Admission } from './credit-queue.js'
+import { UsageCoordinator } from '../usage/usage-coordinator.js'
+import type { Admission } from '../usage/credit-queue.js'
 
 /** What the coordinator needs of its entry. */
 export interface NoticeCoordinatorOptions {
--- a/packages/direct/src/lib/notice-messages.ts
+++ b/packages/direct/src/lib/placing/notice-messages.ts
@@ -2,7 +2,7 @@
  * Messages with which entries exchange upstreams' notices.
  */
 import type { Ms } from '@hazelford/core'
-import { isNonNegativeNumber } from './non-negative-number.js'
+import { isNonNegativeNumber } from '../non-negative-number.js'
 
 /** Latest notice of one upstream, as far as an entry knows. */
 export interface NoticeRow {
--- a/packages/direct/src/lib/placer.ts
+++ b/packages/direct/src/lib/placing/placer.ts
@@ -3,11 +3,11 @@
  */
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { adapterShare, type RequestedAdapter, DecayedCounter, homesWithSpeed, homeWeight, hopelessWait, type PlacementCandidate, rankCandidates, replicasFor, MovingAverage, type UnplacedCause, weightedRendezvousOrder } from '@hazelford/decisions'
-import type { AdapterDirectory, EnsureQuery } from './adapter-directory.js'
-import type { UnavailableCause } from './engine-holder.js'
+import type { AdapterDirectory, EnsureQuery } from '../engines/adapter-directory.js'
+import type { UnavailableCause } from '../engines/engine-holder.js'
 import type { Membership } from './membership.js'
 import type { Upstream } from './upstream.js'
-import type { Admission } from './credit-queue.js'
+import type { Admission } from '../usage/credit-queue.js'
 
 /**
  * The software version that a request must run at.
--- a/packages/direct/src/lib/upstream.ts
+++ b/packages/direct/src/lib/placing/upstream.ts
@@ -4,11 +4,11 @@
 import type { Clock, Ms } from '@hazelford/core'
 import { promptTokensPerMs, readSpeed, UpstreamHealth, UpstreamNotices, requestedAdapterKey } from '@hazelford/decisions'
 import type { UpstreamRecord } from '@hazelford/ports'
-import { ConnectionPool } from './connection-pool.js'
-import type { EngineLoad } from './engine-admission.js'
-import { IncarnationCheck } from './incarnation-check.js'
-import type { RecentLoadsUpdate } from './recent-loads.js'
-import { EndedStreams } from './stream-report.js'
+import { ConnectionPool } from '../relay/connection-pool.js'
+import type { EngineLoad } from '../engines/engine-admission.js'
+import { IncarnationCheck } from '../engines/incarnation-check.js'
+import type { RecentLoadsUpdate } from '../engines/recent-loads.js'
+import { EndedStreams } from '../engines/stream-report.js'
 
 /**
  * Age from which a report on an upstream's load is no better than a guess: streams take some seconds, so other requests
--- a/packages/direct/src/lib/part-coordinator.ts
+++ b/packages/direct/src/lib/quarantine/part-coordinator.ts
@@ -3,8 +3,8 @@
  */
 import type { Clock, Log, Ms } from '@hazelford/core'
 import { type PartEvidence, PartSuspicion, type QuarantineLimits, rendezvousOrder } from '@hazelford/decisions'
-import type { PeerClient } from './peer-client.js'
-import type { PeerAddress } from './peer-table.js'
+import type { PeerClient } from '../peers/peer-client.js'
+import type { PeerAddress } from '../peers/peer-table.js'
 import type { AgeRow, PartTerminationReport } from './quarantine-messages.js'
 import type { InterruptedRequest } from './termination-detector.js'
 
--- a/packages/direct/src/lib/quarantine-coordinator.ts
+++ b/packages/direct/src/lib/quarantine/quarantine-coordinator.ts
@@ -6,11 +6,11 @@
 import type { Store } from '@hazelford/ports'
 import { PartCoordinator } from './part-coordinator.js'
 import { TerminationDetector, type InterruptedRequest, type RequestSuspects } from './termination-detector.js'
-import type { ProbeOutcome } from './connection-probe.js'
-import type { PeerClient } from './peer-client.js'
-import { systemKeyPrefix, type PeerAddress } from './peer-table.js'
+import type { ProbeOutcome } from '../peers/connection-probe.js'
+import type { PeerClient } from '../peers/peer-client.js'
+import { systemKeyPrefix, type PeerAddress } from '../peers/peer-table.js'
 import type { AnsweredQuery, AnsweredReply, PartTerminationReport, QuarantinedMessage, TerminationsMessage } from './quarantine-messages.js'
-import type { Upstream } from './upstream.js'
+import type { Upstream } from '../placing/upstream.js'
 
 /** Prefix of the keys of quarantined requests in the store. */
 export const quarantinePrefix = `${systemKeyPrefix}quarantine/`
--- a/packages/direct/src/lib/quarantine-messages.ts
+++ b/packages/direct/src/lib/quarantine/quarantine-messages.ts
@@ -3,7 +3,7 @@
  */
 import type { Ms } from '@hazelford/core'
 import type { LostRequests } from '@hazelford/decisions'
-import { isNonNegativeNumber } from './non-negative-number.js'
+import { isNonNegativeNumber } from '../non-negative-number.js'
 
 /** Upstreams that terminated while running requests, reported to an entry that counts terminations. */
 export interface TerminationsMessage {
--- a/packages/direct/src/lib/termination-detector.ts
+++ b/packages/direct/src/lib/quarantine/termination-detector.ts
@@ -2,8 +2,8 @@
  * Detects upstreams that terminated while running requests of this entry.
  */
 import type { CancelTimer, Clock, Log, Ms } from '@hazelford/core'
-import type { ProbeOutcome } from './connection-probe.js'
-import type { Upstream } from './upstream.js'
+import type { ProbeOutcome } from '../peers/connection-probe.js'
+import type { Upstream } from '../placing/upstream.js'
 
 /** What of a request may terminate the upstream that runs it. */
 export interface RequestSuspects {
--- a/packages/direct/src/lib/origin-coordinator.ts
+++ b/packages/direct/src/lib/relay/origin-coordinator.ts
@@ -4,8 +4,8 @@
 import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
 import { rendezvousOrder } from '@hazelford/decisions'
 import type { OriginQuery, OriginReply, OriginRow, OriginsMessage } from './origin-messages.js'
-import type { PeerClient } from './peer-client.js'
-import type { PeerAddress } from './peer-table.js'
+import type { PeerClient } from '../peers/peer-client.js'
+import type { PeerAddress } from '../peers/peer-table.js'
 import { type StreamOrigin, StreamOrigins } from './stream-origins.js'
 
 /** What the coordinator needs of its entry. */
--- a/packages/direct/src/lib/origin-messages.ts
+++ b/packages/direct/src/lib/relay/origin-messages.ts
@@ -2,7 +2,7 @@
  * Messages with which entries exchange the origins of streams.
  */
 import type { Ms } from '@hazelford/core'
-import { isNonNegativeNumber } from './non-negative-number.js'
+import { isNonNegativeNumber } from '../non-negative-number.js'
 import type { StreamOrigin } from './stream-origins.js'
 
 /** The origin of one stream. */
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -6,10 +6,10 @@
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
 import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
-import type { Placement, PlacementQuery, PlacementWaits, SoftwareNeed } from './placer.js'
+import type { Placement, PlacementQuery, PlacementWaits, SoftwareNeed } from '../placing/placer.js'
 import { requestFingerprint } from './request-fingerprint.js'
-import type { RequestSuspects } from './termination-detector.js'
-import type { Upstream } from './upstream.js'
+import type { RequestSuspects } from '../quarantine/termination-detector.js'
+import type { Upstream } from '../placing/upstream.js'
 
 /** A request that was read completely. */
 export interface BufferedCall {
--- a/packages/direct/src/lib/request-intake.ts
+++ b/packages/direct/src/lib/relay/request-intake.ts
@@ -5,11 +5,11 @@
 import { type CallerIdentity, identifyCaller, pickService, type RouteTable } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Credential, Organisation, Route } from '@hazelford/ports'
 import type { IncomingRequest } from './caller-server.js'
-import type { ConfigVerifier } from './config-verifier.js'
+import type { ConfigVerifier } from '../store/config-verifier.js'
 import { sharedPartIds } from './prompt-parts.js'
-import type { EntryMetrics } from './metrics.js'
+import type { EntryMetrics } from '../metrics.js'
 import type { BufferedCall } from './relay-task.js'
-import type { Admission } from './credit-queue.js'
+import type { Admission } from '../usage/credit-queue.js'
 
 /** A request that may run. */
 export interface AdmittedCall {
--- a/packages/direct/src/lib/current-config.ts
+++ b/packages/direct/src/lib/store/current-config.ts
@@ -4,7 +4,7 @@
 import type { Log } from '@hazelford/core'
 import { RouteTable } from '@hazelford/decisions'
 import type { AdapterVersion, RouteConfig, StoreEvent, StoreItem } from '@hazelford/ports'
-import type { PlatformPort } from './platform-port.js'
+import type { PlatformPort } from '../platform-port.js'
 
 /** Receives configurations and adapter versions as they come into force. */
 export interface ConfigListener {
--- a/packages/direct/src/lib/era-store.ts
+++ b/packages/direct/src/lib/store/era-store.ts
@@ -4,7 +4,7 @@
 import type { Log, Ms } from '@hazelford/core'
 import { eraOf, positionOf, revisionOf, type ReadOptions, type Store, type StoreAnswer, type StoreChanges, type StoreEvent, type StoreFailure, type StoreItem, type StoreLease, type StoreListing, type StoreTransaction, type TransactionOutcome, type WatchOptions } from '@hazelford/ports'
 import { err, ok, type Result, ResultAsync } from 'neverthrow'
-import { systemKeyPrefix } from './peer-table.js'
+import { systemKeyPrefix } from '../peers/peer-table.js'
 
 /** Called when an answer shows that the store is in another era than it was known to be. */
 export type EraListener = (change: {
--- a/packages/direct/src/lib/store-follower.ts
+++ b/packages/direct/src/lib/store/store-follower.ts
@@ -5,7 +5,7 @@
 import type { StoreRole } from '@hazelford/decisions'
 import { eraOf } from '@hazelford/ports'
 import type { FeedAnswer, FeedChanges } from './change-feed.js'
-import type { PeerAddress } from './peer-table.js'
+import type { PeerAddress } from '../peers/peer-table.js'
 
 /** What a follower needs. */
 export interface StoreFollowerOptions {
--- a/packages/direct/src/lib/usage-coordinator.ts
+++ b/packages/direct/src/lib/usage/usage-coordinator.ts
@@ -4,9 +4,9 @@
  */
 import type { Clock, Log, Ms } from '@hazelford/core'
 import { type CreditLimit, rendezvousOrder, rendezvousWeight, type UsageBounds, type UsageGrant, UsageAllocator, type UsageReport, type UsageRow, reportTtl } from '@hazelford/decisions'
-import { NoAnswer } from './json-client.js'
-import { PeerSuspects } from './peer-suspects.js'
-import type { PeerAddress } from './peer-table.js'
+import { NoAnswer } from '../peers/json-client.js'
+import { PeerSuspects } from '../peers/peer-suspects.js'
+import type { PeerAddress } from '../peers/peer-table.js'
 import { type Admission, CreditQueue } from './credit-queue.js'
 import { UsageSummary, type UsageSummaryOptions } from './usage-summary.js'
 
--- a/packages/direct/src/lib/usage-messages.ts
+++ b/packages/direct/src/lib/usage/usage-messages.ts
@@ -2,7 +2,7 @@
  * Reads the usage messages that entries exchange.
  */
 import type { UsageGrant, UsageRow } from '@hazelford/decisions'
-import { isNonNegativeNumber } from './non-negative-number.js'
+import { isNonNegativeNumber } from '../non-negative-number.js'
 import type { UsageMessage } from './usage-coordinator.js'
 
 function isRow (value: unknown): value is UsageRow {
--- a/packages/direct/src/test/batch-slots.steps.ts
+++ b/packages/direct/src/test/batch-slots.steps.ts
@@ -5,7 +5,7 @@
 import { Then } from '@cucumber/cucumber'
 import { BatchSlots } from '@hazelford/decisions'
 import fc from 'fast-check'
-import { type LoadDigest, maxDigestsPerMessage, pickDigests, readDigests, toDigestRow } from '../lib/load-digest.js'
+import { type LoadDigest, maxDigestsPerMessage, pickDigests, readDigests, toDigestRow } from '../lib/engines/load-digest.js'
 import { simulateBatchSlots } from './support/batch-slot-simulation.js'
 
 const propertySeed = 20261203
--- a/packages/direct/src/test/early-refusal.steps.ts
+++ b/packages/direct/src/test/early-refusal.steps.ts
@@ -4,11 +4,11 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { FakeClock, silentLog } from '@hazelford/core'
-import type { AdapterDirectory } from '../lib/adapter-directory.js'
-import type { LoadRequestOutcome } from '../lib/engine-holder.js'
-import type { Membership } from '../lib/membership.js'
-import { type Placement, Placer } from '../lib/placer.js'
-import { Upstream } from '../lib/upstream.js'
+import type { AdapterDirectory } from '../lib/engines/adapter-directory.js'
+import type { LoadRequestOutcome } from '../lib/engines/engine-holder.js'
+import type { Membership } from '../lib/placing/membership.js'
+import { type Placement, Placer } from '../lib/placing/placer.js'
+import { Upstream } from '../lib/placing/upstream.js'
 
 interface RefusalWorld { waits: readonly (number | undefined)[], calls: string[], placed: Placement, took: number }
 
--- a/packages/direct/src/test/engine-speed.steps.ts
+++ b/packages/direct/src/test/engine-speed.steps.ts
@@ -7,10 +7,10 @@
 import type { EngineControl, EngineReport } from '@hazelford/ports'
 import fc from 'fast-check'
 import { okAsync } from 'neverthrow'
-import { EngineHolder } from '../lib/engine-holder.js'
+import { EngineHolder } from '../lib/engines/engine-holder.js'
 import { EntryMetrics } from '../lib/metrics.js'
-import { EndedStreams, readStreamReport } from '../lib/stream-report.js'
-import { Upstream } from '../lib/upstream.js'
+import { EndedStreams, readStreamReport } from '../lib/engines/stream-report.js'
+import { Upstream } from '../lib/placing/upstream.js'
 
 const seed = 20261204
 const entry = 'entry-2'
--- a/packages/direct/src/test/load-request-messages.steps.ts
+++ b/packages/direct/src/test/load-request-messages.steps.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict'
 import { Then } from '@cucumber/cucumber'
-import { readLoadRequest, readUse } from '../lib/load-request-messages.js'
+import { readLoadRequest, readUse } from '../lib/engines/load-request-messages.js'
 
 const use = { upstream: 'i-1', entry: 'e1', uses: ['m/a1'], outstanding: 3 }
 const request = { ...use, want: { model: 'm', adapter: 'a1' }, urgency: 0, patience: -2, answerIn: 5, missing: false, mayWait: true, repeated: false, streams: 0, paused: 0, heard: 0, prompt: { request: 'r1', tokens: 9, dueIn: null } }
--- a/packages/direct/src/test/organisation-activity.steps.ts
+++ b/packages/direct/src/test/organisation-activity.steps.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then } from '@cucumber/cucumber'
 import { FakeClock } from '@hazelford/core'
-import { OrganisationActivity } from '../lib/organisation-activity.js'
+import { OrganisationActivity } from '../lib/usage/organisation-activity.js'
 
 interface ActivityWorld { clock: FakeClock, activity: OrganisationActivity }
 
--- a/packages/direct/src/test/plain-reads.steps.ts
+++ b/packages/direct/src/test/plain-reads.steps.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
 import { overdueTime, ServiceTimes, SharedRetryBudget } from '@hazelford/decisions'
-import { ReadPacing } from '../lib/read-pacing.js'
+import { ReadPacing } from '../lib/relay/read-pacing.js'
 import { type PlainResult, type PlainWorkload, simulatePlainLoad } from './support/plain-load-simulation.js'
 
 const seeds = [1, 2, 3, 4, 5, 6, 7, 8]
--- a/packages/direct/src/test/recent-loads.steps.ts
+++ b/packages/direct/src/test/recent-loads.steps.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { Then } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { RecentLoads } from '../lib/recent-loads.js'
+import { RecentLoads } from '../lib/engines/recent-loads.js'
 
 const seed = 20261202
 
--- a/packages/direct/src/test/store-mirror.steps.ts
+++ b/packages/direct/src/test/store-mirror.steps.ts
@@ -9,9 +9,9 @@
 import { type StoreRole, ViewAge } from '@hazelford/decisions'
 import type { Store, StoreChanges, StoreEvent, StoreFailure, StoreListing } from '@hazelford/ports'
 import { ok, type Result, ResultAsync } from 'neverthrow'
-import type { FollowedChanges } from '../lib/store-follower.js'
-import { callJson, NoAnswer } from '../lib/json-client.js'
-import { StoreMirror } from '../lib/store-mirror.js'
+import type { FollowedChanges } from '../lib/store/store-follower.js'
+import { callJson, NoAnswer } from '../lib/peers/json-client.js'
+import { StoreMirror } from '../lib/store/store-mirror.js'
 
 const watcher: StoreRole = { kind: 'watch', watchers: 1, hasFollowers: false }
 const follower: StoreRole = { kind: 'follow', watchersToAsk: ['other'] }
--- a/packages/direct/src/test/stream-origins.steps.ts
+++ b/packages/direct/src/test/stream-origins.steps.ts
@@ -5,10 +5,10 @@
 import { Given, type IWorld, Then, When } from '@cucumber/cucumber'
 import { FakeClock } from '@hazelford/core'
 import fc from 'fast-check'
-import { IncarnationCheck } from '../lib/incarnation-check.js'
-import { OriginCoordinator } from '../lib/origin-coordinator.js'
-import type { PeerAddress } from '../lib/peer-table.js'
-import type { StreamOrigin } from '../lib/stream-origins.js'
+import { IncarnationCheck } from '../lib/engines/incarnation-check.js'
+import { OriginCoordinator } from '../lib/relay/origin-coordinator.js'
+import type { PeerAddress } from '../lib/peers/peer-table.js'
+import type { StreamOrigin } from '../lib/relay/stream-origins.js'
 
 const propertySeed = 20261204
 const log = { info: () => {}, warn: () => {} }
--- a/packages/direct/src/test/support/batch-slot-simulation.ts
+++ b/packages/direct/src/test/support/batch-slot-simulation.ts
@@ -3,7 +3,7 @@
  */
 import type { Ms } from '@hazelford/core'
 import { BatchSlots, homesWithSpeed, homeWeight, promptTokensPerMs, rankCandidates, replicasFor, weightedRendezvousOrder } from '@hazelford/decisions'
-import { type LoadDigest, pickDigests } from '../../lib/load-digest.js'
+import { type LoadDigest, pickDigests } from '../../lib/engines/load-digest.js'
 import { seededRandom } from './seeded-random.js'
 
 /** The simulated traffic. */
--- a/packages/direct/src/test/support/propagation-simulation.ts
+++ b/packages/direct/src/test/support/propagation-simulation.ts
@@ -6,9 +6,9 @@
 import { storeRole, type StoreRole, ViewAge } from '@hazelford/decisions'
 import type { Store, StoreChanges, StoreEvent, StoreFailure, StoreItem, StoreListing } from '@hazelford/ports'
 import { err, ok, type Result, ResultAsync } from 'neverthrow'
-import type { FeedAnswer } from '../../lib/change-feed.js'
-import { StoreFollower } from '../../lib/store-follower.js'
-import { StoreMirror } from '../../lib/store-mirror.js'
+import type { FeedAnswer } from '../../lib/store/change-feed.js'
+import { StoreFollower } from '../../lib/store/store-follower.js'
+import { StoreMirror } from '../../lib/store/store-mirror.js'
 
 /** Time span of a fault at one entry. */
 export interface EntryFault {
--- a/packages/direct/src/test/support/usage-simulation.ts
+++ b/packages/direct/src/test/support/usage-simulation.ts
@@ -4,11 +4,11 @@
 import { FakeClock, type Ms, silentLog, sleep } from '@hazelford/core'
 import type { UsageBounds, UsageGrant } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
-import { grantInFull, usageLimits } from '../../lib/organisation-usage.js'
-import { NoAnswer } from '../../lib/json-client.js'
-import { type PeerAddress, PeerTable } from '../../lib/peer-table.js'
-import { ReportRejected, UsageCoordinator } from '../../lib/usage-coordinator.js'
-import type { Admission } from '../../lib/credit-queue.js'
+import { grantInFull, usageLimits } from '../../lib/usage/organisation-usage.js'
+import { NoAnswer } from '../../lib/peers/json-client.js'
+import { type PeerAddress, PeerTable } from '../../lib/peers/peer-table.js'
+import { ReportRejected, UsageCoordinator } from '../../lib/usage/usage-coordinator.js'
+import type { Admission } from '../../lib/usage/credit-queue.js'
 import { seededRandom } from './seeded-random.js'
 
 /** How entries share a limit: in equal parts, or by the credit that an allocator grants. */
--- a/packages/direct/src/test/usage.steps.ts
+++ b/packages/direct/src/test/usage.steps.ts
@@ -7,12 +7,12 @@
 import { rendezvousOrder, type UsageBounds, type UsageGrant } from '@hazelford/decisions'
 import type { Organisation } from '@hazelford/ports'
 import fc from 'fast-check'
-import { limitBounds } from '../lib/notice-coordinator.js'
-import { grantInFull, usageLimits, usageOf } from '../lib/organisation-usage.js'
-import type { PeerAddress } from '../lib/peer-table.js'
-import { UsageCoordinator, type UsageCoordinatorOptions } from '../lib/usage-coordinator.js'
-import { type Admission, CreditQueue } from '../lib/credit-queue.js'
-import { readUsageGrants, readUsageMessage } from '../lib/usage-messages.js'
+import { limitBounds } from '../lib/placing/notice-coordinator.js'
+import { grantInFull, usageLimits, usageOf } from '../lib/usage/organisation-usage.js'
+import type { PeerAddress } from '../lib/peers/peer-table.js'
+import { UsageCoordinator, type UsageCoordinatorOptions } from '../lib/usage/usage-coordinator.js'
+import { type Admission, CreditQueue } from '../lib/usage/credit-queue.js'
+import { readUsageGrants, readUsageMessage } from '../lib/usage/usage-messages.js'
 import { simulateUsage, type UsageDemand, type UsageFault, type UsageWorkload } from './support/usage-simulation.js'
 
 const propertySeed = 20261203
