--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -89,8 +89,6 @@
   readonly resumable: boolean
   /** Number of upstreams that the request may be sent to. */
   readonly maxAttempts: number
-  /** Whether it goes to a plain service, where a server that is full refuses at once and no other entry knows of it. */
-  readonly isPlain?: boolean
 }
 
 /** Functions that the entry provides to the decisions. */
@@ -110,8 +108,6 @@
  * expected.
  */
 const maxAdapterMissingRetries = 3
-/** Full servers that a plain request is sent to before it is refused. */
-const maxFull = 3
 /** Pause before the request is sent to the same upstream again; about a third of a load from the host's memory. */
 const adapterRetryPause: Ms = 15
 
@@ -126,8 +122,6 @@
   readonly tried = new Set<string>()
   /** Upstreams that accepted no connection. */
   readonly unreachable = new Set<string>()
-  /** Plain upstreams that were full, and certainly did not run the request. */
-  readonly full = new Set<string>()
   sends = 0
   /** Refusals for lack of the adapter. */
   missing = 0
@@ -151,7 +145,7 @@
   holdsError = false
 
   /** Upstreams that are excluded from the next placement. */
-  get avoid (): ReadonlySet<string> { return new Set([...this.tried, ...this.unreachable, ...this.full]) }
+  get avoid (): ReadonlySet<string> { return new Set([...this.tried, ...this.unreachable]) }
 }
 
 function isIdempotent (request: RelayRequest): boolean {
@@ -264,21 +258,9 @@
     progress.retryUpstream = upstream
     return continueWith([{ kind: 'wait', delay: adapterRetryPause * progress.missing }])
   }
-  if (recordFull(upstream, refusal, request, progress) && progress.full.size >= maxFull) return endWith(giveUp(progress, 'refused'))
   return placeElsewhere(request, progress, 'refused')
 }
 
-/**
- * Records a plain upstream that was full. It does not count as an attempt: with one attempt, a booking would be refused
- * although another server has room.
- */
-function recordFull (upstream: string, refusal: UpstreamRefusal, request: RelayRequest, progress: Progress): boolean {
-  if (refusal !== 'full' || request.isPlain !== true) return false
-  progress.tried.delete(upstream)
-  progress.full.add(upstream)
-  return true
-}
-
 function handleLost (request: RelayRequest, progress: Progress): Transition {
   progress.mayHaveRun = true
   // The part of a plain answer that was sent to the caller can't be withdrawn, nor continued at another upstream.
@@ -327,7 +309,7 @@
   switch (msg.kind) {
     case 'placed': return handlePlaced(msg.upstream, request, progress, deps)
     case 'unplaced':
-      if (!progress.stalled && !progress.overdue) return endWith(giveUp(progress, msg.cause === 'no-upstream' && progress.full.size > 0 ? 'refused' : msg.cause))
+      if (!progress.stalled && !progress.overdue) return endWith(giveUp(progress, msg.cause))
       progress.stalled = false
       progress.overdue = false
       return continueWith([])
@@ -346,7 +328,7 @@
     case 'stream-ended': return endWith([{ kind: 'finish' }])
   }
   // The exchange has ended; the upstream no longer works on this request.
-  if (progress.beside !== undefined) return handleEndOfOne(msg, request, progress)
+  if (progress.beside !== undefined) return handleEndOfOne(msg, progress)
   const isPlacing = progress.stalled || progress.overdue
   progress.stalled = false
   progress.overdue = false
@@ -367,7 +349,7 @@
 }
 
 /** Handles the end of an exchange while another upstream has the request as well: only a usable answer ends the request. */
-function handleEndOfOne (msg: ExchangeEnd, request: RelayRequest, progress: Progress): Transition {
+function handleEndOfOne (msg: ExchangeEnd, progress: Progress): Transition {
   const other = msg.from === progress.current ? progress.beside : progress.current
   if (msg.kind === 'whole' && !msg.failed) return endWith([...abandonOther(msg.from, progress), { kind: 'deliver' }, { kind: 'finish' }])
   progress.current = other
@@ -385,9 +367,7 @@
       progress.mayHaveRun = true
       progress.holdsError = true
       return continueWith([{ kind: 'hold' }])
-    case 'refused':
-      recordFull(msg.from!, msg.refusal, request, progress)
-      return continueWith([])
+    case 'refused': return continueWith([])
     default: return assertNever(msg)
   }
 }
--- a/packages/direct/src/lib/relay-task.ts
+++ b/packages/direct/src/lib/relay-task.ts
@@ -190,9 +190,7 @@
   start (): void {
     const { clock, quarantine, isAllowed, takeRepeat } = this._options
     this._cancelTimeout = clock.after(this._deadline + timeoutMargin - clock.now(), () => this._post({ kind: 'timeout' }))
-    const { kind, resumable, maxAttempts } = this._route
-    const isPlain = this._options.want() === undefined
-    this._task = new Task(relayFlow({ kind, resumable, maxAttempts, isPlain }, { takeRetry: takeRepeat, isAllowed, quarantine: () => quarantine(() => this.fingerprint) }), effect => this._perform(effect))
+    this._task = new Task(relayFlow(this._route, { takeRetry: takeRepeat, isAllowed, quarantine: () => quarantine(() => this.fingerprint) }), effect => this._perform(effect))
   }
 
   /** Identity of the request, equal for each attempt at it. */
