--- a/packages/direct/src/lib/quarantine/quarantine-coordinator.ts
+++ b/packages/direct/src/lib/quarantine/quarantine-coordinator.ts
@@ -1,7 +1,7 @@
 /**
  * Quarantines requests that make the upstreams running them terminate, together with the other entries.
  */
-import { type CancelTimer, type Clock, type Log, type Ms, sleep } from '@hazelford/core'
+import { type CancelTimer, type Clock, type Log, type Ms } from '@hazelford/core'
 import { type PartEvidence, type QuarantineCause, type QuarantineLimits, readSuspectKey, rendezvousOrder, RequestQuarantine, type Suspect, suspectKey } from '@hazelford/decisions'
 import type { Store } from '@hazelford/ports'
 import { PartCoordinator } from './part-coordinator.js'
@@ -9,6 +9,7 @@
 import type { ProbeOutcome } from '../peers/connection-probe.js'
 import type { PeerClient } from '../peers/peer-client.js'
 import { systemKeyPrefix, type PeerAddress } from '../peers/peer-table.js'
+import { repeatCall } from '../peers/repeat-call.js'
 import type { AnsweredQuery, AnsweredReply, PartTerminationReport, QuarantinedMessage, TerminationsMessage } from './quarantine-messages.js'
 import type { Upstream } from '../placing/upstream.js'
 
@@ -268,15 +269,8 @@
     })
   }
 
-  private async _attempt (call: () => Promise<void>): Promise<void> {
-    for (let attempt = 1; ; attempt++) {
-      try {
-        return await call()
-      } catch (error) {
-        if (attempt === sendAttempts || this._stopped) throw error
-      }
-      await sleep(this._options.clock, sendPause)
-    }
+  private _attempt (call: () => Promise<void>): Promise<void> {
+    return repeatCall(call, { clock: this._options.clock, attempts: sendAttempts, pause: sendPause, stopped: () => this._stopped })
   }
 
   private _countTermination (request: string, upstream: string, at: Ms): void {
--- a/packages/direct/src/lib/relay/origin-coordinator.ts
+++ b/packages/direct/src/lib/relay/origin-coordinator.ts
@@ -1,11 +1,12 @@
 /**
  * Shares the origins of streams with the other entries, and finds them again.
  */
-import { type Clock, type Log, type Ms, sleep } from '@hazelford/core'
+import { type Clock, type Log, type Ms } from '@hazelford/core'
 import { rendezvousOrder } from '@hazelford/decisions'
 import type { OriginQuery, OriginReply, OriginRow, OriginsMessage } from './origin-messages.js'
 import type { PeerClient } from '../peers/peer-client.js'
 import type { PeerAddress } from '../peers/peer-table.js'
+import { repeatCall } from '../peers/repeat-call.js'
 import { type StreamOrigin, StreamOrigins } from './stream-origins.js'
 
 /** What the coordinator needs of its entry. */
@@ -140,14 +141,7 @@
     })
   }
 
-  private async _attempt (call: () => Promise<void>): Promise<void> {
-    for (let attempt = 1; ; attempt++) {
-      try {
-        return await call()
-      } catch (error) {
-        if (attempt === sendAttempts || this._stopped) throw error
-      }
-      await sleep(this._options.clock, sendPause)
-    }
+  private _attempt (call: () => Promise<void>): Promise<void> {
+    return repeatCall(call, { clock: this._options.clock, attempts: sendAttempts, pause: sendPause, stopped: () => this._stopped })
   }
 }
