--- a/packages/decisions/src/lib/early-refusal.ts
+++ b/packages/decisions/src/lib/early-refusal.ts
@@ -4,8 +4,8 @@
 import type { Ms } from '@hazelford/core'
 
 /**
- * Factor by which each predicted wait must exceed the time that a request has left. Predictions err: of the requests beyond
- * this factor one in fifty would have been served, of those beyond their time alone one in twenty.
+ * Factor by which each predicted wait must exceed the time that a request has left. Predictions err, and a request that
+ * would have been served must not be refused.
  */
 const certainty = 1.5
 /** Least excess over that time: short waits vary by more than their length. */
