--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -26,8 +26,8 @@
   await store.listen()
   const engines = []
   for (let n = 1; n <= engineCount; n++) {
-    // 58 events, 280 ms apart: a draft of 16 s, with pauses below the route's longest one.
-    const engine = await new Engine(`i-${n}`, record, { slots, events: 58, eventMs: 280 }).listen()
+    // 464 tokens are 58 events, 280 ms apart: a stream of 16 s, with pauses below the route's longest one.
+    const engine = await new Engine(`i-${n}`, record, { slots, eventMs: 280 }).listen()
     engines.push(engine)
   }
   const publish = () => { for (const engine of engines) engine.publish(store) }
@@ -41,7 +41,7 @@
   await sleep(contactMs + 500)
   const ask = (entry, id, adapter, leaveAfter = timeLimitMs) => {
     record.line('caller sends', id, 'for', adapter, 'to', entry.name)
-    return call(entry, { id, path: '/report/1', deadline: timeLimitMs, leaveAfter, headers: { 'Hazelford-Model': `base/${adapter}`, 'Hazelford-Token-Usage': '628,400', 'Hazelford-Prompt-Prefix': `${id.length.toString(16)}a:100,${id.charCodeAt(1).toString(16)}b:528` } })
+    return call(entry, { id, path: '/report/1', deadline: timeLimitMs, leaveAfter, headers: { 'Hazelford-Model': `base/${adapter}`, 'Hazelford-Token-Usage': '628,464', 'Hazelford-Prompt-Prefix': `${id.length.toString(16)}a:100,${id.charCodeAt(1).toString(16)}b:528` } })
   }
   const running = () => engines.reduce((sum, engine) => sum + engine.running, 0)
   for (let n = 0; running() < slots * engineCount; n++) {
@@ -61,7 +61,7 @@
     waiting.push(ask(stopped, `w${n}`, `b${n}`, leaveAfterMs))
   }
   const results = await Promise.all(waiting)
-  const ran = new Set(engines.flatMap(engine => engine.runs))
+  const ran = new Set(engines.flatMap(engine => engine.runs.map(({ id }) => id)))
   for (const { id, status, whole, took, error, left } of results) record.line('caller of', id, 'has got', status === 0 ? 'no answer' : status, whole ? 'complete' : 'incomplete', `after ${took} ms`, error ?? '', left ? 'and has left by itself' : '', ran.has(id) ? 'it ran' : 'no server ran it')
   const lost = results.filter(({ id, status, took, left, endedAt }) => status === 0 && left !== true && !ran.has(id) && took > lossSlackMs && endedAt <= termAt + graceMs + 1_000)
   record.line(`${lost.length} of ${requests} requests were read, reached no server, and their channels ended without an answer`)
--- a/review/lib/kit.mjs
+++ b/review/lib/kit.mjs
@@ -61,20 +61,21 @@
 
   put (key, value) { this.write(key, Buffer.from(JSON.stringify(value)).toString('base64'), 0) }
 
-  write (key, value, lease) {
-    const rev = ++this.revision
+  write (key, value, lease, rev = ++this.revision) {
     const item = { key, value, rev, 'created-rev': this.items.get(key)?.['created-rev'] ?? rev, lease }
     this.items.set(key, item)
     this.changed(item)
   }
 
-  remove (key) { if (this.items.delete(key)) this.changed({ key, rev: ++this.revision, removed: true }) }
+  remove (key, rev = undefined) { if (this.items.delete(key)) this.changed({ key, rev: rev ?? ++this.revision, removed: true }) }
 
   changed (change) {
     this.history.push(change)
-    for (const watcher of [...this.watchers]) watcher()
+    if (!this.isCommitting) this.notify()
   }
 
+  notify () { for (const watcher of [...this.watchers]) watcher() }
+
   text (key) {
     const item = this.items.get(key)
     return item === undefined ? undefined : Buffer.from(item.value, 'base64').toString()
@@ -146,9 +147,14 @@
     const current = key => this.items.get(key)?.rev ?? 0
     if (conditions.some(({ key, rev }) => current(key) !== rev)) return this.send(res, 412, { items: [] })
     if (puts.some(({ lease = 0 }) => lease !== 0 && !this.leases.has(lease))) return this.send(res, 404, {})
-    for (const { key, value, lease = 0 } of puts) this.write(key, value, lease)
-    for (const key of removals) this.remove(key)
-    this.send(res, 200, { rev: this.revision })
+    // A transaction is one change: all its keys get one revision.
+    const rev = ++this.revision
+    this.isCommitting = true
+    for (const { key, value, lease = 0 } of puts) this.write(key, value, lease, rev)
+    for (const key of removals) this.remove(key, rev)
+    this.isCommitting = false
+    this.notify()
+    this.send(res, 200, { rev })
   }
 
   renew (id) {
@@ -333,7 +339,7 @@
     for await (const chunk of req) chunks.push(chunk)
     const expected = req.headers['hazelford-expect-instance']
     if (expected !== undefined && expected !== this.id) return this.refuse(res, 421)
-    if (req.url === '/api/report') return this.json(res, 200, { stage: 'both', models: this.models, coming: [...this.loading].map(name => `base/${name}@1`), busy: false, seq: this.seq, waiting: 0, running: this.running, 'kv-used': 0, 'kv-total': 100_000, handles: 0 })
+    if (req.url === '/api/report') return this.json(res, 200, { stage: 'both', models: this.models, coming: [...this.loading].map(name => `base/${name}@${this.newest(name)}`), busy: false, seq: this.seq, waiting: 0, running: this.running, 'kv-used': 0, 'kv-total': 100_000, handles: 0 })
     if (req.url === '/api/order') return this.json(res, this.order(JSON.parse(Buffer.concat(chunks).toString())), {})
     this.stream(req, res)
   }
@@ -345,18 +351,19 @@
 
   get running () { return [...this.uses.values()].reduce((sum, uses) => sum + uses, 0) }
 
-  order ({ op, adapter, holder, fence, 'expect-revision': expected }) {
-    this.record.line('order', this.id, op, adapter ?? 'the model', 'from', holder, 'fence', fence)
+  order ({ op, adapter, version, holder, fence, 'expect-revision': expected }) {
+    this.record.line('order', this.id, op, adapter ?? 'the model', ...(version === undefined ? [] : ['version', version]), 'from', holder, 'fence', fence)
     if (expected !== undefined && expected !== this.seq) return 409
     if (adapter === undefined) return 200
     if (op === 'load') {
-      if (this.adapters.has(adapter)) return 200
+      const wanted = version ?? this.newest(adapter)
+      if (this.adapters.get(adapter) === wanted) return 200
       if (this.loading.has(adapter)) return 202
-      if (this.adapters.size + this.loading.size >= this.slots) throw new Error('More adapters than slots.')
+      if (!this.adapters.has(adapter) && this.adapters.size + this.loading.size >= this.slots) throw new Error('More adapters than slots.')
       this.loading.add(adapter)
       setTimeout(() => {
         this.loading.delete(adapter)
-        this.adapters.set(adapter, 1)
+        this.adapters.set(adapter, wanted)
       }, this.loadMs)
     } else {
       if (!this.adapters.has(adapter)) return 200
@@ -366,6 +373,15 @@
     return 202
   }
 
+  /** Newest version of an adapter in the weight store. */
+  newest = () => 1
+
+  /** An event holds eight tokens; a request names the most tokens that it wants. */
+  eventsOf (req) {
+    const tokens = Number(req.headers['hazelford-token-usage']?.split(',')[1])
+    return Number.isInteger(tokens) ? Math.ceil(tokens / 8) : this.events
+  }
+
   /** Waits for the adapter's runs to end. */
   unload (adapter) {
     if ((this.uses.get(adapter) ?? 0) === 0) this.adapters.delete(adapter)
@@ -375,15 +391,18 @@
   stream (req, res) {
     const id = req.headers['hazelford-request-id']
     const adapter = req.headers['hazelford-model']?.split('/')[1]
-    if (!this.adapters.has(adapter)) return this.refuse(res, 421)
-    this.runs.push(id)
-    this.record.line('run', id, 'of', adapter, 'at', this.id, 'begins')
+    const version = this.adapters.get(adapter)
+    const expected = req.headers['hazelford-expect-version']
+    if (version === undefined || (expected !== undefined && Number(expected) !== version)) return this.refuse(res, 421)
+    const events = this.eventsOf(req)
+    this.runs.push({ id, adapter, version, at: now() })
+    this.record.line('run', id, 'of', adapter, 'version', version, 'at', this.id, 'begins')
     this.uses.set(adapter, (this.uses.get(adapter) ?? 0) + 1)
     res.writeHead(200, { 'Content-Type': 'text/event-stream', 'Hazelford-Request-Id': id, 'Hazelford-Response-Seal': `seal-${this.id}` })
     let next = 1
     const timer = setInterval(() => {
       res.write(`id: ${next}\ndata: part ${next} of ${id}\n\n`)
-      if (next++ === this.events) res.end()
+      if (next++ === events) res.end()
     }, this.eventMs)
     res.on('close', () => {
       clearInterval(timer)
