--- a/review/lib/caller.py
+++ b/review/lib/caller.py
@@ -8,6 +8,7 @@
 import sys
 import time
 
+begun = time.monotonic()
 port, rid, pause, limit, size = int(sys.argv[1]), sys.argv[2], float(sys.argv[3]) / 1000, float(sys.argv[4]), int(sys.argv[5])
 sock = socket.socket()
 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
@@ -79,4 +80,4 @@
 body, complete = body_of(bytes(data))
 if complete is None:
     complete = end == 'closed' and len(body) == size
-print(json.dumps({'id': rid, 'status': bytes(data[:15]).decode('latin1'), 'body': len(body), 'complete': complete, 'end': end, 'ms': round((time.monotonic() - started) * 1000)}))
+print(json.dumps({'id': rid, 'status': bytes(data[:15]).decode('latin1'), 'body': len(body), 'complete': complete, 'end': end, 'sent': round((started - begun) * 1000), 'ms': round((time.monotonic() - started) * 1000)}))
