--- a/review/lib/caller.py
+++ b/review/lib/caller.py
@@ -1,4 +1,4 @@
-"""A caller with small windows, as between machines: one small request, then a booking on the same channel.
+"""A caller that may read slowly, with small windows as between machines: a small request, then a booking on the channel.
 
 Arguments: port, id, ms of pause after each read, time limit in s, bytes of the answer's body. Prints what it has seen as JSON.
 """
@@ -11,8 +11,9 @@
 begun = time.monotonic()
 port, rid, pause, limit, size = int(sys.argv[1]), sys.argv[2], float(sys.argv[3]) / 1000, float(sys.argv[4]), int(sys.argv[5])
 sock = socket.socket()
-sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
-sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
+if pause:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
 sock.settimeout(limit)
 sock.connect(('127.0.0.1', port))
 
@@ -62,7 +63,7 @@
 data, end = bytearray(), 'time limit'
 while time.monotonic() - started < limit:
     try:
-        part = sock.recv(8192)
+        part = sock.recv(8192 if pause else 1 << 20)
     except ConnectionResetError:
         end = 'reset'
         break
