Log each answer that an entry cuts, with its cause and the entry's own pauses

Cause: the line 'broken off.' named a cause, but neither how long the upstream had been silent nor whether the entry itself had stood still in that time, nor the configuration at each placement. Hypotheses 1 (the upstream pauses), 2 (the entry pauses) and 3 (a configuration between two placements) looked the same, and an answer that ended by a fault of the entry was in no count.

Change: 'answer cut.' replaces it, for faults of the entry too, with silence, ownPause, sends, config and version; 'stalled.' carries silence and ownPause, 'sent.' the configuration. hazelford_answers_cut_total counts by cause.

--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -14,6 +14,7 @@
 import { EngineCoordinator } from './engines/engine-coordinator.js'
 import { EraStore } from './store/era-store.js'
 import type { LoadRequestOutcome } from './engines/engine-holder.js'
+import { EventLoopPauses } from './event-loop-pauses.js'
 import { addressSettings, type DirectSettings, pickAddresses, splitAddress } from './entry-settings.js'
 import { LeaseRenewer } from './engines/lease-renewer.js'
 import type { Membership } from './placing/membership.js'
@@ -110,6 +111,7 @@
   private readonly _origins: OriginCoordinator
   private readonly _relativePaces = new RelativePaces()
   private readonly _activity: OrganisationActivity
+  private readonly _pauses: EventLoopPauses
   private readonly _servers: Server[] = []
   private readonly _self: { readonly node: string, readonly host: string, readonly zone: string, readonly linkMbps: number, readonly cores: number, port: number }
   private _settings: DirectSettings
@@ -136,6 +138,7 @@
       quarantined: suspect => this._endQuarantined(suspect)
     })
     this._activity = new OrganisationActivity(clock)
+    this._pauses = new EventLoopPauses(clock)
     this._usage = this._createUsageCoordinator()
     this._notices = new NoticeCoordinator({
       node: settings.name,
@@ -292,6 +295,7 @@
       upstreams: service => this.members.serving(service).length,
       entries: () => this.peers.entryCount,
       budgetLimits: () => budgetLimits(this._settings),
+      longestPause: since => this._pauses.longestSince(since),
       organisationEnded: (organisation, end) => this._organisationEnded(organisation, end)
     })
   }
@@ -509,6 +513,7 @@
   /** Stops all activity of this entry. */
   private _stop (): void {
     this._stopped = true
+    this._pauses.stop()
     this._quarantine.stop()
     this._usage.stop()
     this._notices.stop()
--- a/packages/direct/src/lib/relay/relay-runner.ts
+++ b/packages/direct/src/lib/relay/relay-runner.ts
@@ -38,6 +38,8 @@
   /** Number of entries that are running. */
   readonly entries: () => number
   readonly budgetLimits: () => SharedBudgetLimits
+  /** Longest pause of this process in ms that ended after a time. */
+  readonly longestPause: (since: Ms) => Ms
   /** Counts a request of an organisation by its end. */
   readonly organisationEnded: (organisation: string, end: string) => void
 }
@@ -105,7 +107,10 @@
     this._longestPatience = Math.min(longestReturn, Math.max(this._longestPatience, admitted.call.facts.patience ?? 0))
     if (!isResumption(admitted)) return this._start(admitted, { kind: 'any' })
     this._resume(admitted).catch((error: Error) => {
-      this._options.log.warn('request', 'ended by a fault of the entry.', { request: admitted.call.facts.id, error: error.stack })
+      const { log, metrics } = this._options
+      log.warn('request', 'ended by a fault of the entry.', { request: admitted.call.facts.id, error: error.stack })
+      log.warn('request', 'answer cut.', { request: admitted.call.facts.id, cause: 'entry-fault', begun: false, sends: 0 })
+      metrics.answersCut.inc({ cause: 'entry-fault' })
       admitted.incoming.answer.break()
     })
   }
@@ -177,6 +182,9 @@
       streamEnded: (upstream, paused, pace) => {
         upstream.endedStreams.record(paused, pace === undefined ? undefined : this._options.relativePaces.record(service, pace, clock.now()))
       },
+      configVersion: () => this._options.config.table?.version,
+      longestPause: this._options.longestPause,
+      answerCut: cause => metrics.answersCut.inc({ cause }),
       over: ({ end, sends, firstData, longestGap, notRun, answeredSince, unframedFrom }) => {
         const took = clock.now() - call.arrivedAt
         if (end === 'delivered') quarantine.recordAnswered(task.fingerprint, answeredSince, unframedFrom)
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -33,6 +33,14 @@
 /** How a request ended, for logs and metrics. */
 export type RelayEnd = 'delivered' | 'broken' | 'caller-gone' | RelayFailure
 
+/**
+ * Why a caller got part of an answer, or none, and its connection was closed.
+ *
+ * - `entry-fault`: an error within the entry.
+ * - `process-end`: the entry's process ended first.
+ */
+export type CutCause = RelayFailure | 'entry-fault' | 'process-end'
+
 /** Summary of a request at its end. */
 export interface RelaySummary {
   readonly end: RelayEnd
@@ -94,6 +102,12 @@
    * undefined when not measured.
    */
   readonly streamEnded: (upstream: Upstream, paused: boolean, pace: MeasuredPace | undefined) => void
+  /** Version of the configuration in force. */
+  readonly configVersion: () => number | undefined
+  /** Longest pause of this process in ms that ended after a time. */
+  readonly longestPause: (since: Ms) => Ms
+  /** Called when the caller's connection is closed without a whole answer. */
+  readonly answerCut: (cause: CutCause) => void
   /** Called when the request has ended. */
   readonly over: (summary: RelaySummary) => void
 }
@@ -231,12 +245,27 @@
     this._options.log.warn('request', 'ended by a fault of the entry.', { request: this._call.facts.id, error: error.stack })
     // A non-idempotent request keeps running at its upstream, as when its caller leaves.
     if (this._route.kind !== 'non-idempotent') this._abandon()
-    this._answer.break()
+    this._cut('entry-fault')
     this._end('broken')
   }
 
+  /** Closes the caller's connection without a whole answer. */
+  private _cut (cause: CutCause): void {
+    const { configVersion, answerCut, log } = this._options
+    const { silence, ownPause } = this._silence
+    log.warn('request', 'answer cut.', { request: this._call.facts.id, cause, begun: this._answer.begun, upstream: this._upstream?.id, upstreams: [...this._exchanges.keys()], silence, ownPause, sends: this._sends, config: configVersion(), version: this._version, lastEventId: this._lastEventId })
+    answerCut(cause)
+    this._answer.break()
+  }
+
+  /** Log fields: ms since the upstream's last data or the send, and the longest pause of this process in that time. */
+  private get _silence (): { readonly silence: Ms | undefined, readonly ownPause: Ms } {
+    const { clock, longestPause } = this._options
+    const since = Math.max(this._dataAt ?? -Infinity, this._sentAt)
+    return { silence: since === -Infinity ? undefined : Math.round(clock.now() - since), ownPause: Math.round(longestPause(since)) }
+  }
+
   private _perform (effect: RelayEffect): void {
-    const { log } = this._options
     switch (effect.kind) {
       case 'place': return this._place(effect.avoid, effect.retryUpstream, effect.beside)
       case 'send': return this._send()
@@ -256,8 +285,7 @@
         this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._retryAfter ?? this._options.retryAfter(effect.failure) })
         return this._end(effect.failure, effect.notRun)
       case 'break':
-        log.info('request', 'broken off.', { request: this._call.facts.id, cause: effect.failure, lastEventId: this._lastEventId })
-        this._answer.break()
+        this._cut(effect.failure)
         return this._end('broken')
       case 'forget': return this._end('caller-gone', this._sends === 0)
       default: return assertNever(effect)
@@ -369,7 +397,7 @@
     this._upstreamDataSince = undefined
     this._hasClearedParts = false
     const resumed = this._answer.begun ? this._lastEventId : undefined
-    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, software: upstream.record.software, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...this._waitFields(), outstanding: upstream.outstanding, speed: upstream.reportedSpeed, rateLimit: upstream.notices.limit.rate, version: this._version, resumedAfter: resumed })
+    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, software: upstream.record.software, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...this._waitFields(), outstanding: upstream.outstanding, speed: upstream.reportedSpeed, rateLimit: upstream.notices.limit.rate, config: this._options.configVersion(), version: this._version, resumedAfter: resumed })
     const isBeside = this._exchanges.size > 0
     const releaseSlot = upstream.open(this._want?.adapter === undefined ? undefined : requestedAdapterKey(this._want))
     if (this._want !== undefined) upstream.recordPrompt(facts.promptTokens)
@@ -525,7 +553,7 @@
 
   private _recordStall (upstream: Upstream, cause: string, after: Ms): void {
     if (this._over || this._stall === 'placing') return
-    this._options.log.info('request', 'stalled.', { request: this._call.facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(after) })
+    this._options.log.info('request', 'stalled.', { request: this._call.facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(after), ...this._silence })
     if (this._stall === 'none') this._options.exchanged(upstream, 'lost', undefined, after)
     this._stall = 'placing'
     this._pace.disturb()
