--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -32,18 +32,26 @@
   {
     guarantee: 'direct requests: a booking whose answer was lost is not sent again',
     file: 'packages/decisions/dist/lib/relay-flow.js',
-    find: '!isIdempotent(request) ||',
-    replace: '',
+    find: '!isIdempotent(request) || (progress.begun',
+    replace: '(progress.begun',
     feature: 'packages/decisions/src/test/relay-flow.feature',
     scenario: 'any sequence of outcomes'
   },
   {
-    guarantee: 'direct requests: only a read is sent to a second upstream while the first one has it',
+    guarantee: 'direct requests: only what may run twice is sent to a second upstream while the first one has it',
     file: 'packages/decisions/dist/lib/relay-flow.js',
-    find: 'request.kind !== \'read-only\' || progress.current === undefined || progress.beside',
-    replace: 'progress.current === undefined || progress.beside',
+    find: '!isIdempotent(request) || tried.size',
+    replace: 'tried.size',
     feature: 'packages/decisions/src/test/relay-flow.feature',
-    scenario: 'a booking is never at two servers'
+    scenario: 'any sequence of outcomes'
+  },
+  {
+    guarantee: 'direct requests: a silent upstream keeps a request until another one has sent a part of it',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: '[{ kind: \'send-beside\', upstream, cause }]',
+    replace: '[{ kind: \'abandon\', upstream: progress.current }, { kind: \'send-beside\', upstream, cause }]',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'pauses within its streams'
   },
   {
     guarantee: 'direct requests: a read that one upstream has answered is withdrawn from the other',
--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -2,104 +2,7 @@
  * Decisions for one request that an entry sends to upstreams directly, from its admission to its one answer.
  */
 import { assertNever, type Ms } from '@hazelford/core'
-import type { RetryCause } from './shared-retry-budget.js'
-
-/** Why an upstream refused a placed request. After each of them the request certainly did not run. */
-export type UpstreamRefusal = 'full' | 'other-instance' | 'adapter-missing'
-
-/**
- * Why no upstream can take a request now.
- *
- * - `upstream-limit`: every upstream has reported a request limit, which is used up.
- * - `upstream-rest`: every upstream has refused this entry and asked it to back off for a while.
- * - `software-gone`: no upstream of the software version that began the stream accepts requests.
- * - `origin-unknown`: the software version that began the stream is not known.
- */
-export type UnplacedCause = 'no-upstream' | 'adapter-unavailable' | 'upstream-limit' | 'upstream-rest' | 'software-gone' | 'origin-unknown'
-
-/**
- * What of a request is quarantined, because upstreams terminate while running it.
- *
- * - `quarantined`: the request itself.
- * - `part-quarantined`: a part of its prompt, which other requests have too.
- */
-export type QuarantineCause = 'quarantined' | 'part-quarantined'
-
-/** Why an entry gives up a request. Log fields and metrics carry it. */
-export type RelayFailure =
-  | UnplacedCause | 'refused' | 'attempts-spent' | 'budget-spent'
-  | 'lost' | 'timeout-unsent' | 'timeout-sent' | 'shutting-down' | QuarantineCause
-  /** The caller's key was withdrawn while the request waited. */
-  | 'key-withdrawn'
-
-/** The upstream of an exchange; without it, the only one that has the request. */
-interface FromUpstream { readonly from?: string }
-
-/** An event of a request. */
-export type RelayMessage =
-  /** An upstream can take the request now. */
-  | { readonly kind: 'placed', readonly upstream: string }
-  | { readonly kind: 'unplaced', readonly cause: UnplacedCause }
-  | { readonly kind: 'refused', readonly refusal: UpstreamRefusal } & FromUpstream
-  /** No connection was made, and nothing was sent. */
-  | { readonly kind: 'unreachable' } & FromUpstream
-  /** The connection broke, or the upstream became silent, after bytes were sent. */
-  | { readonly kind: 'lost' } & FromUpstream
-  /** A read has no answer by the time when another upstream could still answer it within the route's latency target. */
-  | { readonly kind: 'overdue' }
-  /** The upstream has been silent for long, but may continue. */
-  | { readonly kind: 'stalled' }
-  /** The stalled upstream continued while another one was looked for. */
-  | { readonly kind: 'moves-again' }
-  /** A complete answer has arrived; `failed` when it is an error of the upstream itself. */
-  | { readonly kind: 'whole', readonly failed: boolean } & FromUpstream
-  /** The first bytes of an answer that is passed on as it arrives. */
-  | { readonly kind: 'streaming' } & FromUpstream
-  | { readonly kind: 'stream-ended' }
-  | { readonly kind: 'waited' }
-  | { readonly kind: 'timeout' }
-  | { readonly kind: 'caller-gone' }
-  /** The request is quarantined from now on: upstreams terminate while running it. */
-  | { readonly kind: 'held', readonly cause: QuarantineCause }
-
-/** What the entry must do. */
-export type RelayEffect =
-  /** Find an upstream outside `avoid`, or use the one named by `retryUpstream`. `beside`: the current upstream goes on. */
-  | { readonly kind: 'place', readonly avoid: ReadonlySet<string>, readonly retryUpstream?: string, readonly beside?: true }
-  | { readonly kind: 'send', readonly upstream: string }
-  /** Send the request to a second upstream, while the first one goes on with it. */
-  | { readonly kind: 'send-beside', readonly upstream: string }
-  /** Close the connection to the named upstream, or to all, so that they stop working on the request. */
-  | { readonly kind: 'abandon', readonly upstream?: string }
-  | { readonly kind: 'wait', readonly delay: Ms }
-  /** Keep the complete answer that has arrived: it is an error, and another upstream may send a better answer. */
-  | { readonly kind: 'hold' }
-  /** Pass the answer that has arrived to the caller. */
-  | { readonly kind: 'deliver' }
-  | { readonly kind: 'finish' }
-  /** Nothing was sent to the caller: answer with an error. */
-  | { readonly kind: 'fail', readonly failure: RelayFailure, readonly notRun: boolean }
-  /** Part of the answer was sent to the caller: break the connection, so that the answer can't look complete. */
-  | { readonly kind: 'break', readonly failure: RelayFailure }
-  | { readonly kind: 'forget' }
-
-/** Properties of a request that decide about retries. */
-export interface RelayRequest {
-  readonly kind: 'read-only' | 'non-idempotent' | 'stream'
-  readonly resumable: boolean
-  /** Number of upstreams that the request may be sent to. */
-  readonly maxAttempts: number
-}
-
-/** Functions that the entry provides to the decisions. */
-export interface RelayDeps {
-  /** Takes a retry from the service's budget; false when it is spent. */
-  readonly takeRetry: (cause: RetryCause) => boolean
-  /** Whether the caller may still send the request. */
-  readonly isAllowed: () => boolean
-  /** Why the request is quarantined; undefined when it is not. */
-  readonly quarantine: () => QuarantineCause | undefined
-}
+import type { LateCause, QuarantineCause, RelayDeps, RelayEffect, RelayFailure, RelayMessage, RelayRequest, UnplacedCause, UpstreamRefusal } from './relay-messages.js'
 
 /** Connections that may fail before a request is refused; nothing was sent on them. */
 const maxFailedConnections = 6
@@ -116,6 +19,17 @@
 /** The end of an exchange. */
 type ExchangeEnd = RelayMessage & { readonly kind: 'refused' | 'unreachable' | 'lost' | 'whole' }
 
+/**
+ * The search for an upstream.
+ *
+ * - `next`: no upstream has the request.
+ * - `beside`: an upstream has it, and a second one is needed.
+ * - `unneeded`: the upstream that has it has continued since, so the result is not used.
+ */
+type Search =
+  | { readonly kind: 'none' | 'next' | 'unneeded' }
+  | { readonly kind: 'beside', readonly cause: LateCause }
+
 /** Progress of a request. */
 class Progress {
   /** Upstreams that bytes of the request may have reached. */
@@ -127,19 +41,16 @@
   missing = 0
   /** The upstream that has the request now. */
   current: string | undefined
-  /** The second upstream that has the request, beside the current one. */
-  beside: string | undefined
-  /** Whether a second upstream is looked for while the current one goes on. */
-  overdue = false
+  /** The second upstream that has the request, beside the current one, and why. */
+  beside: { readonly upstream: string, readonly cause: LateCause } | undefined
+  search: Search = { kind: 'none' }
   /** The upstream to retry at, which lacked the adapter only for a moment. */
   retryUpstream: string | undefined
-  /** Whether another upstream is looked for while the current one is silent. */
-  stalled = false
   /** Whether an upstream may have worked on the request. */
   mayHaveRun = false
   /** Whether part of an answer was sent to the caller. */
   begun = false
-  /** Why the request is quarantined; only its current upstream may still answer it then. */
+  /** Why the request is quarantined; only an upstream that has it may still answer it then. */
   held: QuarantineCause | undefined
   /** Whether an upstream's own error has arrived, to be delivered if no other upstream answers. */
   holdsError = false
@@ -153,7 +64,7 @@
 }
 
 /**
- * Stops work at the upstream that no caller waits for. A non-idempotent request is left to run to its end: closing its
+ * Stops work at the upstreams that no caller waits for. A non-idempotent request is left to run to its end: closing its
  * connection would not undo it.
  */
 function abandon (request: RelayRequest, progress: Progress): Effects {
@@ -161,8 +72,8 @@
 }
 
 function giveUp (progress: Progress, failure: RelayFailure): Effects {
-  if (progress.holdsError) return [{ kind: 'deliver' }, { kind: 'finish' }]
   if (progress.begun) return [{ kind: 'break', failure }]
+  if (progress.holdsError) return [{ kind: 'deliver' }, { kind: 'finish' }]
   return [{ kind: 'fail', failure, notRun: !progress.mayHaveRun }]
 }
 
@@ -172,60 +83,49 @@
 function continueWith (effects: Effects): Transition { return { effects, over: false } }
 function endWith (effects: Effects): Transition { return { effects, over: true } }
 
-/**
- * Looks for another upstream while the current one is silent.
- *
- * A full engine pauses streams and continues them later. If the stream were cut off at once and no other upstream had
- * room for it, its caller would get half an answer and a closed connection, although the engine would have continued.
- */
-function handleStalled (request: RelayRequest, progress: Progress): Transition {
-  if (progress.held !== undefined) return continueWith([])
-  if (progress.stalled || progress.overdue || progress.beside !== undefined || progress.current === undefined || !isIdempotent(request) || progress.tried.size >= request.maxAttempts) return continueWith([])
-  progress.stalled = true
-  return continueWith([{ kind: 'place', avoid: progress.avoid }])
+/** Looks for the next upstream, unless a search runs whose result can be used. */
+function searchNext (progress: Progress): Effects {
+  const isSearching = progress.search.kind !== 'none'
+  progress.search = { kind: 'next' }
+  if (isSearching) return []
+  const { avoid, retryUpstream } = progress
+  return [{ kind: 'place', avoid, ...(retryUpstream === undefined ? {} : { retryUpstream }) }]
 }
 
-/** Moves the request from a silent upstream to one that can take it now. */
-function moveTo (upstream: string, progress: Progress, deps: RelayDeps): Transition {
-  progress.stalled = false
-  if (!deps.takeRetry('failed')) return continueWith([])
-  progress.mayHaveRun = true
-  progress.tried.add(upstream)
-  progress.sends++
-  progress.current = upstream
-  return continueWith([{ kind: 'abandon' }, { kind: 'send', upstream }])
+/** Whether an answer of a second upstream could be used. */
+function mayHaveSecond (cause: LateCause, request: RelayRequest, { begun, held, tried }: Progress): boolean {
+  if (held !== undefined || !isIdempotent(request) || tried.size >= request.maxAttempts) return false
+  // The part of a plain answer that was sent to the caller can't be continued at another upstream.
+  return request.kind === 'read-only' ? !begun : cause === 'stalled'
 }
 
-/** Looks for a second upstream for a read that is overdue; the current one goes on with it. */
-function handleOverdue (request: RelayRequest, progress: Progress): Transition {
-  if (progress.held !== undefined || progress.begun || progress.stalled || progress.overdue) return continueWith([])
-  if (request.kind !== 'read-only' || progress.current === undefined || progress.beside !== undefined || progress.tried.size >= request.maxAttempts) return continueWith([])
-  progress.overdue = true
-  return continueWith([{ kind: 'place', avoid: progress.avoid, beside: true }])
+/**
+ * Looks for a second upstream for a request whose upstream is late or silent.
+ *
+ * That it is silent doesn't show that it has terminated: an engine pauses streams and continues them later. So it keeps
+ * the request until another one has sent data; the other one may refuse it, or terminate as well.
+ */
+function searchBeside (cause: LateCause, request: RelayRequest, progress: Progress): Transition {
+  const { current, beside, search } = progress
+  if (current === undefined || beside !== undefined || search.kind === 'next' || search.kind === 'beside') return continueWith([])
+  if (!mayHaveSecond(cause, request, progress)) return continueWith([])
+  progress.search = { kind: 'beside', cause }
+  return continueWith(search.kind === 'unneeded' ? [] : [{ kind: 'place', avoid: progress.avoid, beside: cause }])
 }
 
-function sendBeside (upstream: string, progress: Progress, deps: RelayDeps): Transition {
-  progress.overdue = false
-  if (progress.begun || progress.tried.has(upstream) || !deps.takeRetry('overdue')) return continueWith([])
+function sendBeside (upstream: string, cause: LateCause, progress: Progress, deps: RelayDeps): Transition {
+  if (progress.tried.has(upstream) || !deps.takeRetry(cause)) return continueWith([])
   progress.tried.add(upstream)
   progress.sends++
-  progress.beside = upstream
-  return continueWith([{ kind: 'send-beside', upstream }])
-}
-
-/** Removes the search for an upstream from a result, since one runs already. */
-function dropPlacing (next: Transition): Transition {
-  return next.over ? next : continueWith(next.effects.filter(({ kind }) => kind !== 'place' && kind !== 'wait'))
+  progress.beside = { upstream, cause }
+  return continueWith([{ kind: 'send-beside', upstream, cause }])
 }
 
 function handlePlaced (upstream: string, request: RelayRequest, progress: Progress, deps: RelayDeps): Transition {
-  if (progress.held !== undefined) {
-    progress.stalled = false
-    progress.overdue = false
-    return continueWith([])
-  }
-  if (progress.overdue) return sendBeside(upstream, progress, deps)
-  if (progress.stalled) return moveTo(upstream, progress, deps)
+  const { search } = progress
+  progress.search = { kind: 'none' }
+  if (progress.held !== undefined || search.kind === 'unneeded') return continueWith([])
+  if (search.kind === 'beside') return sendBeside(upstream, search.cause, progress, deps)
   // Access is checked before the first send only: a request that may have started to run is completed, also at another
   // upstream.
   if (progress.sends === 0 && !deps.isAllowed()) return endWith(giveUp(progress, 'key-withdrawn'))
@@ -239,22 +139,33 @@
   return continueWith([{ kind: 'send', upstream }])
 }
 
+function handleUnplaced (cause: UnplacedCause, progress: Progress): Transition {
+  const { search } = progress
+  progress.search = { kind: 'none' }
+  return search.kind === 'beside' || search.kind === 'unneeded' ? continueWith([]) : endWith(giveUp(progress, cause))
+}
+
 function placeElsewhere (request: RelayRequest, progress: Progress, failure: RelayFailure): Transition {
   if (progress.tried.size >= request.maxAttempts) return endWith(giveUp(progress, failure))
-  return continueWith([{ kind: 'place', avoid: progress.avoid }])
+  return continueWith(searchNext(progress))
 }
 
-function handleUnreachable (upstream: string, progress: Progress): Transition {
-  // Nothing arrived there, so the attempt does not count and the upstream is not among those tried.
+/** Records that nothing arrived at an upstream, so that the attempt does not count. */
+function recordUnreachable (upstream: string, progress: Progress): void {
   progress.sends--
   progress.tried.delete(upstream)
   progress.unreachable.add(upstream)
+}
+
+function handleUnreachable (upstream: string, progress: Progress): Transition {
+  recordUnreachable(upstream, progress)
   if (progress.unreachable.size > maxFailedConnections) return endWith(giveUp(progress, 'no-upstream'))
-  return continueWith([{ kind: 'place', avoid: progress.avoid }])
+  return continueWith(searchNext(progress))
 }
 
 function handleRefused (upstream: string, refusal: UpstreamRefusal, request: RelayRequest, progress: Progress): Transition {
   if (refusal === 'adapter-missing' && ++progress.missing <= maxAdapterMissingRetries) {
+    if (progress.search.kind !== 'none') return continueWith(searchNext(progress))
     progress.retryUpstream = upstream
     return continueWith([{ kind: 'wait', delay: adapterRetryPause * progress.missing }])
   }
@@ -278,7 +189,7 @@
   if (!failed || request.kind !== 'read-only' || progress.tried.size >= request.maxAttempts) return endWith(deliver)
   progress.mayHaveRun = true
   progress.holdsError = true
-  return continueWith([{ kind: 'hold' }, { kind: 'place', avoid: progress.avoid }])
+  return continueWith([{ kind: 'hold' }, ...searchNext(progress)])
 }
 
 function handleInterrupted (cause: 'timeout' | 'caller-gone', request: RelayRequest, progress: Progress): Transition {
@@ -304,75 +215,55 @@
   return endWith([...abandon(request, progress), ...giveUp(progress, cause)])
 }
 
-function handle (msg: RelayMessage, request: RelayRequest, progress: Progress, deps: RelayDeps): Transition {
-  const { current } = progress
-  switch (msg.kind) {
-    case 'placed': return handlePlaced(msg.upstream, request, progress, deps)
-    case 'unplaced':
-      if (!progress.stalled && !progress.overdue) return endWith(giveUp(progress, msg.cause))
-      progress.stalled = false
-      progress.overdue = false
-      return continueWith([])
-    case 'overdue': return handleOverdue(request, progress)
-    case 'stalled': return handleStalled(request, progress)
-    case 'moves-again':
-      progress.stalled = false
-      return continueWith([])
-    case 'waited': return continueWith([{ kind: 'place', avoid: progress.avoid, ...(progress.retryUpstream === undefined ? {} : { retryUpstream: progress.retryUpstream }) }])
-    case 'timeout':
-    case 'caller-gone': return handleInterrupted(msg.kind, request, progress)
-    case 'held': return handleQuarantined(msg.cause, request, progress)
-    case 'streaming':
-      progress.begun = true
-      return continueWith([...abandonOther(msg.from, progress), { kind: 'deliver' }])
-    case 'stream-ended': return endWith([{ kind: 'finish' }])
-  }
-  // The exchange has ended; the upstream no longer works on this request.
-  if (progress.beside !== undefined) return handleEndOfOne(msg, progress)
-  const isPlacing = progress.stalled || progress.overdue
-  progress.stalled = false
-  progress.overdue = false
-  progress.current = undefined
-  progress.retryUpstream = undefined
-  const next = handleExchangeEnd(msg, current!, request, progress)
-  if (progress.held !== undefined && !next.over) return endWith(giveUp(progress, progress.held))
-  return isPlacing ? dropPlacing(next) : next
-}
-
 /** Leaves the request to the named one of its two upstreams, and stops work at the other. */
 function abandonOther (upstream: string | undefined, progress: Progress): Effects {
   const { current, beside } = progress
   if (beside === undefined || current === undefined) return []
   progress.beside = undefined
   progress.current = upstream
-  return [{ kind: 'abandon', upstream: upstream === current ? beside : current }]
+  return [{ kind: 'abandon', upstream: upstream === current ? beside.upstream : current }]
+}
+
+/** Handles data of one upstream: it has the request alone from now on. */
+function handleStreaming (upstream: string | undefined, progress: Progress): Transition {
+  const stop = abandonOther(upstream, progress)
+  if (progress.search.kind === 'beside') progress.search = { kind: 'unneeded' }
+  if (progress.begun) return continueWith(stop)
+  progress.begun = true
+  return continueWith([...stop, { kind: 'deliver' }])
 }
 
 /** Handles the end of an exchange while another upstream has the request as well: only a usable answer ends the request. */
-function handleEndOfOne (msg: ExchangeEnd, progress: Progress): Transition {
-  const other = msg.from === progress.current ? progress.beside : progress.current
-  if (msg.kind === 'whole' && !msg.failed) return endWith([...abandonOther(msg.from, progress), { kind: 'deliver' }, { kind: 'finish' }])
-  progress.current = other
+function handleEndOfOne (msg: ExchangeEnd, beside: NonNullable<Progress['beside']>, request: RelayRequest, progress: Progress): Transition {
+  if (msg.kind === 'whole' && !msg.failed && !progress.begun) return endWith([...abandonOther(msg.from, progress), { kind: 'deliver' }, { kind: 'finish' }])
+  const isFirst = msg.from === progress.current
   progress.beside = undefined
+  if (isFirst) progress.current = beside.upstream
+  const effects = recordEndOfOne(msg, progress)
+  // The first upstream is still silent.
+  const needsFurther = !isFirst && beside.cause === 'stalled' && progress.unreachable.size <= maxFailedConnections
+  return continueWith(needsFurther ? [...effects, ...searchBeside('stalled', request, progress).effects] : effects)
+}
+
+function recordEndOfOne (msg: ExchangeEnd, progress: Progress): Effects {
   switch (msg.kind) {
     case 'unreachable':
-      progress.sends--
-      progress.tried.delete(msg.from!)
-      progress.unreachable.add(msg.from!)
-      return continueWith([])
+      recordUnreachable(msg.from!, progress)
+      return []
     case 'lost':
       progress.mayHaveRun = true
-      return continueWith([])
+      return []
     case 'whole':
       progress.mayHaveRun = true
+      if (progress.begun) return []
       progress.holdsError = true
-      return continueWith([{ kind: 'hold' }])
-    case 'refused': return continueWith([])
+      return [{ kind: 'hold' }]
+    case 'refused': return []
     default: return assertNever(msg)
   }
 }
 
-/** Handles the end of an exchange. */
+/** Handles the end of the only exchange. */
 function handleExchangeEnd (msg: ExchangeEnd, upstream: string, request: RelayRequest, progress: Progress): Transition {
   switch (msg.kind) {
     case 'refused': return handleRefused(upstream, msg.refusal, request, progress)
@@ -383,11 +274,34 @@
   }
 }
 
+function handle (msg: RelayMessage, request: RelayRequest, progress: Progress, deps: RelayDeps): Transition {
+  switch (msg.kind) {
+    case 'placed': return handlePlaced(msg.upstream, request, progress, deps)
+    case 'unplaced': return handleUnplaced(msg.cause, progress)
+    case 'overdue':
+    case 'stalled': return searchBeside(msg.kind, request, progress)
+    case 'waited': return continueWith(searchNext(progress))
+    case 'timeout':
+    case 'caller-gone': return handleInterrupted(msg.kind, request, progress)
+    case 'held': return handleQuarantined(msg.cause, request, progress)
+    case 'streaming': return handleStreaming(msg.from, progress)
+    case 'stream-ended': return endWith([...abandonOther(msg.from, progress), { kind: 'finish' }])
+  }
+  const { beside, current } = progress
+  if (beside !== undefined) return handleEndOfOne(msg, beside, request, progress)
+  // The exchange has ended; the upstream no longer works on this request.
+  progress.current = undefined
+  progress.retryUpstream = undefined
+  const next = handleExchangeEnd(msg, current!, request, progress)
+  return progress.held !== undefined && !next.over ? endWith(giveUp(progress, progress.held)) : next
+}
+
 /**
  * Runs one request.
  *
- * At most one upstream works on it at any time, and two on a read that is overdue. It is sent to a further upstream only
- * after a refusal that is certain, or when running it twice does no harm.
+ * At most one upstream works on it at any time, and two on an idempotent one that the first of them is late with or
+ * silent about. The first data of either of them ends the work at the other. It is sent to a further upstream only after
+ * a refusal that is certain, or when running it twice does no harm.
  *
  * @param request - properties that decide about retries
  * @param deps - budget, access and quarantine
@@ -400,7 +314,7 @@
     yield giveUp(progress, quarantine)
     return
   }
-  let effects: Effects = [{ kind: 'place', avoid: progress.avoid }]
+  let effects = searchNext(progress)
   for (;;) {
     const next = handle(yield effects, request, progress, deps)
     if (next.over) {
--- a/packages/decisions/src/lib/shared-retry-budget.ts
+++ b/packages/decisions/src/lib/shared-retry-budget.ts
@@ -22,9 +22,10 @@
  * Why a request is sent again.
  *
  * - `failed`: no upstream has it any more, and without another one its caller gets no answer.
+ * - `stalled`: the upstream that has it is silent, and may have terminated.
  * - `overdue`: an upstream still has it, and may answer late.
  */
-export type RetryCause = 'failed' | 'overdue'
+export type RetryCause = 'failed' | 'stalled' | 'overdue'
 
 /** Share of what an entry may use that overdue requests leave to failed ones. */
 const leftToFailed = 0.5
--- a/packages/decisions/src/test/relay-flow.feature
+++ b/packages/decisions/src/test/relay-flow.feature
@@ -4,7 +4,8 @@
   runs out and callers leave, in any order.
 
   Scenario: any sequence of outcomes and interruptions of a direct request
-    Then for any direct request at most one upstream has it at any time, two have an overdue read, and nothing follows its final answer
+    Then for any direct request at most one upstream has it at any time, two have an idempotent one that is late, and nothing follows its final answer
+    And any direct request ends with one answer or one refusal, and is not given up or withdrawn while an upstream that has it may go on
     And for any direct request that may run once, nothing is sent after it may have run
     And for any direct request "not run" is answered only when it certainly did not run
     And for any direct request no more upstreams are tried than its route allows
@@ -45,10 +46,13 @@
     When its upstream stalls and no other is available
     Then it stays where it is, and ends complete when the upstream continues
 
-  Scenario: a stream moves from a silent engine
+  Scenario: a stream at a silent engine and at a second one
+    Guards against a stream that is cut off although the silent engine goes on with it, and against events of two engines at once.
     Given a resumable stream that may be sent to 2 upstreams
     When its upstream stalls and another can take it
-    Then it is withdrawn from the first and continues at the other
+    Then both have it until the first data of either, and it is withdrawn from the other
+    And a refusal, a failed connection, an error or a lost answer of the second leaves it at the first
+    And the end of the first leaves it to the second
 
   Scenario: a silent engine breaks the connection
     Given a resumable stream that may be sent to 2 upstreams
--- a/packages/decisions/src/test/relay-flow.steps.ts
+++ b/packages/decisions/src/test/relay-flow.steps.ts
@@ -5,7 +5,8 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { type RelayEffect, relayFlow, type RelayMessage, type RelayRequest } from '../lib/relay-flow.js'
+import { relayFlow } from '../lib/relay-flow.js'
+import type { RelayEffect, RelayMessage, RelayRequest } from '../lib/relay-messages.js'
 import { propertyOptions } from './support/property-options.js'
 
 /** A message; `fromLast`: whether it comes from the last of the upstreams that have the request. */
@@ -28,7 +29,7 @@
     { kind: 'unreachable' }, { kind: 'lost' },
     { kind: 'whole', failed: true }, { kind: 'whole', failed: false },
     { kind: 'streaming' }, { kind: 'stream-ended' },
-    { kind: 'stalled' }, { kind: 'stalled' }, { kind: 'moves-again' }, { kind: 'overdue' }, { kind: 'overdue' }, { kind: 'overdue' },
+    { kind: 'stalled' }, { kind: 'stalled' }, { kind: 'stalled' }, { kind: 'overdue' }, { kind: 'overdue' }, { kind: 'overdue' },
     { kind: 'waited' }, { kind: 'timeout' }, { kind: 'caller-gone' }, { kind: 'held', cause: 'quarantined' }, { kind: 'held', cause: 'part-quarantined' }
   )
 )
@@ -36,7 +37,10 @@
 const inputs: fc.Arbitrary<Input> = fc.record({ request: requests, messages: fc.array(fc.record({ msg: messages, fromLast: fc.boolean() }), { maxLength: 40 }) })
 
 const finals = new Set<RelayEffect['kind']>(['finish', 'fail', 'break', 'forget'])
-const exchangeMessages = new Set<RelayMessage['kind']>(['refused', 'unreachable', 'lost', 'whole', 'streaming', 'stream-ended'])
+const exchangeMessages = new Set<RelayMessage['kind']>(['refused', 'unreachable', 'lost', 'whole', 'streaming', 'stream-ended', 'stalled'])
+/** Messages after which an answer may be given up although an upstream that has the request goes on. */
+const interruptions = new Set<RelayMessage['kind']>(['timeout', 'caller-gone', 'held'])
+const completions = new Set<RelayMessage['kind']>(['whole', 'stream-ended'])
 
 /** A naive observer of one run, which collects violations. */
 class Observer {
@@ -49,32 +53,40 @@
   /** Whether an upstream is looked for, and whether a pause runs. */
   private _placing = false
   private _pausing = false
-  private _isStreaming = false
+  /** Upstreams that have sent a part of their answer. */
+  private readonly _streaming = new Set<string>()
   private _isQuarantined = false
+  private _lastMessage: RelayMessage['kind'] | undefined
+  private _openAtMessage = 0
 
   constructor (private readonly _request: RelayRequest) {}
 
-  /** Whether a message can arrive now. */
-  isPossible (msg: RelayMessage): boolean {
-    if (msg.kind === 'timeout' || msg.kind === 'caller-gone' || msg.kind === 'held') return true
+  /** Whether a message can arrive now; `from`: the upstream that it comes from. */
+  isPossible (msg: RelayMessage, from: string | undefined): boolean {
+    if (interruptions.has(msg.kind)) return true
     // An exchange whose answer has begun can neither be refused nor fail to connect.
-    if (this._isStreaming && (msg.kind === 'refused' || msg.kind === 'unreachable' || msg.kind === 'whole')) return false
-    if (exchangeMessages.has(msg.kind) || msg.kind === 'stalled' || msg.kind === 'overdue') return this.open.size > 0
-    if (msg.kind === 'moves-again') return this.open.size > 0 && this._placing
+    if (this._streaming.has(from ?? '') && (msg.kind === 'refused' || msg.kind === 'unreachable' || msg.kind === 'whole')) return false
+    if (exchangeMessages.has(msg.kind) || msg.kind === 'overdue') return this.open.size > 0
     return msg.kind === 'waited' ? this._pausing : this._placing
   }
 
   /** Records a message that the flow has received. */
   heard (msg: RelayMessage): void {
     if (msg.kind === 'waited') this._pausing = false
-    if (msg.kind === 'placed' || msg.kind === 'unplaced' || msg.kind === 'moves-again') this._placing = false
-    if (msg.kind === 'streaming') this._isStreaming = true
+    if (msg.kind === 'placed' || msg.kind === 'unplaced') this._placing = false
+    if (msg.kind === 'streaming') this._streaming.add(msg.from!)
     if (msg.kind === 'unreachable') this.upstreams.delete(msg.from!)
     if (msg.kind === 'lost' || msg.kind === 'whole' || msg.kind === 'streaming') this.mayHaveRun = true
     if (msg.kind === 'timeout' && this.open.size > 0) this.mayHaveRun = true
     if (msg.kind === 'held') this._onQuarantined()
-    if ('from' in msg && msg.kind !== 'streaming') this.open.delete(msg.from!)
-    if (msg.kind === 'stream-ended') this.open.clear()
+    if ('from' in msg && msg.kind !== 'streaming' && msg.kind !== 'stalled') this._closed(msg.from!)
+    this._lastMessage = msg.kind
+    this._openAtMessage = this.open.size
+  }
+
+  private _closed (upstream: string): void {
+    this.open.delete(upstream)
+    this._streaming.delete(upstream)
   }
 
   /** A non-idempotent request stays at its upstream, which may still answer that it did not run. */
@@ -90,8 +102,10 @@
     if (effect.kind === 'wait') this._pausing = true
     if (effect.kind === 'abandon') this._onAbandon(effect.upstream)
     if (effect.kind === 'send') this._onSend(effect.upstream, 0)
-    if (effect.kind === 'send-beside') this._onSend(effect.upstream, this._request.kind === 'read-only' ? 1 : 0)
-    if (finals.has(effect.kind) && this._request.kind === 'read-only' && this.open.size > 0) this.violations.push(`left running after ${effect.kind}`)
+    if (effect.kind === 'send-beside') this._onSend(effect.upstream, this._runsOnce ? 0 : 1)
+    if (finals.has(effect.kind) && !this._runsOnce && this.open.size > 0) this.violations.push(`left running after ${effect.kind}`)
+    const isGivenUp = effect.kind === 'fail' || effect.kind === 'break'
+    if (isGivenUp && this._openAtMessage > 0 && !interruptions.has(this._lastMessage!)) this.violations.push('given up while an upstream has it')
     if (effect.kind === 'fail' && effect.notRun && this.mayHaveRun) this.violations.push('answered "not run" of what may have run')
   }
 
@@ -100,19 +114,24 @@
     this._placing = true
   }
 
+  private get _runsOnce (): boolean {
+    return this._request.kind === 'non-idempotent' || (this._request.kind === 'stream' && !this._request.resumable)
+  }
+
   /** An upstream from which the request is withdrawn may have run it. */
   private _onAbandon (upstream: string | undefined): void {
-    if (this.open.size > 0) this.mayHaveRun = true
-    if (upstream === undefined) this.open.clear()
-    else if (!this.open.delete(upstream)) this.violations.push('withdrawn from an upstream that does not have it')
+    const withdrawn = upstream === undefined ? [...this.open] : [upstream]
+    if (withdrawn.length > 0) this.mayHaveRun = true
+    if (withdrawn.some(each => !this.open.has(each))) this.violations.push('withdrawn from an upstream that does not have it')
+    for (const each of withdrawn) this._closed(each)
+    if (withdrawn.length > 0 && this.open.size === 0 && !interruptions.has(this._lastMessage!) && !completions.has(this._lastMessage!)) this.violations.push('withdrawn from its only upstream')
+    if ([...this.open].some(each => !this._streaming.has(each)) && this._lastMessage === 'streaming') this.violations.push('withdrawn in favour of an upstream that has sent nothing')
   }
 
   private _onSend (upstream: string, others: number): void {
-    this._isStreaming = false
     if (this.open.size > others || this.open.has(upstream)) this.violations.push('two upstreams at once')
     if (this._isQuarantined) this.violations.push('sent though quarantined')
-    const once = this._request.kind === 'non-idempotent' || (this._request.kind === 'stream' && !this._request.resumable)
-    if (once && this.mayHaveRun) this.violations.push('sent again after it may have run')
+    if (this._runsOnce && this.mayHaveRun) this.violations.push('sent again after it may have run')
     this.open.add(upstream)
     this.upstreams.add(upstream)
     if (this.upstreams.size > this._request.maxAttempts) this.violations.push('sent to too many upstreams')
@@ -126,13 +145,19 @@
   for (const effect of step.value ?? []) observer.onEffect(effect)
   for (const { msg: drawn, fromLast } of list) {
     if (observer.final !== undefined) break
-    if (!observer.isPossible(drawn)) continue
     const open = [...observer.open]
-    const msg = exchangeMessages.has(drawn.kind) && drawn.kind !== 'stream-ended' ? { ...drawn, from: open[fromLast ? open.length - 1 : 0]! } as RelayMessage : drawn
+    const from = open[fromLast ? open.length - 1 : 0]
+    if (!observer.isPossible(drawn, from)) continue
+    const msg = exchangeMessages.has(drawn.kind) ? { ...drawn, from: from! } as RelayMessage : drawn
     observer.heard(msg)
     step = flow.next(msg)
     for (const effect of step.value ?? []) observer.onEffect(effect)
   }
+  if (observer.final !== undefined) return observer
+  observer.heard({ kind: 'timeout' })
+  step = flow.next({ kind: 'timeout' })
+  for (const effect of step.value ?? []) observer.onEffect(effect)
+  if (observer.final === undefined) observer.violations.push('without an end')
   return observer
 }
 
@@ -144,13 +169,21 @@
   }), { ...propertyOptions, numRuns: 2_000 })
 }
 
-Then('for any direct request at most one upstream has it at any time, two have an overdue read, and nothing follows its final answer', () => {
+Then('for any direct request at most one upstream has it at any time, two have an idempotent one that is late, and nothing follows its final answer', () => {
   assertNoViolation('two upstreams')
   assertNoViolation('two searches')
   assertNoViolation(' after ')
   assertNoViolation('withdrawn from')
 })
 
+Then('any direct request ends with one answer or one refusal, and is not given up or withdrawn while an upstream that has it may go on', () => {
+  assertNoViolation('without an end')
+  assertNoViolation('given up')
+  assertNoViolation('only upstream')
+  assertNoViolation('in favour of')
+  assertNoViolation('left running')
+})
+
 Then('for any direct request that may run once, nothing is sent after it may have run', () => assertNoViolation('sent again'))
 
 Then('for any direct request "not run" is answered only when it certainly did not run', () => assertNoViolation('answered "not run"'))
@@ -265,11 +298,37 @@
   send(this, { kind: 'placed', upstream: 'u2' })
 })
 
-Then('it is withdrawn from the first and continues at the other', function (this: FlowWorld) {
-  assert.deepEqual(this.effects, [{ kind: 'abandon' }, { kind: 'send', upstream: 'u2' }])
+Then('both have it until the first data of either, and it is withdrawn from the other', function (this: FlowWorld) {
+  assert.deepEqual(this.effects, [{ kind: 'send-beside', upstream: 'u2', cause: 'stalled' }])
   assert.equal(this.repeats, 1)
+  for (const [from, other] of [['u1', 'u2'], ['u2', 'u1']] as const) {
+    assert.deepEqual(afterStall({ kind: 'streaming', from }), [{ kind: 'abandon', upstream: other }])
+    assert.deepEqual(afterStall({ kind: 'stream-ended', from }), [{ kind: 'abandon', upstream: other }, { kind: 'finish' }])
+  }
 })
 
+Then('a refusal, a failed connection, an error or a lost answer of the second leaves it at the first', () => {
+  const ends: readonly RelayMessage[] = [{ kind: 'refused', refusal: 'full', from: 'u2' }, { kind: 'refused', refusal: 'adapter-missing', from: 'u2' }, { kind: 'lost', from: 'u2' }, { kind: 'whole', failed: true, from: 'u2' }]
+  for (const end of ends) {
+    assert.deepEqual(afterStall(end), [], end.kind)
+    assert.deepEqual(afterStall(end, { kind: 'stalled', from: 'u1' }, { kind: 'stream-ended', from: 'u1' }), [{ kind: 'finish' }], end.kind)
+  }
+  assert.deepEqual(afterStall({ kind: 'unreachable', from: 'u2' }).map(({ kind }) => kind), ['place'])
+})
+
+Then('the end of the first leaves it to the second', () => {
+  assert.deepEqual(afterStall({ kind: 'lost', from: 'u1' }), [])
+  assert.deepEqual(afterStall({ kind: 'lost', from: 'u1' }, { kind: 'refused', refusal: 'full', from: 'u2' }).map(({ kind }) => kind), ['break'])
+})
+
+/** Effects of messages that follow when a stream that has begun is at two upstreams. */
+function afterStall (...following: readonly RelayMessage[]): readonly RelayEffect[] {
+  const world = {} as FlowWorld
+  start(world, { kind: 'stream', resumable: true, maxAttempts: 2 })
+  for (const msg of [{ kind: 'streaming', from: 'u1' }, { kind: 'stalled', from: 'u1' }, { kind: 'placed', upstream: 'u2' }, ...following] as const) send(world, msg)
+  return world.effects
+}
+
 When('its upstream stalls and breaks the connection while another is looked for', function (this: FlowWorld) {
   send(this, { kind: 'stalled' })
   send(this, { kind: 'lost' })
@@ -295,12 +354,12 @@
 
 When('it is overdue and another upstream can take it', function (this: FlowWorld) {
   send(this, { kind: 'overdue' })
-  assert.deepEqual(this.effects.map(effect => effect.kind === 'place' && effect.beside), [true])
+  assert.deepEqual(this.effects.map(effect => effect.kind === 'place' && effect.beside), ['overdue'])
   send(this, { kind: 'placed', upstream: 'u2' })
 })
 
 Then('the second upstream has it as well, for one retry of the budget', function (this: FlowWorld) {
-  assert.deepEqual(this.effects, [{ kind: 'send-beside', upstream: 'u2' }])
+  assert.deepEqual(this.effects, [{ kind: 'send-beside', upstream: 'u2', cause: 'overdue' }])
   assert.equal(this.repeats, 1)
 })
 
--- a/packages/direct/src/lib/metrics.ts
+++ b/packages/direct/src/lib/metrics.ts
@@ -2,6 +2,8 @@
  * Counters and histograms, as text for a scraper.
  */
 import { createServer, type Server } from 'node:http'
+import { assertNever } from '@hazelford/core'
+import type { LateCause } from '@hazelford/decisions'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Bounds in ms: fine around the latency targets of plain calls and of streams. */
@@ -27,6 +29,7 @@
   readonly sends = this._counter('hazelford_sends_total', 'Requests sent to upstreams, by outcome.', ['outcome'])
   readonly repeats = this._counter('hazelford_repeats_total', 'Repeats by whether the budget allowed them.', ['allowed'])
   readonly overdueReads = this._counter('hazelford_overdue_reads_total', 'Reads that are overdue at an upstream, were sent to a second one, or were answered by that.', ['event'])
+  private readonly _stalled = this._counter('hazelford_stalled_requests_total', 'Requests whose silent upstream continued, that were sent to a second one, or were continued by that.', ['event'])
   readonly heldRequests = this._counter('hazelford_held_requests_total', 'Requests that this entry holds back, since upstreams ended under them.', [])
   readonly quarantinedParts = this._counter('hazelford_quarantined_parts_total', 'Prompt parts that this entry quarantined, since upstreams terminated while running requests with them.', [])
   readonly notices = this._counter('hazelford_upstream_notices_total', 'Changes of what upstreams say of themselves in answers: a request limit, that they leave, that they want rest.', ['notice'])
@@ -66,6 +69,15 @@
     return new Histogram({ name, help, labelNames, buckets: latencyBuckets, registers: [this._registry] })
   }
 
+  /** Counts an event of a request that its upstream is late with or silent about. */
+  countLate (cause: LateCause, event: string): void {
+    switch (cause) {
+      case 'overdue': return this.overdueReads.inc({ event })
+      case 'stalled': return this._stalled.inc({ event })
+      default: return assertNever(cause)
+    }
+  }
+
   /** Counts a request of an organisation by its end. */
   countOrganisation (name: string, end: string): void { this._organisationRequests.inc({ organisation: this._organisationLabel(name), end }) }
 
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -62,10 +62,8 @@
   readonly body: Buffer | undefined
   /** Whether it may be retried after a reset. */
   readonly repeatable: boolean
-  /** Time limit for the first byte of a plain answer; if undefined, only the request's deadline applies. */
-  readonly firstByteTimeout: Ms | undefined
-  /** Silence before the first event after which a stream counts as stalled; undefined for other answers. */
-  readonly firstEventSilence: Ms | undefined
+  /** Silence before the first event of a stream, or within a plain answer that is not passed on yet, after which it counts as stalled. */
+  readonly firstDataSilence: Ms | undefined
   /** Silence between events after which a stream counts as stalled. */
   readonly gapSilence: Ms | undefined
   readonly lastEventId: number | undefined
@@ -97,6 +95,8 @@
   private _res: IncomingMessage | undefined
   private _over = false
   private _begun = false
+  /** Whether the events of a stream arrive. */
+  private _readsEvents = false
   private _sent = false
   private _openedAt: Ms | undefined
   private _verified: Promise<boolean> | undefined
@@ -123,8 +123,7 @@
     this._req.on('error', error => this._failed(error.message))
     this._req.on('close', () => this._failed('The connection closed without an answer.'))
     this._req.end(body)
-    this._limitFirstByte(_call.firstByteTimeout)
-    this._watchSilence(_call.firstEventSilence, 'No first event')
+    this._watchSilence(_call.firstDataSilence, 'No answer')
   }
 
   /** When its connection was opened; undefined before that. */
@@ -155,28 +154,40 @@
     this._res?.resume()
   }
 
-  pause (): void { this._res?.pause() }
-  resume (): void { this._res?.resume() }
-
-  private _finish (): void {
-    this._over = true
+  /** Stops reading; silence does not count until it goes on. */
+  pause (): void {
     this._cancelTimer?.()
+    this._res?.pause()
+  }
+
+  resume (): void {
+    if (this._over) return
+    if (this._readsEvents) this._watchSilence(this._call.gapSilence, 'No further event')
+    this._res?.resume()
   }
 
-  private _limitFirstByte (limit: Ms | undefined): void {
+  private _finish (): void {
+    this._over = true
     this._cancelTimer?.()
-    if (limit === undefined) return
-    this._cancelTimer = this._clock.after(limit, () => this._endAsLost(`No first byte within ${Math.round(limit)} ms.`))
   }
 
   /** Reports silence to the sink, repeatedly for as long as it lasts. */
   private _watchSilence (limit: Ms | undefined, what: string): void {
-    if (limit === undefined) return
     this._cancelTimer?.()
-    this._cancelTimer = this._clock.after(limit, () => {
-      this._watchSilence(limit, what)
-      this._sink.stalled(`${what} within ${Math.round(limit)} ms.`)
+    if (limit === undefined) return
+    let isCancelled = false
+    const cancel = this._clock.after(limit, () => {
+      // After a pause of this process its timers run before the data that waits in its sockets is read.
+      setImmediate(() => setImmediate(() => {
+        if (isCancelled) return
+        this._watchSilence(limit, what)
+        this._sink.stalled(`${what} within ${Math.round(limit)} ms.`)
+      }))
     })
+    this._cancelTimer = () => {
+      isCancelled = true
+      cancel()
+    }
   }
 
   /** Ends the exchange as lost, since its answer can no longer be received. */
@@ -254,7 +265,7 @@
     let chunks: Buffer[] = []
     let size = 0
     const release = (): void => {
-      this._limitFirstByte(undefined)
+      this._cancelTimer?.()
       this._begin(res)
       for (const chunk of chunks) this._sink.data(chunk, undefined)
       chunks = []
@@ -291,7 +302,7 @@
       const events = framer.push(chunk)
       if (events === undefined) return
       if (!events.inOrder) return this._endAsLost('The event ids are out of order.')
-      this._limitFirstByte(undefined)
+      this._readsEvents = true
       this._watchSilence(this._call.gapSilence, 'No further event')
       this._begin(res)
       this._sink.data(events.bytes, events.lastId)
--- a/packages/direct/src/lib/relay/relay-runner.ts
+++ b/packages/direct/src/lib/relay/relay-runner.ts
@@ -165,7 +165,7 @@
         return this._pacing.recordOverdue(service, upstream.id)
       },
       silentUpstreams: () => this._pacing.isLinkSuspect(service) ? undefined : this._pacing.silentUpstreams(service),
-      besideEvent: event => metrics.overdueReads.inc({ event }),
+      lateEvent: (cause, event) => metrics.countLate(cause, event),
       takeRepeat: cause => this._takeRepeat(budget, id, cause),
       isAllowed,
       quarantine: fingerprint => quarantine.causeOfRefusal(call.sharedParts, fingerprint),
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -2,7 +2,7 @@
  * Drives one request: performs the effects that its flow decides on.
  */
 import { assertNever, type CancelTimer, type Clock, type Log, type Ms, Task } from '@hazelford/core'
-import { type RequestedAdapter, type ExchangeOutcome, type MeasuredPace, mayHaveCausedTermination, type OverdueTime, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey, type RetryCause, StreamPace } from '@hazelford/decisions'
+import { type RequestedAdapter, type ExchangeOutcome, type LateCause, type MeasuredPace, mayHaveCausedTermination, type OverdueTime, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey, type RetryCause, StreamPace } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
 import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
@@ -77,8 +77,8 @@
   readonly overdue: (upstream: Upstream) => () => void
   /** Upstreams at which reads are overdue; undefined when this entry's link is the probable cause. */
   readonly silentUpstreams: () => ReadonlySet<string> | undefined
-  /** Called when an overdue read was sent to a second upstream, or answered by it. */
-  readonly besideEvent: (event: 'sent' | 'answered') => void
+  /** Called when a request was sent to a second upstream, or a second one answers it, or when a silent upstream continues. */
+  readonly lateEvent: (cause: LateCause, event: 'sent' | 'answered' | 'continued') => void
   /** Takes one retry from the retry budget; false when the budget is spent. */
   readonly takeRepeat: (cause: RetryCause) => boolean
   /** Whether its caller may still send it. */
@@ -117,12 +117,12 @@
  * this much later, the entry answers the caller.
  */
 const timeoutMargin: Ms = 40
-/** Silence before the first event after which a resumable stream is sent to another upstream. */
+/** Silence before the first event after which a resumable stream is sent to a second upstream. */
 const streamSilence: Ms = 1_500
-/** Silence between events after which a resumable stream is resumed at another upstream. */
+/** Silence between events after which a resumable stream is sent to a second upstream. */
 const gapSilence: Ms = 900
 /**
- * A plain request whose answer takes this many times the route's latency target is sent to another upstream, if it may
+ * A plain request whose answer takes this many times the route's latency target is sent to a second upstream, if it may
  * be retried.
  */
 const slowFactor = 3
@@ -138,8 +138,22 @@
 /** Time kept for the answer's first event before the caller leaves. */
 const firstEventMargin: Ms = 600
 
-/** An exchange with an upstream. `release` ends its accounts. */
-interface OpenExchange { readonly exchange: Exchange, readonly release: () => void }
+/** An exchange with an upstream. */
+interface OpenExchange {
+  readonly exchange: Exchange
+  readonly upstream: Upstream
+  /** Why it is the second one that has the request; undefined for the first one. */
+  readonly beside: LateCause | undefined
+  /** Ends its accounts. */
+  readonly release: () => void
+  /** Whether the upstream has been silent for longer than expected. */
+  isSilent: boolean
+}
+
+/** Log fields with the parts of the wait of a stream that needed an adapter. */
+function waitFields (waits: PlacementWaits | undefined): object {
+  return waits === undefined ? {} : { forAdapter: Math.round(waits.adapter), atDoor: Math.round(waits.admissionWait) }
+}
 
 /** One request from its arrival to its answer. */
 export class RelayTask {
@@ -148,16 +162,15 @@
   private _cancelTimeout: CancelTimer = () => {}
   /** The exchange whose answer is passed on. */
   private _exchange: Exchange | undefined
-  /** Exchanges by upstream: two while an overdue read is at a second one. */
+  /** Exchanges by upstream: two while a second one has the request. */
   private readonly _exchanges = new Map<string, OpenExchange>()
   private _cancelOverdue: CancelTimer = () => {}
-  /** Whether a second upstream is looked for while the first one goes on. */
-  private _isPlacingBeside = false
+  /** Whether a second upstream is looked for, since the first one is late. */
+  private _isPlacingOverdue = false
+  /** The placement to be used by the next send. */
+  private _placement: Placement & { readonly kind: 'placed' } | undefined
+  /** The upstream whose answer is passed on, or that has had the request for longest. */
   private _upstream: Upstream | undefined
-  private _version: number | undefined
-  private _waits: PlacementWaits | undefined
-  /** Returns what the request took of its upstream's limit. */
-  private _refund: () => void = () => {}
   /** Ms until an upstream can be expected to accept the request, where that is known. */
   private _retryAfter: Ms | undefined
   private _want: RequestedAdapter | undefined
@@ -177,23 +190,14 @@
   private _dataAt: Ms | undefined
   /** When the request was sent to its upstream. */
   private _sentAt: Ms = -Infinity
-  /** When the upstream that runs the request sent its first data. */
+  /** The upstream that sent the last data, and when it sent its first data. */
+  private _dataFrom: string | undefined
   private _upstreamDataSince: Ms | undefined
   /** Whether the upstream that runs the request has cleared the parts of its prompt. */
   private _hasClearedParts = false
   private _longestGap: Ms = 0
   private readonly _pace = new StreamPace()
   private _sends = 0
-  /**
-   * State of a silent upstream.
-   *
-   * - `none`: the upstream is not silent.
-   * - `placing`: the upstream is silent, and another one is being looked for.
-   * - `over`: the upstream has sent data again while another one was looked for.
-   * - `unplaced`: the upstream is still silent, and no other one can run the request.
-   */
-  private _stall: 'none' | 'placing' | 'over' | 'unplaced' = 'none'
-
   constructor (
     private readonly _call: BufferedCall,
     private readonly _route: Route,
@@ -253,7 +257,7 @@
   private _cut (cause: CutCause): void {
     const { configVersion, answerCut, log } = this._options
     const { silence, ownPause } = this._silence
-    log.warn('request', 'answer cut.', { request: this._call.facts.id, cause, begun: this._answer.begun, upstream: this._upstream?.id, upstreams: [...this._exchanges.keys()], silence, ownPause, sends: this._sends, config: configVersion(), version: this._version, lastEventId: this._lastEventId })
+    log.warn('request', 'answer cut.', { request: this._call.facts.id, cause, begun: this._answer.begun, upstream: this._upstream?.id, upstreams: [...this._exchanges.keys()], silence, ownPause, sends: this._sends, config: configVersion(), lastEventId: this._lastEventId })
     answerCut(cause)
     this._answer.break()
   }
@@ -270,8 +274,8 @@
       case 'place': return this._place(effect.avoid, effect.retryUpstream, effect.beside)
       case 'send': return this._send()
       case 'send-beside':
-        this._options.besideEvent('sent')
-        return this._send()
+        this._options.lateEvent(effect.cause, 'sent')
+        return this._send(effect.cause)
       case 'abandon': return this._abandon(effect.upstream)
       case 'wait':
         this._options.clock.after(effect.delay, () => this._post({ kind: 'waited' }))
@@ -307,14 +311,14 @@
     return Math.max(0, Math.min(this._remaining * loadShare, leavesAfter - waited))
   }
 
-  private _place (avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside = false): void {
+  private _place (avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside: LateCause | undefined): void {
     if (this._software.kind !== 'unknown' || this._verifyOrigin === undefined) return this._placeAt(this._software, avoid, retryUpstream, beside)
-    this._verifyOrigin().then(() => this._placeAt(this._software, avoid, retryUpstream), (error: Error) => this._endAfterFault(error))
+    this._verifyOrigin().then(() => this._placeAt(this._software, avoid, retryUpstream, beside), (error: Error) => this._endAfterFault(error))
   }
 
-  private _placeAt (software: SoftwareNeed, avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside = false): void {
+  private _placeAt (software: SoftwareNeed, avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside: LateCause | undefined): void {
     if (this._over) return
-    this._isPlacingBeside = beside
+    this._isPlacingOverdue = beside === 'overdue'
     // A stream may be resumed many seconds after its request arrived. If a new version of its adapter was declared since
     // then, that version is in force at the other upstream; with the version of the first placement, the stream would
     // start over on weights that were replaced.
@@ -324,7 +328,7 @@
       service: this._service,
       want: this._want,
       urgency: this._call.priority,
-      avoid: beside ? new Set([...avoid, ...this._options.silentUpstreams() ?? []]) : avoid,
+      avoid: beside === 'overdue' ? new Set([...avoid, ...this._options.silentUpstreams() ?? []]) : avoid,
       software,
       patience: this._longestWait,
       prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget, ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }) },
@@ -335,12 +339,11 @@
       // On a busy host, a request and the close of its connection are read in two consecutive turns of the event loop.
       // A request sent between the two would run for a caller who left long before.
       setImmediate(() => setImmediate(() => {
-        // The first event arrived during the search, and its connection has broken since: it decides the software.
-        if (this._software !== software && this._stall !== 'over' && !this._over) {
-          if (placed.kind === 'placed') this._releasePlacement(placed)
-          return this._place(avoid, retryUpstream)
-        }
-        this._placed(placed)
+        if (this._software === software || this._over) return this._placed(placed)
+        // The first event arrived during the search: it decides the software.
+        if (placed.kind === 'placed') this._releasePlacement(placed)
+        if (this._exchanges.size > 0) return this._post({ kind: 'unplaced', cause: 'no-upstream' })
+        this._place(avoid, retryUpstream, undefined)
       }))
     }, (error: Error) => {
       this._options.log.warn('request', 'placement failed.', { request: this._call.facts.id, error: error.message })
@@ -368,50 +371,44 @@
 
   private _applyPlacement (placed: Placement): void {
     if (this._remaining <= 0) return this._post({ kind: 'timeout' })
-    const isBeside = this._isPlacingBeside
-    this._isPlacingBeside = false
-    // An upstream that failed lately answers no sooner than the one that has the request.
-    if (isBeside && placed.kind === 'placed' && !placed.upstream.health.accepts(this._options.clock.now())) return this._post({ kind: 'unplaced', cause: 'no-upstream' })
-    const stall = this._stall
-    this._stall = stall === 'placing' && placed.kind === 'unplaced' ? 'unplaced' : 'none'
-    // The stream goes on at its upstream. If it were moved now, another engine would have to read its prompt again.
-    if (stall === 'over') return this._post({ kind: 'moves-again' })
+    const isOverdue = this._isPlacingOverdue
+    this._isPlacingOverdue = false
     if (placed.kind === 'unplaced') {
       this._retryAfter = placed.retryAfter
       return this._post(placed)
     }
-    this._refund = placed.refund
-    this._upstream = placed.upstream
-    this._version = placed.version
-    this._waits = placed.waits
+    // An upstream that failed lately answers no sooner than the one that has the request.
+    if (isOverdue && !placed.upstream.health.accepts(this._options.clock.now())) return this._post({ kind: 'unplaced', cause: 'no-upstream' })
+    this._placement = placed
     this._post({ kind: 'placed', upstream: placed.upstream.id })
   }
 
-  private _send (): void {
-    const upstream = this._upstream!
+  private _send (beside?: LateCause): void {
+    const { upstream, version, waits, refund } = this._placement!
+    const want = this._want
     const { clock, codec, log } = this._options
     const { facts, method, path, headers, body } = this._call
     const sentAt = clock.now()
     this._sends++
-    this._sentAt = sentAt
-    this._upstreamDataSince = undefined
-    this._hasClearedParts = false
+    if (beside === undefined) {
+      this._upstream = upstream
+      this._sentAt = sentAt
+      this._forgetData()
+    }
     const resumed = this._answer.begun ? this._lastEventId : undefined
-    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, software: upstream.record.software, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...this._waitFields(), outstanding: upstream.outstanding, speed: upstream.reportedSpeed, rateLimit: upstream.notices.limit.rate, config: this._options.configVersion(), version: this._version, resumedAfter: resumed })
-    const isBeside = this._exchanges.size > 0
-    const releaseSlot = upstream.open(this._want?.adapter === undefined ? undefined : requestedAdapterKey(this._want))
-    if (this._want !== undefined) upstream.recordPrompt(facts.promptTokens)
-    const endOverdue = isBeside ? () => {} : this._watchOverdue(upstream)
+    log.info('request', 'sent.', { request: facts.id, upstream: upstream.id, software: upstream.record.software, send: this._sends, waited: Math.round(sentAt - this._call.arrivedAt), ...waitFields(waits), outstanding: upstream.outstanding, speed: upstream.reportedSpeed, rateLimit: upstream.notices.limit.rate, config: this._options.configVersion(), version, resumedAfter: resumed, beside })
+    const releaseSlot = upstream.open(want?.adapter === undefined ? undefined : requestedAdapterKey(want))
+    if (want !== undefined) upstream.recordPrompt(facts.promptTokens)
+    const endOverdue = beside === undefined ? this._watchOverdue(upstream) : () => {}
     const release = (): void => {
       releaseSlot()
       endOverdue()
     }
-    const refund = this._refund
     const from = upstream.id
     const close = (outcome: ExchangeOutcome, latency?: Ms): void => {
       release()
       this._exchanges.delete(from)
-      this._isPlacingBeside = false
+      this._isPlacingOverdue = false
       this._options.exchanged(upstream, outcome, latency, clock.now() - sentAt)
     }
     let firstByte: Ms | undefined
@@ -421,7 +418,7 @@
       remaining: Math.max(1, Math.floor(this._remaining)),
       priority: this._call.priority,
       byKey: this._call.byKey,
-      ...(this._version === undefined ? {} : { adapterVersion: this._version }),
+      ...(version === undefined ? {} : { adapterVersion: version }),
       ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }),
       ...(resumed === undefined ? {} : { lastEventId: resumed })
     })
@@ -435,8 +432,7 @@
       headers: forwarded,
       body,
       repeatable: this._repeatable,
-      firstByteTimeout: this._firstByteTimeout(),
-      firstEventSilence: this._isStream && this._repeatable ? Math.max(streamSilence, 2 * this._route.latencyTarget) : undefined,
+      firstDataSilence: this._firstDataSilence(),
       gapSilence: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
       lastEventId: this._lastEventId,
       verify: this._software.kind === 'version' ? openedAt => this._options.verifyIncarnation(upstream, openedAt) : undefined
@@ -445,7 +441,7 @@
       refused: refusal => {
         close('refused')
         log.info('request', 'refused by upstream.', { request: facts.id, upstream: upstream.id, refusal })
-        if (refusal === 'adapter-missing' && this._want !== undefined) this._options.adapterBroken(upstream.id, this._want)
+        if (refusal === 'adapter-missing' && want !== undefined) this._options.adapterBroken(upstream.id, want)
         this._post({ kind: 'refused', refusal, from })
       },
       unreachable: cause => {
@@ -456,30 +452,28 @@
       },
       stalled: cause => this._recordStall(upstream, cause, clock.now() - sentAt),
       lost: (cause, kind) => {
-        this._stall = 'none'
         close('lost')
-        log.info('request', 'answer lost.', { request: facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(clock.now() - sentAt), fingerprint: this.fingerprint, parts: this._call.sharedParts })
+        log.info('request', 'answer lost.', { request: facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(clock.now() - sentAt), beside, fingerprint: this.fingerprint, parts: this._call.sharedParts })
         // A restart that was found by its report shows nothing about this request, which came after it.
         if (kind !== 'other-software') this._reportSuspect(upstream, kind === 'broke')
         this._post({ kind: 'lost', from })
       },
       whole: answer => {
         const failed = answer.status >= 500
-        this._isFramed = answer.framed
         if (!answer.framed) this._reportSuspect(upstream, false)
         else if (answer.status < 300) this._clearParts(sentAt)
         close(failed ? 'error' : 'answered', first())
-        this._completeAnswer = answer
-        this._upstream = upstream
-        this._sentAt = sentAt
-        if (isBeside && !failed) this._options.besideEvent('answered')
+        if (!this._answer.begun) {
+          this._completeAnswer = answer
+          this._isFramed = answer.framed
+          this._readFrom(upstream, exchange, sentAt)
+        }
+        if (beside !== undefined && !failed) this._options.lateEvent(beside, 'answered')
         this._post({ kind: 'whole', failed, from })
       },
       begin: head => {
         first()
-        this._exchange = exchange
-        this._upstream = upstream
-        this._sentAt = sentAt
+        this._readFrom(upstream, exchange, sentAt)
         this._isFramed = head.framed
         if (!this._answer.begun) this._head = head
       },
@@ -488,13 +482,25 @@
         close('answered', first())
         if (!this._isFramed) this._reportUnframedEnd(upstream)
         else if (this._upstreamDataSince !== undefined) this._clearParts(this._upstreamDataSince)
-        if (this._sends === 1) this._options.streamEnded(upstream, this._longestGap > this._route.gapTarget && this._route.gapTarget > 0, this._want === undefined || !this._isStream ? undefined : this._pace.pace)
+        if (this._sends === 1) this._options.streamEnded(upstream, this._longestGap > this._route.gapTarget && this._route.gapTarget > 0, want === undefined || !this._isStream ? undefined : this._pace.pace)
         if (!this._answer.begun && this._head !== undefined) this._post({ kind: 'streaming', from })
-        this._post({ kind: 'stream-ended' })
+        this._post({ kind: 'stream-ended', from })
       }
     })
+    if (beside === undefined) this._exchange = exchange
+    this._exchanges.set(from, { exchange, upstream, beside, release, isSilent: false })
+  }
+
+  private _readFrom (upstream: Upstream, exchange: Exchange, sentAt: Ms): void {
     this._exchange = exchange
-    this._exchanges.set(from, { exchange, release })
+    this._upstream = upstream
+    this._sentAt = sentAt
+  }
+
+  private _forgetData (): void {
+    this._dataFrom = undefined
+    this._upstreamDataSince = undefined
+    this._hasClearedParts = false
   }
 
   /**
@@ -521,12 +527,6 @@
     }
   }
 
-  /** Log fields with the parts of the wait of a stream that needed an adapter. */
-  private _waitFields (): object {
-    if (this._waits === undefined) return {}
-    return { forAdapter: Math.round(this._waits.adapter), atDoor: Math.round(this._waits.admissionWait) }
-  }
-
   private get _isStream (): boolean { return this._route.kind === 'stream' }
 
   private get _repeatable (): boolean {
@@ -535,7 +535,7 @@
 
   /** Reports that this request may be the cause, in case its upstream turns out to have terminated. */
   private _reportSuspect (upstream: Upstream, broke: boolean): void {
-    const answeredFor = this._answeredFor
+    const answeredFor = this._answeredFor(upstream)
     const parts = !broke || provesPartHarmless(answeredFor) ? [] : this._call.sharedParts
     if (mayHaveCausedTermination(answeredFor)) this._options.answerLost(upstream, { request: this.fingerprint, parts }, broke)
   }
@@ -545,43 +545,60 @@
    * looks complete.
    */
   private _reportUnframedEnd (upstream: Upstream): void {
-    if (!provesPartHarmless(this._answeredFor)) this._reportSuspect(upstream, true)
+    if (!provesPartHarmless(this._answeredFor(upstream))) this._reportSuspect(upstream, true)
   }
 
-  /** Ms from the first to the last data of the upstream that runs the request; 0 when it has sent none. */
-  private get _answeredFor (): Ms { return this._upstreamDataSince === undefined ? 0 : this._dataAt! - this._upstreamDataSince }
+  /** Ms from the first to the last data of an upstream that runs the request; 0 when it has sent none. */
+  private _answeredFor ({ id }: Upstream): Ms {
+    return this._dataFrom !== id || this._upstreamDataSince === undefined ? 0 : this._dataAt! - this._upstreamDataSince
+  }
 
   private _recordStall (upstream: Upstream, cause: string, after: Ms): void {
-    if (this._over || this._stall === 'placing') return
+    const open = this._exchanges.get(upstream.id)
+    if (this._over || open === undefined) return
     this._options.log.info('request', 'stalled.', { request: this._call.facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(after), ...this._silence })
-    if (this._stall === 'none') this._options.exchanged(upstream, 'lost', undefined, after)
-    this._stall = 'placing'
+    if (!open.isSilent) this._options.exchanged(upstream, 'lost', undefined, after)
+    open.isSilent = true
     this._pace.disturb()
     this._reportSuspect(upstream, false)
-    this._post({ kind: 'stalled' })
+    this._post({ kind: 'stalled', from: upstream.id })
   }
 
-  /** Giving up an answer early helps only when another upstream may be tried. */
-  private _firstByteTimeout (): Ms | undefined {
-    if (this._isStream || !this._repeatable || this._sends >= this._route.maxAttempts) return undefined
-    return Math.max(slowFloor, slowFactor * this._route.latencyTarget)
+  /** Silence before the first data after which a request that may be repeated counts as stalled. */
+  private _firstDataSilence (): Ms | undefined {
+    const { latencyTarget, maxAttempts } = this._route
+    if (!this._repeatable) return undefined
+    if (this._isStream) return Math.max(streamSilence, 2 * latencyTarget)
+    return this._sends >= maxAttempts ? undefined : Math.max(slowFloor, slowFactor * latencyTarget)
   }
 
   private _data (bytes: Buffer, lastEventId: number | undefined, from: string): void {
     if (this._over) return
     if (lastEventId !== undefined) this._lastEventId = lastEventId
-    if (this._stall === 'placing') this._stall = 'over'
-    if (this._stall === 'unplaced') this._stall = 'none'
-    this._recordData()
+    this._recordData(from)
+    const hasContinued = this._recordContinued(from)
     if (!this._answer.begun) {
       if (this._isStream && this._repeatable) this._recordOrigin()
       this._pending = bytes
       this._post({ kind: 'streaming', from })
       return
     }
+    if (hasContinued) this._post({ kind: 'streaming', from })
     this._write(bytes)
   }
 
+  /** Records data of an upstream; returns whether it was silent, or another one has the request too. */
+  private _recordContinued (from: string): boolean {
+    const open = this._exchanges.get(from)
+    if (open === undefined || (!open.isSilent && this._exchanges.size === 1)) return false
+    if (open.isSilent) this._options.lateEvent('stalled', 'continued')
+    else if (open.beside !== undefined) this._options.lateEvent(open.beside, 'answered')
+    open.isSilent = false
+    this._exchange = open.exchange
+    this._upstream = open.upstream
+    return true
+  }
+
   /**
    * Records at which software the stream begins, or goes on for a caller that resumes it. The record of its upstream may be
    * older than the process that answers, so the version counts as unknown until that is verified.
@@ -608,13 +625,15 @@
     this._options.began(software)
   }
 
-  private _recordData (): void {
+  private _recordData (from: string): void {
     const now = this._options.clock.now()
     if (this._dataAt === undefined) this._firstData = now - this._call.arrivedAt
     else this._recordGap(now - this._dataAt)
     this._dataAt = now
+    if (this._dataFrom !== from) this._forgetData()
+    this._dataFrom = from
     this._upstreamDataSince ??= now
-    if (!this._hasClearedParts && provesPartHarmless(this._answeredFor)) this._clearParts(this._upstreamDataSince)
+    if (!this._hasClearedParts && provesPartHarmless(now - this._upstreamDataSince)) this._clearParts(this._upstreamDataSince)
   }
 
   private _recordGap (gap: Ms): void {
@@ -651,6 +670,7 @@
   private _abandon (upstream?: string): void {
     for (const [id, { exchange, release }] of this._exchanges) {
       if (upstream !== undefined && id !== upstream) continue
+      if (upstream !== undefined) this._options.log.info('request', 'withdrawn.', { request: this._call.facts.id, upstream, lastEventId: this._lastEventId })
       exchange.abandon()
       release()
       this._exchanges.delete(id)
