Stop looking for a second upstream when the silent one has continued

Cause: the search may queue for an adapter at a second engine, and have it loaded, for a stream that goes on at the first one. Its result was dropped only at the end.

--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -332,7 +332,7 @@
       software,
       patience: this._longestWait,
       prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget, ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }) },
-      cancelled: () => this._over,
+      cancelled: () => this._over || (beside === 'stalled' && this._hasContinued),
       ...(retryUpstream === undefined ? {} : { retryUpstream })
     }
     this._options.place(query).then(placed => {
@@ -587,6 +587,9 @@
     this._write(bytes)
   }
 
+  /** Whether an upstream has the request and is not silent. */
+  private get _hasContinued (): boolean { return [...this._exchanges.values()].some(({ isSilent }) => !isSilent) }
+
   /** Records data of an upstream; returns whether it was silent, or another one has the request too. */
   private _recordContinued (from: string): boolean {
     const open = this._exchanges.get(from)
