Pass on a complete answer whose connection closed before it was read

What callers saw: part of an answer and a closed connection, although the upstream had sent all of it. It took an answer that is passed on as it arrives (a stream, or more than 512 KiB) and a caller that reads slowly.

Cause: while a slow caller stops the reading, the last bytes of the answer (less than 16 KiB) wait in the response. The end of the upstream's connection is noticed at once, the request emits 'close' (or 'error', when a reset follows the answer) before the response emits 'end', and Exchange counted that as a loss.

Change: the end of the connection counts as a loss only while the response is incomplete. A response is complete by its length, its last chunk, or the orderly end of its connection. When an answer without a length is reset, the error comes while it is incomplete, so it stays a loss; so does one that is cut within its length or its chunks. A complete answer that waits for its upstream's software to be verified was lost in the same way, and isn't any more.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -21,6 +21,22 @@
     feature: 'platform/src/test/answers.feature',
     scenario: 'an answer that can\'t be trusted'
   },
+  {
+    guarantee: 'direct answers: a complete answer is passed on although its connection has closed',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'this._res?.complete === true',
+    replace: 'false',
+    feature: 'packages/direct/src/test/answer-ends.feature',
+    scenario: 'closes after a stream answer, framed by its connection'
+  },
+  {
+    guarantee: 'direct answers: an answer that was reset is lost, also when its end is due to be the close of its connection',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'this._req.on(\'error\', error => this._failed(error.message))',
+    replace: 'this._req.on(\'error\', () => { })',
+    feature: 'packages/direct/src/test/answer-ends.feature',
+    scenario: 'is reset after a stream answer, framed by its connection'
+  },
   {
     guarantee: 'direct answers: an answer without a length is passed on without one',
     file: 'packages/direct/dist/lib/relay/caller-answer.js',
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -200,6 +200,8 @@
 
   private _failed (cause: string): void {
     if (this._over) return
+    // The answer is complete, and the rest of it waits to be read: its connection is not needed any more.
+    if (this._res?.complete === true) return
     if (this._sent) {
       this._endAsLost(cause, 'broke')
       return
