Load and send a request's adapter in the version declared at that moment

What callers saw: a request that waits for an adapter began on a version that had been replaced 6.1 s before (5 s are allowed).

Cause: the declared version was read once, before the wait. Each load request of the wait repeated it, so the holder ordered the load of the former version, and the request was sent with it.

Change: a placement reads the declared version for each of its load requests. When a newer version was declared than the one at the upstream that was found, the place is returned and another one is looked for, at the send. The retry after a refusal for a missing adapter goes the same way; it does not report the adapter missing twice.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -173,6 +173,14 @@
     feature: 'platform/src/test/answers.feature',
     scenario: 'does not finish its request'
   },
+  {
+    guarantee: 'adapters: a request is not sent for a version that was replaced while it waited',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: '(placed.version ?? 0) < declared',
+    replace: 'false',
+    feature: 'platform/src/test/adapters.feature',
+    scenario: 'a new version of an adapter while a draft waits for it'
+  },
   {
     guarantee: 'adapters: an adapter reserved for a request stays loaded',
     file: 'packages/decisions/dist/lib/adapter-plan.js',
--- a/packages/direct/src/lib/placing/placer.ts
+++ b/packages/direct/src/lib/placing/placer.ts
@@ -24,7 +24,8 @@
 /** A request to be placed. */
 export interface PlacementQuery {
   readonly service: string
-  readonly want: RequestedAdapter | undefined
+  /** The adapter that it needs, in the version declared now; a newer one may be declared while it waits. */
+  readonly want: () => RequestedAdapter | undefined
   readonly urgency: number
   readonly avoid: ReadonlySet<string>
   readonly software: SoftwareNeed
@@ -93,6 +94,9 @@
   | AdapterAttempt & { readonly kind: 'not-there' }
   | Admission & { readonly kind: 'over-limit' }
 
+/** A load request without what may change while the request waits. */
+type LoadQuery = Omit<EnsureQuery, 'want' | 'patience' | 'prompt'>
+
 /** What a placer needs of its entry. */
 export interface PlacerOptions {
   readonly clock: Clock
@@ -168,7 +172,8 @@
   }
 
   private _placeAmong (query: PlacementQuery, ranked: readonly Upstream[]): Promise<Placement> {
-    return query.want === undefined ? this._placePlain(ranked) : this._placeAdapter(query, query.want, ranked.slice(0, maxTried))
+    const want = query.want()
+    return want === undefined ? this._placePlain(ranked) : this._placeAdapter(query, want, ranked.slice(0, maxTried))
   }
 
   /**
@@ -219,7 +224,7 @@
     for (const upstream of candidates) {
       // The adapter may be loaded at a further upstream if no queue advances in time.
       if (queues.length >= maxQueues && this._hopelessWait(queues, until) === undefined) break
-      const attempt = await this._awaitWithinLimit(upstream, query, { want, urgency: query.urgency, missing: query.retryUpstream === upstream.id, mayWait: false, repeated: query.retryUpstream === upstream.id }, until)
+      const attempt = await this._awaitWithinLimit(upstream, query, { urgency: query.urgency, missing: query.retryUpstream === upstream.id, mayWait: false, repeated: query.retryUpstream === upstream.id }, until)
       if (attempt.kind === 'placed') return attempt
       if (attempt.kind === 'over-limit') {
         retryAfter = Math.min(retryAfter, attempt.retryAfter)
@@ -236,7 +241,7 @@
       // Without a holder to send load orders, a queue would never advance.
       const open = queues.filter(({ upstream }) => this._isOpen(upstream) && this._options.directory.canRequestLoad(upstream.id))
       if (open.length === 0) break
-      const attempt = await this._awaitWithinLimit(open[turn % open.length]!.upstream, query, { want, urgency: query.urgency, missing: false, mayWait: true, repeated: true }, until)
+      const attempt = await this._awaitWithinLimit(open[turn % open.length]!.upstream, query, { urgency: query.urgency, missing: false, mayWait: true, repeated: true }, until)
       if (attempt.kind === 'placed') return attempt
       await sleep(this._options.clock, queuePause)
     }
@@ -248,7 +253,7 @@
   }
 
   /** Waits for an adapter at one upstream, if the upstream's limit leaves room for a request. */
-  private async _awaitWithinLimit (upstream: Upstream, query: PlacementQuery, loadQuery: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<Attempt> {
+  private async _awaitWithinLimit (upstream: Upstream, query: PlacementQuery, loadQuery: LoadQuery, until: Ms): Promise<Attempt> {
     const admission = await this._options.admit(upstream)
     if (admission.kind === 'over-limit') return admission
     const { refund } = admission
@@ -262,14 +267,15 @@
    * Waits for an adapter at one upstream while the adapter is being loaded there. If it were requested at another
    * upstream meanwhile, it would be loaded twice, and both loads would share the weight store's rate.
    */
-  private async _awaitAdapter (upstream: Upstream, query: PlacementQuery, loadQuery: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<AdapterAttempt> {
+  private async _awaitAdapter (upstream: Upstream, query: PlacementQuery, loadQuery: LoadQuery, until: Ms): Promise<AdapterAttempt> {
     let { missing, repeated } = loadQuery
     const { dueAt, ...prompt } = query.prompt
     let admissionWait = 0
     for (;;) {
       const patience = until - this._now
-      if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return { kind: 'not-there', line: 0 }
-      const outcome = await this._options.directory.ensure(upstream, { ...loadQuery, missing, repeated, patience, prompt: { ...prompt, dueIn: dueAt - this._now } })
+      const want = query.want()
+      if (want === undefined || patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return { kind: 'not-there', line: 0 }
+      const outcome = await this._options.directory.ensure(upstream, { ...loadQuery, want, missing, repeated, patience, prompt: { ...prompt, dueIn: dueAt - this._now } })
       if (outcome.kind === 'unavailable') return { kind: 'not-there', cause: outcome.cause, line: outcome.line ?? 0, ...(outcome.wait === undefined ? {} : { wait: outcome.wait }) }
       admissionWait += outcome.atDoor ?? 0
       // While the request waited, the upstream may have announced that it leaves.
@@ -301,7 +307,8 @@
   }
 
   private _rankCapable (query: PlacementQuery, open: readonly Upstream[]): readonly Upstream[] {
-    const withModel = query.want === undefined ? open : this._withModel(open, query.want.model)
+    const want = query.want()
+    const withModel = want === undefined ? open : this._withModel(open, want.model)
     return this._rank(query, withModel.length > 0 ? withModel : open)
   }
 
@@ -311,7 +318,7 @@
   }
 
   private _rank (query: PlacementQuery, upstreams: readonly Upstream[]): readonly Upstream[] {
-    const { want } = query
+    const want = query.want()
     const entries = this._options.entries()
     const ranks = want?.adapter === undefined ? undefined : this._ranksFor(`${want.model}/${want.adapter}`, upstreams)
     const running = this._loadEstimate(upstreams, want, entries)
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -326,7 +326,7 @@
     this._retryAfter = undefined
     const query: PlacementQuery = {
       service: this._service,
-      want: this._want,
+      want: this._options.want,
       urgency: this._call.priority,
       avoid: beside === 'overdue' ? new Set([...avoid, ...this._options.silentUpstreams() ?? []]) : avoid,
       software,
@@ -339,9 +339,11 @@
       // On a busy host, a request and the close of its connection are read in two consecutive turns of the event loop.
       // A request sent between the two would run for a caller who left long before.
       setImmediate(() => setImmediate(() => {
-        if (this._software === software || this._over) return this._placed(placed)
-        // The first event arrived during the search: it decides the software.
+        if (this._over) return this._placed(placed)
+        if (this._software === software && !this._isOutdated(placed)) return this._placed(placed)
+        // During the search, a newer version was declared, or the first event arrived, which decides the software.
         if (placed.kind === 'placed') this._releasePlacement(placed)
+        if (this._software === software) return this._placeAt(software, avoid, undefined, beside)
         if (this._exchanges.size > 0) return this._post({ kind: 'unplaced', cause: 'no-upstream' })
         this._place(avoid, retryUpstream, undefined)
       }))
@@ -351,6 +353,12 @@
     })
   }
 
+  /** Whether a newer version of the adapter was declared than the one at the upstream. */
+  private _isOutdated (placed: Placement): boolean {
+    const declared = this._options.want()?.version
+    return placed.kind === 'placed' && declared !== undefined && (placed.version ?? 0) < declared
+  }
+
   /**
    * Handles the result of a placement.
    *
--- a/packages/direct/src/test/early-refusal.steps.ts
+++ b/packages/direct/src/test/early-refusal.steps.ts
@@ -42,7 +42,7 @@
     admit: () => ({ kind: 'admitted', refund: () => {} })
   })
   const placements: Placement[] = []
-  const placing = placer.place({ service: 's', want: { model: 'base', adapter: 'a' }, urgency: 1, avoid: new Set(), software: { kind: 'any' }, patience, prompt: { request: 'r', tokens: 10, dueAt: 800 }, cancelled: () => false }).then(placement => { placements.push(placement) })
+  const placing = placer.place({ service: 's', want: () => ({ model: 'base', adapter: 'a' }), urgency: 1, avoid: new Set(), software: { kind: 'any' }, patience, prompt: { request: 'r', tokens: 10, dueAt: 800 }, cancelled: () => false }).then(placement => { placements.push(placement) })
   for (let n = 0; n < 1_000 && placements.length === 0; n++) {
     await new Promise(resolve => setImmediate(resolve))
     if (placements.length === 0) clock.advance(10)
