Name cut answers, silent upstreams and requests without an end in explain and report

Cause: entries log why they cut an answer and whether they stood still themselves, and nothing read it. A request that was taken and has no line with its end could be found by hand only.

Change: explain names the cause of a cut answer, the silence of its upstream, the entry's own pause in that time, configuration and adapter version at each send, and which upstream was withdrawn in favour of which. report has tables of answers cut by cause, of how requests with a silent upstream went on, and of requests that were taken and have no end (20 at most), with what their entry did then.

Logs do not say by which upstream a request was delivered when one of two answered with an error of its own; the table counts it apart.

--- a/packages/cli/src/lib/queries/explain.ts
+++ b/packages/cli/src/lib/queries/explain.ts
@@ -2,7 +2,9 @@
  * `hazelford explain`: shows the decisions made on one request and the reasons for them, from logs alone.
  */
 import { exitCodes, type Report, report } from '../exit-code.js'
+import { describeCut, describeSends } from './cut-answers.js'
 import { type LogLine, mergeLogs } from './log-lines.js'
+import { fateAfter } from './open-requests.js'
 
 /** Related changes are shown from this many ms before a request to as many after it. */
 const contextMs = 1_500
@@ -61,6 +63,18 @@
   return upstreams.has(line.upstream) || (nodes.has(line.node) && /^(store|lease|daemon|entry|config|peers):/.test(line.msg))
 }
 
+function outcomeOf (own: readonly LogLine[], lines: readonly LogLine[]): string {
+  const cut = own.findLast(({ msg }) => msg === 'request: answer cut.')
+  if (cut !== undefined) return describeCut(cut, meanings)
+  const end = own.findLast(({ msg }) => msg === 'request: over.')
+  if (end !== undefined) return meanings[String(end.end)] ?? `It ended as ${String(end.end)}.`
+  const last = own.at(-1)!
+  const refusal = refusals[last.msg]
+  if (refusal !== undefined) return refusal
+  const { fate, after } = fateAfter(last, lines.filter(({ node }) => node === last.node))
+  return `These logs do not show how it ended: its entry was killed or cut off, or its log ends too soon. Its entry after its last line: ${fate}${after === undefined ? '' : ` (${after} ms later)`}.`
+}
+
 /**
  * Explains what happened to a request.
  *
@@ -79,11 +93,10 @@
   const upstreams = new Set(own.map(({ upstream }) => upstream).filter(name => name !== undefined))
   const nodes = new Set(own.map(({ node }) => node))
   const changes = lines.filter(line => line.time >= first.time - contextMs && line.time <= last.time + contextMs && isRelated(line, first, upstreams, nodes))
-  const outcome = end === undefined
-    ? refusals[last.msg] ?? 'These logs do not show how it ended: its entry was killed or cut off, or its log ends too soon.'
-    : meanings[String(end.end)] ?? `It ended as ${String(end.end)}.`
+  const outcome = outcomeOf(own, lines)
   const text = [
     `Request ${id}: ${outcome}`,
+    ...describeSends(own),
     ...own.map(line => describe(line, first.time)),
     ...(changes.length === 0 ? [] : ['', 'Related changes around that time:', ...changes.slice(0, shownChanges).map(line => describe(line, first.time))]),
     ...(changes.length > shownChanges ? [`(and ${changes.length - shownChanges} more)`] : [])
--- a/packages/cli/src/lib/queries/report-load.ts
+++ b/packages/cli/src/lib/queries/report-load.ts
@@ -3,8 +3,10 @@
  */
 import { exitCodes, type Report, report } from '../exit-code.js'
 import { formatTable } from '../table.js'
+import { cutAnswers, cutTable, silences, silenceTable } from './cut-answers.js'
 import { loadPage, type Series } from './load-page.js'
 import { type LogLine, mergeLogs } from './log-lines.js'
+import { openRequests, openTable } from './open-requests.js'
 import { organisationTables, usesByOrganisation } from './organisation-table.js'
 import { partLosses, partTable } from './part-losses.js'
 import { lossTable, repeatedLosses } from './repeated-losses.js'
@@ -195,13 +197,19 @@
   const loads = loadsByOrigin(lines)
   const losses = repeatedLosses(lines)
   const parts = partLosses(lines)
-  const tables = [waitTable(routes), endTable(routes), ...organisationTables(lines), causeTable(lines), lossTable(losses), partTable(parts), loadTable(loads), holderTable(lines, first.time)]
+  const cuts = cutAnswers(lines)
+  const silent = silences(lines)
+  const open = openRequests(lines, all)
+  const tables = [waitTable(routes), endTable(routes), cutTable(cuts), silenceTable(silent), openTable(open, first.time), ...organisationTables(lines), causeTable(lines), lossTable(losses), partTable(parts), loadTable(loads), holderTable(lines, first.time)]
   const data = {
     routes: [...routes].map(([route, { sent, forAdapter, atDoor, atEngine, ends }]) => ({ route, sent: sent.length, before: quantiles(sent), forAdapter: quantiles(forAdapter), atDoor: quantiles(atDoor), atEngine: quantiles(atEngine), ends: Object.fromEntries(ends) })),
     organisations: usesByOrganisation(lines),
     loads: [...loads].map(([origin, { count: times, took }]) => ({ origin, times, took: quantiles(took) })),
     losses: losses.map(([fingerprint, { upstreams, attempts, route, adapter }]) => ({ fingerprint, route, adapter, answersLost: attempts, upstreams: [...upstreams] })),
-    partLosses: parts
+    partLosses: parts,
+    answersCut: cuts,
+    silences: silent,
+    openRequests: open.map(({ taken, last, fate, after }) => ({ request: taken.request, route: taken.route, entry: taken.node, at: taken.time, lastLine: last.msg, entryThen: fate, after }))
   }
   if (form === 'text') return report(exitCodes.done, tables.join('\n\n'), data)
   const steps = stepsOver(lines, plotSteps)
--- a/packages/cli/src/test/explain.feature
+++ b/packages/cli/src/test/explain.feature
@@ -15,7 +15,20 @@
     Given logs of two entries, in which a request has no line with its end
     When that request is explained
     Then the explanation says that its entry was killed or its log ends too soon
+    And the explanation says that its entry started again 700 ms later
 
   Scenario: a request that no log names
     When a request that no log names is explained
     Then the explanation says why its lines may be missing
+
+  Scenario Outline: an answer that its entry cut while <what>
+    Guards against an entry that stood still being taken for a silent upstream, and the reverse.
+    Given logs of an entry that cut an answer 1300 ms after its upstream's last data, itself paused for <pause> ms
+    When the cut draft is explained
+    Then the explanation names the cause, the silence of 1300 ms, the pause of <pause> ms and says "<what>"
+    And the explanation gives configuration and adapter version at each send, and the upstream that was withdrawn for the other
+
+    Examples:
+      | pause | what                   |
+      | 40    | the upstream was silent |
+      | 1250  | the entry stood still  |
--- a/packages/cli/src/test/explain.steps.ts
+++ b/packages/cli/src/test/explain.steps.ts
@@ -62,6 +62,36 @@
   assert.match(this.report.text, /daemon: started/)
 })
 
+Then('the explanation says that its entry started again {int} ms later', function (this: ExplainWorld, after: number) {
+  assert.match(this.report.text, new RegExp(`started again \\(${after} ms later\\)`))
+})
+
+Given('logs of an entry that cut an answer {int} ms after its upstream\'s last data, itself paused for {int} ms', function (this: ExplainWorld, silence: number, ownPause: number) {
+  this.logs = [[
+    line(1_000, 'e1', 'request: taken.', { request: 'c1', route: 'draft', kind: 'stream', config: 7 }),
+    line(1_001, 'e1', 'request: sent.', { request: 'c1', upstream: 'i-1', send: 1, config: 7, version: 3 }),
+    line(2_000, 'e1', 'request: stalled.', { request: 'c1', upstream: 'i-1', lastEventId: 5, silence: 900, ownPause: 0 }),
+    line(2_010, 'e1', 'request: sent.', { request: 'c1', upstream: 'i-2', send: 2, config: 8, version: 4, beside: 'stalled' }),
+    line(2_100, 'e1', 'request: withdrawn.', { request: 'c1', upstream: 'i-1', lastEventId: 6 }),
+    line(2_200, 'e1', 'request: answer lost.', { request: 'c1', upstream: 'i-2', cause: 'read ECONNRESET' }),
+    line(3_400, 'e1', 'request: answer cut.', { request: 'c1', cause: 'attempts-spent', begun: true, upstream: 'i-2', upstreams: [], silence, ownPause, sends: 2, config: 8, lastEventId: 6 }),
+    line(3_400, 'e1', 'request: over.', { request: 'c1', end: 'broken', sends: 2 })
+  ].join('\n')]
+})
+
+When('the cut draft is explained', function (this: ExplainWorld) { this.report = explain('c1', this.logs) })
+
+Then('the explanation names the cause, the silence of {int} ms, the pause of {int} ms and says {string}', function (this: ExplainWorld, silence: number, pause: number, what: string) {
+  assert.match(this.report.text, /closed within its answer, by its entry\. Cause: attempts-spent/)
+  assert.match(this.report.text, new RegExp(`i-2 had sent nothing for ${silence} ms; the entry's own longest pause in that time was ${pause} ms, so ${what}`))
+})
+
+Then('the explanation gives configuration and adapter version at each send, and the upstream that was withdrawn for the other', function (this: ExplainWorld) {
+  assert.match(this.report.text, /^Send 1: i-1, configuration 7, adapter version 3$/m)
+  assert.match(this.report.text, /^Send 2: i-2, beside the first one \(stalled\), configuration 8, adapter version 4$/m)
+  assert.match(this.report.text, /^Withdrawn from i-1 in favour of i-2, after event 6$/m)
+})
+
 When('a request that no log names is explained', function (this: ExplainWorld) { this.report = explain('none', ['']) })
 
 Then('the explanation says why its lines may be missing', function (this: ExplainWorld) {
--- a/packages/cli/src/test/report.feature
+++ b/packages/cli/src/test/report.feature
@@ -29,3 +29,15 @@
     Given logs in which "north" has one answer and two requests over its limit, and a caller uses a withdrawn key
     When the load is reported
     Then the report gives each organisation's requests, and the digest of the withdrawn key
+
+  Scenario: answers cut, and requests whose upstream fell silent
+    Guards against requests that an entry cut, or that a silent upstream held up, going unseen.
+    Given logs in which two answers are cut for one cause, and of 4 requests with a silent upstream two are continued by it, one is taken over and one fails
+    When the load is reported
+    Then the report counts the cut answers by cause, one of them of an entry that stood still, and how the silent requests went on
+
+  Scenario: requests that were taken and have no end
+    Guards against requests without an answer that nobody finds, since no line says that they ended.
+    Given logs of entries that were killed, stopped, or go on, each with a request that has no end, and 30 more such requests
+    When the load is reported
+    Then the report lists 20 of these requests with their last line and what their entry did then, and says how many it leaves out
--- a/packages/cli/src/test/report.steps.ts
+++ b/packages/cli/src/test/report.steps.ts
@@ -113,3 +113,47 @@
   assert.match(this.loadReport.text, /north +1 +1 +2/)
   assert.match(this.loadReport.text, /unknown-key +0badcafe +1/)
 })
+
+/** Log lines of a draft whose first upstream falls silent, with what happens next. */
+function silentDraft (request: string, ...next: ReadonlyArray<readonly [string, object]>): readonly string[] {
+  const before = [['request: taken.', { route: 'draft' }], ['request: sent.', { upstream: 'i-1', send: 1 }], ['request: stalled.', { upstream: 'i-1', silence: 900, ownPause: 0 }]] as const
+  return [...before, ...next].map(([msg, fields], n) => line(1_000 + n, 'e1', msg, { request, ...fields }))
+}
+
+Given('logs in which two answers are cut for one cause, and of 4 requests with a silent upstream two are continued by it, one is taken over and one fails', function (this: ReportWorld) {
+  const sentBeside = ['request: sent.', { upstream: 'i-2', send: 2, beside: 'stalled' }] as const
+  const over = ['request: over.', { end: 'delivered' }] as const
+  this.recorded = [[
+    ...silentDraft('alone', over),
+    ...silentDraft('first', sentBeside, ['request: withdrawn.', { upstream: 'i-2' }], over),
+    ...silentDraft('second', sentBeside, ['request: withdrawn.', { upstream: 'i-1' }], over),
+    ...silentDraft('cut', sentBeside, ['request: answer lost.', { upstream: 'i-2' }], ['request: answer cut.', { cause: 'attempts-spent', begun: true, silence: 1_300, ownPause: 0 }], ['request: over.', { end: 'broken' }]),
+    line(2_000, 'e1', 'request: answer cut.', { request: 'paused', cause: 'attempts-spent', begun: false, silence: 1_000, ownPause: 950 })
+  ].join('\n')]
+})
+
+Then('the report counts the cut answers by cause, one of them of an entry that stood still, and how the silent requests went on', function (this: ReportWorld) {
+  const { text } = this.loadReport
+  assert.match(text, /attempts-spent +2 +1 +1 +1300/)
+  assert.match(text, /all +4\s+sent to a second one beside it +3\s+continued by the first +2\s+taken over by the second +1\s+delivered by one of them +0\s+not delivered +1\s+not over +0/)
+})
+
+Given('logs of entries that were killed, stopped, or go on, each with a request that has no end, and {int} more such requests', function (this: ReportWorld, further: number) {
+  const open = (time: number, node: string, request: string): string => line(time, node, 'request: taken.', { request, route: 'draft' })
+  this.recorded = [
+    [open(1_000, 'killed', 'k'), line(1_010, 'killed', 'request: sent.', { request: 'k', upstream: 'i-1', send: 1 }), line(1_310, 'killed', 'daemon: started.')].join('\n'),
+    [open(1_001, 'ends', 's'), line(1_100, 'ends', 'daemon: stopping.'), line(1_201, 'ends', 'daemon: stopped.')].join('\n'),
+    [open(1_002, 'going-on', 'r'), open(1_003, 'going-on', 'ended'), line(1_102, 'going-on', 'request: over.', { request: 'ended', end: 'delivered' })].join('\n'),
+    Array.from({ length: further }, (_, n) => open(2_000 + n, 'last', `more-${n}`)).join('\n')
+  ]
+})
+
+Then('the report lists {int} of these requests with their last line and what their entry did then, and says how many it leaves out', function (this: ReportWorld, shown: number) {
+  const { text } = this.loadReport
+  assert.match(text, /^k +draft +killed +0\.0 +request: sent\. +started again \(300 ms later\)$/m)
+  assert.match(text, /^s +draft +ends +0\.0 +request: taken\. +stopped \(200 ms later\)$/m)
+  assert.match(text, /^r +draft +going-on +0\.0 +request: taken\. +runs \(100 ms later\)$/m)
+  assert.doesNotMatch(text, /^ended /m)
+  assert.equal(text.match(/request: taken\. +runs|started again|stopped \(|log ends/g)?.length, shown)
+  assert.match(text, /\(and 13 more\)/)
+})
