--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -53,6 +53,22 @@
     feature: 'platform/src/test/silent-servers.feature',
     scenario: 'pauses within its streams'
   },
+  {
+    guarantee: 'direct requests: an upstream that a slow caller keeps from being read does not count as silent',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'this._cancelTimer?.();\n        this._res?.pause();',
+    replace: 'this._res?.pause();',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'a caller reads slowly'
+  },
+  {
+    guarantee: 'direct requests: an upstream whose data the entry has not read yet does not count as silent',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'setImmediate(() => setImmediate(() => {\n                if (isCancelled)',
+    replace: '(run => run())((() => {\n                if (isCancelled)',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'an entry pauses itself'
+  },
   {
     guarantee: 'direct requests: a read that one upstream has answered is withdrawn from the other',
     file: 'packages/decisions/dist/lib/relay-flow.js',
