Answer every request of an entry that stops before its process ends

Callers saw their connections reset 5 to 7 s after an entry got SIGTERM, although no upstream had their requests.

Cause: an entry that stops waited for all its requests until shortly before the end of the grace period, and then closed whatever was open. A request that waited for an adapter could wait longer than the process lives (four latency targets less 0.6 s), and nothing answered it. Requests that waited for credit, for a fresh configuration or for the origin of a resumed stream were in the same position, and so was a request whose upstream had not answered by then.

Change: - At the moment from which new requests are refused, each request that no upstream has, and of whose answer nothing was sent, is answered: 503 if it certainly has not run, with the short Retry-After of a stopping entry, else 502. Waits for a first upstream that begin after the signal end at that moment. - What an upstream refuses afterwards is answered 503 at once. A read or a stream that may have run can still be sent to a second upstream, since its caller can get nothing better than 502 otherwise. A stream that has begun can go on elsewhere. - When the process ends, every request that is still open is answered (502), or cut if a part of its answer was sent, with the cause `process-end` in the log and in hazelford_answers_cut_total. - The refusal no longer waits for the store's answer to the return of the lease.

In packages/decisions/src/test/relay-flow.feature the sequences of messages include the end of the entry now; the conditions that were there are as strict as before. waiting-requests.feature is of code that did not exist before; its guard fails without the change.

Seen once with stand-in engines and not followed up: an entry that takes an engine over from one that stops unloads adapters that its own streams use.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -53,6 +53,38 @@
     feature: 'platform/src/test/silent-servers.feature',
     scenario: 'pauses within its streams'
   },
+  {
+    guarantee: 'stopping entries: what no upstream has is refused before the process ends',
+    file: 'packages/direct/dist/lib/direct-entry.js',
+    find: 'this._runner.stop();',
+    replace: '',
+    feature: 'platform/src/test/stopping-entries.feature',
+    scenario: 'requests that wait for an adapter'
+  },
+  {
+    guarantee: 'stopping entries: what waits before it is relayed is refused',
+    file: 'packages/direct/dist/lib/relay/waiting-requests.js',
+    find: 'this._waiting.add(request);',
+    replace: '',
+    feature: 'packages/direct/src/test/waiting-requests.feature',
+    scenario: 'a request that waits for'
+  },
+  {
+    guarantee: 'stopping entries: every request is answered or cut before the process ends',
+    file: 'packages/direct/dist/lib/direct-entry.js',
+    find: 'this._runner.endWithProcess();',
+    replace: '',
+    feature: 'platform/src/test/stopping-entries.feature',
+    scenario: 'a booking that its server answers too late'
+  },
+  {
+    guarantee: 'stopping entries: what an upstream refuses is not placed again',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: 'held ?? (isStopping',
+    replace: 'held ?? (false',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'refuses a request while the entry stops'
+  },
   {
     guarantee: 'direct requests: a read that one upstream has answered is withdrawn from the other',
     file: 'packages/decisions/dist/lib/relay-flow.js',
--- a/packages/cli/src/lib/queries/explain.ts
+++ b/packages/cli/src/lib/queries/explain.ts
@@ -40,7 +40,8 @@
   quarantined: 'Upstreams terminated while running it, at this entry or others, so it is quarantined: see the lines with its fingerprint. A 503 says that this attempt did not run.',
   'part-quarantined': 'Upstreams terminated while running requests with one part of its prompt, so requests with that part are quarantined: see the line `prompt part quarantined` that names one of its `parts`. A 503 says that this attempt did not run.',
   'key-withdrawn': 'Its key was withdrawn while it waited. It did not run.',
-  'shutting-down': 'The entry was stopping. It did not run.'
+  'shutting-down': 'The entry was stopping. A 503 says that it did not run.',
+  'process-end': 'The entry had been stopping, and its process ended before the upstream had answered. It may have run.'
 }
 
 /** The meaning of the last log line of a request that was refused before it was accepted. */
--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -54,6 +54,8 @@
   held: QuarantineCause | undefined
   /** Whether an upstream's own error has arrived, to be delivered if no other upstream answers. */
   holdsError = false
+  /** Whether the entry stops soon. */
+  isStopping = false
 
   /** Upstreams that are excluded from the next placement. */
   get avoid (): ReadonlySet<string> { return new Set([...this.tried, ...this.unreachable]) }
@@ -192,11 +194,23 @@
   return continueWith([{ kind: 'hold' }, ...searchNext(progress)])
 }
 
-function handleInterrupted (cause: 'timeout' | 'caller-gone', request: RelayRequest, progress: Progress): Transition {
+function handleInterrupted (cause: 'timeout' | 'caller-gone' | 'process-end', request: RelayRequest, progress: Progress): Transition {
   const stop = abandon(request, progress)
   if (cause === 'caller-gone') return endWith([...stop, { kind: 'forget' }])
   if (progress.current !== undefined) progress.mayHaveRun = true
-  return endWith([...stop, ...giveUp(progress, progress.mayHaveRun ? 'timeout-sent' : 'timeout-unsent')])
+  const timeout = progress.mayHaveRun ? 'timeout-sent' : 'timeout-unsent'
+  return endWith([...stop, ...giveUp(progress, cause === 'timeout' ? timeout : cause)])
+}
+
+/** Refuses a request that no upstream has, so that its caller can send it to another entry while it has time. */
+function handleStopping (progress: Progress): Transition {
+  progress.isStopping = true
+  return progress.current === undefined && !progress.begun ? endWith(giveUp(progress, 'shutting-down')) : continueWith([])
+}
+
+/** Why a request that no upstream has any more is not placed again; undefined when it may be. */
+function causeToEnd ({ held, isStopping, mayHaveRun }: Progress): RelayFailure | undefined {
+  return held ?? (isStopping && !mayHaveRun ? 'shutting-down' : undefined)
 }
 
 /**
@@ -282,7 +296,9 @@
     case 'stalled': return searchBeside(msg.kind, request, progress)
     case 'waited': return continueWith(searchNext(progress))
     case 'timeout':
-    case 'caller-gone': return handleInterrupted(msg.kind, request, progress)
+    case 'caller-gone':
+    case 'process-end': return handleInterrupted(msg.kind, request, progress)
+    case 'stopping': return handleStopping(progress)
     case 'held': return handleQuarantined(msg.cause, request, progress)
     case 'streaming': return handleStreaming(msg.from, progress)
     case 'stream-ended': return endWith([...abandonOther(msg.from, progress), { kind: 'finish' }])
@@ -293,7 +309,8 @@
   progress.current = undefined
   progress.retryUpstream = undefined
   const next = handleExchangeEnd(msg, current!, request, progress)
-  return progress.held !== undefined && !next.over ? endWith(giveUp(progress, progress.held)) : next
+  const cause = causeToEnd(progress)
+  return cause !== undefined && !next.over ? endWith(giveUp(progress, cause)) : next
 }
 
 /**
--- a/packages/decisions/src/lib/relay-messages.ts
+++ b/packages/decisions/src/lib/relay-messages.ts
@@ -28,7 +28,11 @@
 /** Why an entry gives up a request. Log fields and metrics carry it. */
 export type RelayFailure =
   | UnplacedCause | 'refused' | 'attempts-spent' | 'budget-spent'
-  | 'lost' | 'timeout-unsent' | 'timeout-sent' | 'shutting-down' | QuarantineCause
+  | 'lost' | 'timeout-unsent' | 'timeout-sent' | QuarantineCause
+  /** The entry stops, and another one can take the request. */
+  | 'shutting-down'
+  /** The entry's process ends, and the upstream has not answered yet. */
+  | 'process-end'
   /** The caller's key was withdrawn while the request waited. */
   | 'key-withdrawn'
 
@@ -57,6 +61,10 @@
   | { readonly kind: 'waited' }
   | { readonly kind: 'timeout' }
   | { readonly kind: 'caller-gone' }
+  /** The entry stops soon: from now on it keeps only requests that may have run. */
+  | { readonly kind: 'stopping' }
+  /** The entry's process ends now. */
+  | { readonly kind: 'process-end' }
   /** The request is quarantined from now on: upstreams terminate while running it. */
   | { readonly kind: 'held', readonly cause: QuarantineCause }
 
--- a/packages/decisions/src/test/relay-flow.feature
+++ b/packages/decisions/src/test/relay-flow.feature
@@ -10,6 +10,7 @@
     And for any direct request "not run" is answered only when it certainly did not run
     And for any direct request no more upstreams are tried than its route allows
     And for any direct request nothing is sent once it is quarantined
+    And no direct request is placed that has not run once its entry stops, and each ends with the process
 
   Scenario: no upstream accepts a connection
     A caller is refused although another upstream was free. This happens when a connection that was never made counts as
@@ -59,6 +60,18 @@
     When its upstream stalls and breaks the connection while another is looked for
     Then no second search starts, and it continues where it is placed
 
+  Scenario: an upstream refuses a request while the entry stops
+    Guards against a caller that waits at an entry whose process ends, although another entry could send its request at once.
+    Given a direct stock check that may be sent to 2 upstreams
+    When the entry stops while its upstream has it, which then refuses it
+    Then it is refused as not run, since the entry stops
+
+  Scenario: an answer is lost while the entry stops
+    Guards against "not run" for a request that may have run.
+    Given a direct stock check that may be sent to 2 upstreams
+    When the entry stops while a second upstream is looked for after a lost answer
+    Then it is answered that it may have run
+
   Scenario: a request arrives that is quarantined
     Given a direct stock check that is quarantined
     Then it is refused at once as not run
--- a/packages/decisions/src/test/relay-flow.steps.ts
+++ b/packages/decisions/src/test/relay-flow.steps.ts
@@ -30,7 +30,7 @@
     { kind: 'whole', failed: true }, { kind: 'whole', failed: false },
     { kind: 'streaming' }, { kind: 'stream-ended' },
     { kind: 'stalled' }, { kind: 'stalled' }, { kind: 'stalled' }, { kind: 'overdue' }, { kind: 'overdue' }, { kind: 'overdue' },
-    { kind: 'waited' }, { kind: 'timeout' }, { kind: 'caller-gone' }, { kind: 'held', cause: 'quarantined' }, { kind: 'held', cause: 'part-quarantined' }
+    { kind: 'waited' }, { kind: 'timeout' }, { kind: 'caller-gone' }, { kind: 'stopping' }, { kind: 'process-end' }, { kind: 'held', cause: 'quarantined' }, { kind: 'held', cause: 'part-quarantined' }
   )
 )
 
@@ -39,7 +39,7 @@
 const finals = new Set<RelayEffect['kind']>(['finish', 'fail', 'break', 'forget'])
 const exchangeMessages = new Set<RelayMessage['kind']>(['refused', 'unreachable', 'lost', 'whole', 'streaming', 'stream-ended', 'stalled'])
 /** Messages after which an answer may be given up although an upstream that has the request goes on. */
-const interruptions = new Set<RelayMessage['kind']>(['timeout', 'caller-gone', 'held'])
+const interruptions = new Set<RelayMessage['kind']>(['timeout', 'caller-gone', 'held', 'process-end'])
 const completions = new Set<RelayMessage['kind']>(['whole', 'stream-ended'])
 
 /** A naive observer of one run, which collects violations. */
@@ -56,6 +56,7 @@
   /** Upstreams that have sent a part of their answer. */
   private readonly _streaming = new Set<string>()
   private _isQuarantined = false
+  private _isStopping = false
   private _lastMessage: RelayMessage['kind'] | undefined
   private _openAtMessage = 0
 
@@ -63,7 +64,7 @@
 
   /** Whether a message can arrive now; `from`: the upstream that it comes from. */
   isPossible (msg: RelayMessage, from: string | undefined): boolean {
-    if (interruptions.has(msg.kind)) return true
+    if (interruptions.has(msg.kind) || msg.kind === 'stopping') return true
     // An exchange whose answer has begun can neither be refused nor fail to connect.
     if (this._streaming.has(from ?? '') && (msg.kind === 'refused' || msg.kind === 'unreachable' || msg.kind === 'whole')) return false
     if (exchangeMessages.has(msg.kind) || msg.kind === 'overdue') return this.open.size > 0
@@ -77,7 +78,8 @@
     if (msg.kind === 'streaming') this._streaming.add(msg.from!)
     if (msg.kind === 'unreachable') this.upstreams.delete(msg.from!)
     if (msg.kind === 'lost' || msg.kind === 'whole' || msg.kind === 'streaming') this.mayHaveRun = true
-    if (msg.kind === 'timeout' && this.open.size > 0) this.mayHaveRun = true
+    if ((msg.kind === 'timeout' || msg.kind === 'process-end') && this.open.size > 0) this.mayHaveRun = true
+    if (msg.kind === 'stopping') this._isStopping = true
     if (msg.kind === 'held') this._onQuarantined()
     if ('from' in msg && msg.kind !== 'streaming' && msg.kind !== 'stalled') this._closed(msg.from!)
     this._lastMessage = msg.kind
@@ -106,11 +108,13 @@
     if (finals.has(effect.kind) && !this._runsOnce && this.open.size > 0) this.violations.push(`left running after ${effect.kind}`)
     const isGivenUp = effect.kind === 'fail' || effect.kind === 'break'
     if (isGivenUp && this._openAtMessage > 0 && !interruptions.has(this._lastMessage!)) this.violations.push('given up while an upstream has it')
+    if (this._lastMessage === 'stopping' && !finals.has(effect.kind) && effect.kind !== 'deliver') this.violations.push('goes on without an upstream although the entry stops')
     if (effect.kind === 'fail' && effect.notRun && this.mayHaveRun) this.violations.push('answered "not run" of what may have run')
   }
 
   private _onPlace (): void {
     if (this._placing || this._pausing) this.violations.push('two searches at once')
+    if (this._isStopping && !this.mayHaveRun && this.open.size === 0) this.violations.push('placed although the entry stops and it has not run')
     this._placing = true
   }
 
@@ -192,6 +196,14 @@
 
 Then('for any direct request nothing is sent once it is quarantined', () => assertNoViolation('quarantined'))
 
+Then('no direct request is placed that has not run once its entry stops, and each ends with the process', () => {
+  assertNoViolation('the entry stops')
+  fc.assert(fc.property(inputs, input => {
+    const observer = observe({ ...input, messages: [...input.messages, { msg: { kind: 'process-end' }, fromLast: false }] })
+    assert.ok(observer.final !== undefined && observer.violations.length === 0, String(observer.violations))
+  }), propertyOptions)
+})
+
 interface FlowWorld { flow: ReturnType<typeof relayFlow>, effects: readonly RelayEffect[], repeats: number }
 
 function start (world: FlowWorld, request: RelayRequest): void {
@@ -281,6 +293,25 @@
   assert.deepEqual(this.effects, [{ kind: 'fail', failure: 'quarantined', notRun: true }])
 })
 
+When('the entry stops while its upstream has it, which then refuses it', function (this: FlowWorld) {
+  send(this, { kind: 'stopping' })
+  assert.deepEqual(this.effects, [])
+  send(this, { kind: 'refused', refusal: 'full' })
+})
+
+When('the entry stops while a second upstream is looked for after a lost answer', function (this: FlowWorld) {
+  send(this, { kind: 'lost' })
+  send(this, { kind: 'stopping' })
+})
+
+Then('it is refused as not run, since the entry stops', function (this: FlowWorld) {
+  assert.deepEqual(this.effects, [{ kind: 'fail', failure: 'shutting-down', notRun: true }])
+})
+
+Then('it is answered that it may have run', function (this: FlowWorld) {
+  assert.deepEqual(this.effects, [{ kind: 'fail', failure: 'shutting-down', notRun: false }])
+})
+
 When('its upstream stalls and no other is available', function (this: FlowWorld) {
   send(this, { kind: 'stalled' })
   assert.deepEqual(this.effects.map(({ kind }) => kind), ['place'])
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -31,13 +31,14 @@
 import type { PlatformPort } from './platform-port.js'
 import { QuarantineCoordinator } from './quarantine/quarantine-coordinator.js'
 import { RelayRunner } from './relay/relay-runner.js'
-import { RequestIntake } from './relay/request-intake.js'
+import { refuseStopping, RequestIntake } from './relay/request-intake.js'
 import { type PeerService, servePeers } from './peers/serve-peers.js'
 import { StoreView } from './store/store-view.js'
 import { readStreamReport } from './engines/stream-report.js'
 import type { TakeoverAnswer } from './engines/takeover.js'
 import type { Upstream } from './placing/upstream.js'
 import { UsageCoordinator } from './usage/usage-coordinator.js'
+import { WaitingRequests } from './relay/waiting-requests.js'
 
 /** What an entry is built from. */
 export interface DirectEntryOptions {
@@ -64,6 +65,8 @@
 const reportUseDelay: Ms = 20
 /** The load balancer checks readiness once a second and removes an entry after two failed checks. */
 const balancerNotice: Ms = 2_600
+/** Time for the last answers to be sent when the process ends. */
+const lastAnswersTime: Ms = 100
 /** Part of the grace period that is left for the process itself to exit. */
 const graceMargin: Ms = 700
 const defaultMaxBody = 4 << 20
@@ -102,6 +105,7 @@
   private readonly _placer: Placer
   private readonly _lease: LeaseRenewer
   private readonly _client = new PeerClient()
+  private readonly _waiting: WaitingRequests
   private readonly _runner: RelayRunner
   private readonly _intake: RequestIntake
   private readonly _callers: CallerServer
@@ -206,6 +210,10 @@
       adapterSlots: service => this.config.table?.service(service)?.engine?.adapterSlots ?? 1,
       admit: upstream => this._notices.admit(upstream)
     })
+    this._waiting = new WaitingRequests(({ incoming, id, cause }) => {
+      log.info('request', 'refused, since the entry stops.', { request: id, waitsFor: cause })
+      refuseStopping(incoming, _options.metrics)
+    })
     this._runner = this._createRunner()
     this._intake = this._createIntake()
     this._callers = new CallerServer({
@@ -289,6 +297,7 @@
       quarantine: this._quarantine,
       notices: this._notices,
       origins: this._origins,
+      waiting: this._waiting,
       relativePaces: this._relativePaces,
       onlySoftware: (service, since) => this._onlySoftware(service, since),
       verifyIncarnation: (upstream, openedAt) => this._verifyIncarnation(upstream, openedAt),
@@ -311,6 +320,7 @@
       table: () => this._view.known ? this.config.table : undefined,
       refusing: () => this._refusing,
       verifier: new ConfigVerifier({ clock, log, withdrawWithin: () => this._settings.withdraw_within_ms, viewAge, query: () => this._view.queryConfig() }),
+      waiting: this._waiting,
       viewAge,
       applyWithin: () => this._settings.apply_within_ms,
       admit: ({ name, limit }, tokens, patience, urgency) => limit === undefined ? { kind: 'admitted', refund: () => {} } : this._usage.admit(name, usageOf(limit, tokens), patience, urgency),
@@ -490,14 +500,21 @@
     const { clock, log } = this._options
     this._closing = true
     const until = clock.now() + this._settings.grace_s * 1_000 - graceMargin
+    const refusesFrom = Math.min(clock.now() + balancerNotice, until)
+    this._runner.limitWaits(refusesFrom)
     // The load balancer sends connections until it notices that the entry is not ready. Their requests are served, and
     // each answer closes its connection.
     this._closesConnections = true
-    await Promise.all([sleep(clock, balancerNotice), this._lease.stop()])
-    // Requests that arrive from here on might not end within the grace period.
+    const leaseReturned = this._lease.stop().catch((error: Error) => log.warn('lease', 'not returned, it will expire.', { cause: error.message }))
+    await sleep(clock, refusesFrom - clock.now())
+    // Requests that arrive from here on, or wait, might not end within the grace period.
     this._refusing = true
-    await Promise.race([this._callers.drained(), sleep(clock, until - clock.now())])
+    this._waiting.refuseAll()
+    this._runner.stop()
+    await Promise.race([Promise.all([this._callers.drained(), leaseReturned]), sleep(clock, until - clock.now())])
     log.info('entry', 'drained.', { open: this._callers.open })
+    this._runner.endWithProcess()
+    await Promise.race([this._callers.drained(), sleep(clock, lastAnswersTime)])
     this._callers.close()
     this._stop()
   }
--- a/packages/direct/src/lib/relay/relay-runner.ts
+++ b/packages/direct/src/lib/relay/relay-runner.ts
@@ -15,6 +15,7 @@
 import { type BufferedCall, RelayTask } from './relay-task.js'
 import type { AdmittedCall } from './request-intake.js'
 import type { StreamOrigin } from './stream-origins.js'
+import type { WaitingRequests } from './waiting-requests.js'
 import type { Upstream } from '../placing/upstream.js'
 
 /** What the runner needs of its entry. */
@@ -29,6 +30,7 @@
   readonly quarantine: QuarantineCoordinator
   readonly notices: NoticeCoordinator
   readonly origins: OriginCoordinator
+  readonly waiting: WaitingRequests
   readonly relativePaces: RelativePaces
   /** The one software version that can have served a service since a time; undefined when there may have been several. */
   readonly onlySoftware: (service: string, since: Ms) => Promise<string | undefined>
@@ -51,6 +53,9 @@
 const retryAfterBase: Ms = 150
 const retryAfterSpread: Ms = 250
 
+/** Short, since another entry can run the request at once. */
+export const shutdownRetryAfter: Ms = 20
+
 /** Longest time for which the origin of a stream is kept; callers that name no time limit count as waiting so long. */
 const longestReturn: Ms = 60_000
 
@@ -67,6 +72,8 @@
   private readonly _targets = new RouteTargets()
   /** Longest time limit that a caller has named. */
   private _longestPatience: Ms = 0
+  /** When requests without an upstream are refused, since the entry stops. */
+  private _refusesFrom: Ms = Infinity
 
   private readonly _pacing: ReadPacing
 
@@ -95,6 +102,15 @@
     }
   }
 
+  /** Ends the search for upstreams at a time: the entry stops. */
+  limitWaits (until: Ms): void { this._refusesFrom = until }
+
+  /** Refuses the open requests that no upstream has: the entry stops soon. */
+  stop (): void { for (const task of [...this._open]) task.stop() }
+
+  /** Answers or cuts off all open requests: the entry's process ends now. */
+  endWithProcess (): void { for (const task of [...this._open]) task.endWithProcess() }
+
   private _requestedAdapter (table: RouteTable, service: string, model: string | undefined, adapter: string | undefined): RequestedAdapter | undefined {
     if (model === undefined || table.service(service)?.engine === undefined) return undefined
     if (adapter === undefined) return { model }
@@ -109,6 +125,7 @@
     this._resume(admitted).catch((error: Error) => {
       const { log, metrics } = this._options
       log.warn('request', 'ended by a fault of the entry.', { request: admitted.call.facts.id, error: error.stack })
+      if (admitted.incoming.answer.ended) return
       log.warn('request', 'answer cut.', { request: admitted.call.facts.id, cause: 'entry-fault', begun: false, sends: 0 })
       metrics.answersCut.inc({ cause: 'entry-fault' })
       admitted.incoming.answer.break()
@@ -117,10 +134,10 @@
 
   /** Runs a request that goes on with a stream, at the service and the software version that began the stream. */
   private async _resume (admitted: AdmittedCall): Promise<void> {
-    const { origins, log, metrics } = this._options
+    const { waiting, log, metrics } = this._options
     const { incoming, call: { facts }, route, refund } = admitted
-    const found = (facts.resumes === undefined ? undefined : await origins.find(facts.resumes)) ?? await this._inferOrigin(admitted)
-    if (incoming.isGone()) return refund()
+    const found = await waiting.wait(incoming, facts.id, 'origin', this._findOrigin(admitted))
+    if (incoming.answer.ended || incoming.isGone()) return refund()
     metrics.resumptions.inc({ origin: found?.source ?? 'unknown' })
     log.info('request', 'resumes a stream.', { request: facts.id, resumes: facts.resumes, resumedAfter: facts.lastEventId, source: found?.source, ...found?.origin })
     const origin = found?.origin
@@ -128,6 +145,11 @@
     this._start({ ...admitted, service: origin.service }, { kind: 'version', software: origin.software })
   }
 
+  private async _findOrigin (admitted: AdmittedCall): Promise<FoundOrigin | undefined> {
+    const { resumes } = admitted.call.facts
+    return (resumes === undefined ? undefined : await this._options.origins.find(resumes)) ?? await this._inferOrigin(admitted)
+  }
+
   /**
    * Infers the origin of a stream of which no entry knows. A caller that comes back sent its first attempt at most its
    * whole time limit ago.
@@ -172,7 +194,8 @@
       answerLost: (upstream, suspects, broke) => quarantine.recordLostAnswer(upstream, suspects, broke),
       partsAnswered: since => quarantine.recordPartsAnswered(call.sharedParts, since),
       noticed: (upstream, notice, took) => notices.applyNotice(upstream, notice, took),
-      retryAfter: failure => this._retryAfter(failure),
+      retryAfter: (failure, placeable) => this._retryAfter(failure, placeable),
+      refusesFrom: () => this._refusesFrom,
       adapterBroken: (upstream, broken) => directory.removeReservation(upstream, broken),
       exchanged: (upstream, outcome, latency, serviceTime) => {
         if (outcome === 'answered') placer.recordServiceTime(service, serviceTime)
@@ -233,9 +256,12 @@
   }
 
   /** Retry-After of a failed request in ms; jittered, so that callers refused together don't return together. */
-  private _retryAfter (failure: RelayFailure): Ms {
+  private _retryAfter (failure: RelayFailure, placeable: Ms | undefined): Ms {
     if (failure === 'quarantined' || failure === 'part-quarantined') return this._options.quarantine.holdTime
-    return retryAfterBase + Math.random() * retryAfterSpread
+    // A request that could wait here only until the entry refuses it may get an adapter in time through another entry.
+    const isRefusedEarly = failure === 'shutting-down' || failure === 'adapter-unavailable'
+    if (this._refusesFrom !== Infinity && isRefusedEarly) return shutdownRetryAfter
+    return placeable ?? retryAfterBase + Math.random() * retryAfterSpread
   }
 
   private _recordExchange (upstream: Upstream, outcome: ExchangeOutcome, latency: Ms | undefined, route: Route): void {
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -33,13 +33,8 @@
 /** How a request ended, for logs and metrics. */
 export type RelayEnd = 'delivered' | 'broken' | 'caller-gone' | RelayFailure
 
-/**
- * Why a caller got part of an answer, or none, and its connection was closed.
- *
- * - `entry-fault`: an error within the entry.
- * - `process-end`: the entry's process ended first.
- */
-export type CutCause = RelayFailure | 'entry-fault' | 'process-end'
+/** Why a caller got part of an answer, or none, and its connection was closed; `entry-fault`: an error within the entry. */
+export type CutCause = RelayFailure | 'entry-fault'
 
 /** Summary of a request at its end. */
 export interface RelaySummary {
@@ -91,8 +86,10 @@
   readonly partsAnswered: (since: Ms) => void
   /** Called with the upstream's notice in an answer; `took`: ms from the send to the answer's head. */
   readonly noticed: (upstream: Upstream, notice: UpstreamNotice, took: Ms) => void
-  /** Ms after which a caller refused for this failure is asked to return. */
-  readonly retryAfter: (failure: RelayFailure) => Ms
+  /** Ms after which a caller refused for this failure is asked to return; `placeable`: when an upstream can be expected to accept the request, where that is known. */
+  readonly retryAfter: (failure: RelayFailure, placeable: Ms | undefined) => Ms
+  /** Time until which a request may wait for its first upstream: when the entry refuses requests, since it stops; else infinite. */
+  readonly refusesFrom: () => Ms
   /** Called when an upstream refused the request because the adapter was not loaded. */
   readonly adapterBroken: (upstream: string, want: RequestedAdapter) => void
   /** Called when an exchange with an upstream has ended or stalled; `serviceTime`: ms from the send until then. */
@@ -229,6 +226,12 @@
   /** Ends the request because it is quarantined from now on. */
   endQuarantined (cause: QuarantineCause): void { this._post({ kind: 'held', cause }) }
 
+  /** Refuses the request if it still waits for an upstream: the entry stops soon. */
+  stop (): void { this._post({ kind: 'stopping' }) }
+
+  /** Answers or cuts off the request, since the entry's process ends now. */
+  endWithProcess (): void { this._post({ kind: 'process-end' }) }
+
   /** Handles that the caller has closed its connection. */
   callerGone (): void { this._post({ kind: 'caller-gone' }) }
 
@@ -286,7 +289,7 @@
       case 'deliver': return this._deliver()
       case 'finish': return this._end('delivered')
       case 'fail':
-        this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._retryAfter ?? this._options.retryAfter(effect.failure) })
+        this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._options.retryAfter(effect.failure, this._retryAfter) })
         return this._end(effect.failure, effect.notRun)
       case 'break':
         this._cut(effect.failure)
@@ -308,7 +311,8 @@
   private get _longestWait (): Ms {
     const waited = this._options.clock.now() - (this._dataAt ?? this._call.arrivedAt)
     const leavesAfter = Math.max(leaveFloor, leaveTargets * this._route.latencyTarget) - firstEventMargin
-    return Math.max(0, Math.min(this._remaining * loadShare, leavesAfter - waited))
+    const untilRefused = this._answer.begun ? Infinity : this._options.refusesFrom() - this._options.clock.now()
+    return Math.max(0, Math.min(this._remaining * loadShare, leavesAfter - waited, untilRefused))
   }
 
   private _place (avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside: LateCause | undefined): void {
--- a/packages/direct/src/lib/relay/request-intake.ts
+++ b/packages/direct/src/lib/relay/request-intake.ts
@@ -5,6 +5,8 @@
 import { type CallerIdentity, identifyCaller, pickService, type RouteTable } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Credential, Organisation, Route } from '@hazelford/ports'
 import type { IncomingRequest } from './caller-server.js'
+import { shutdownRetryAfter } from './relay-runner.js'
+import type { WaitingRequests } from './waiting-requests.js'
 import type { ConfigVerifier } from '../store/config-verifier.js'
 import { sharedPartIds } from './prompt-parts.js'
 import type { EntryMetrics } from '../metrics.js'
@@ -36,6 +38,7 @@
   /** Whether new requests are refused, since the entry stops soon. */
   readonly refusing: () => boolean
   readonly verifier: ConfigVerifier
+  readonly waiting: WaitingRequests
   readonly viewAge: () => Ms
   /** Ms within which an accepted change must be in force. */
   readonly applyWithin: () => Ms
@@ -50,11 +53,15 @@
 }
 
 const noConfigRetryAfter: Ms = 500
-/** Short, since another entry can run the request at once. */
-const shutdownRetryAfter: Ms = 20
 /** Short, since another entry may have a fresh configuration. */
 const unverifiedRetryAfter: Ms = 300
 
+/** Refuses a request that has not run: the entry stops. */
+export function refuseStopping (incoming: IncomingRequest, metrics: EntryMetrics): void {
+  metrics.requests.inc({ kind: 'none', end: 'shutting-down' })
+  incoming.answer.fail({ kind: 'relay', failure: 'shutting-down', notRun: true, retryAfter: shutdownRetryAfter })
+}
+
 /** Handles requests of callers. */
 export class RequestIntake {
   constructor (private readonly _options: RequestIntakeOptions) {}
@@ -64,17 +71,15 @@
     const { metrics, refusing } = this._options
     const table = this._options.table()
     if (table === undefined) return incoming.answer.fail({ kind: 'no-config', retryAfter: noConfigRetryAfter })
-    if (refusing()) {
-      metrics.requests.inc({ kind: 'none', end: 'shutting-down' })
-      return incoming.answer.fail({ kind: 'relay', failure: 'shutting-down', notRun: true, retryAfter: shutdownRetryAfter })
-    }
+    if (refusing()) return refuseStopping(incoming, metrics)
     if (table.config.access.kind === 'anyone') return this._identify(incoming, table, { kind: 'absent' })
     const credential = this._options.codec.readCredential(incoming.headers)
     if (!this._mustVerify(incoming, table, credential)) {
       this._options.verifier.refresh()
       return this._identify(incoming, table, credential)
     }
-    this._options.verifier.verify().then(
+    const { verifier, waiting } = this._options
+    waiting.wait(incoming, this._idOf(incoming), 'configuration', verifier.verify()).then(
       () => this._verified(incoming, credential),
       (error: Error) => this._options.log.warn('config', 'not verified.', { error: error.message })
     )
@@ -162,13 +167,14 @@
 
   /** Takes the request's usage, and admits it if it is within its organisation's limit. */
   private _charge (incoming: IncomingRequest, route: Route, organisation: Organisation, facts: CallMetadata, relay: (refund: () => void) => void): void {
-    const { admit, clock, log, metrics, organisationEnded } = this._options
+    const { admit, clock, log, metrics, organisationEnded, waiting } = this._options
     const decided = (admission: Admission): void => {
       if (admission.kind === 'admitted') {
-        if (incoming.isGone()) admission.refund()
+        if (incoming.answer.ended || incoming.isGone()) admission.refund()
         else relay(admission.refund)
         return
       }
+      if (incoming.answer.ended) return
       const { retryAfter } = admission
       log.info('request', 'over its usage limit.', { request: facts.id, organisation: organisation.name, tokens: facts.promptTokens + facts.maxOutputTokens, retryAfter: Math.round(retryAfter) })
       metrics.requests.inc({ kind: route.kind, end: 'over-limit' })
@@ -180,7 +186,7 @@
     // This is the turn of the event loop in which the request was read, so a close of its connection can't have been
     // missed.
     if (!(admission instanceof Promise)) decided(admission)
-    else admission.then(decided, (error: Error) => log.warn('request', 'usage not charged.', { request: facts.id, error: error.message }))
+    else waiting.wait(incoming, facts.id, 'usage', admission).then(decided, (error: Error) => log.warn('request', 'usage not charged.', { request: facts.id, error: error.message }))
   }
 
   /** Whether the key of an admitted request is still accepted for its route. */
