A model of one request: its upstreams, caller and operators act in any order

The property of relay-flow covers the decisions alone; the task that performs them keeps the exchanges, the last event, placements, limits and the reading of a slow caller's answer. The model drives the real task with exchanges of its own (the task gets the function that opens them) and a clock that it moves: events, pauses, ends, errors, refusals, resets, callers that leave or read slowly, timeouts, quarantines, withdrawn keys, new versions, other software, late checks of software.

Checked: one answer or refusal, events once and in order of one software, nothing cut or withdrawn while an upstream that has it goes on, nothing left at work, "not run" only when true; retries, batch slots, limits and overdue reads returned exactly once.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -69,6 +69,38 @@
     feature: 'platform/src/test/silent-servers.feature',
     scenario: 'an entry pauses itself'
   },
+  {
+    guarantee: 'direct requests: of two upstreams that go on at once, only one is read',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: '(!open.isSilent && this._exchanges.size === 1)',
+    replace: '!open.isSilent',
+    feature: 'packages/direct/src/test/relay-task.feature',
+    scenario: 'any order of events'
+  },
+  {
+    guarantee: 'direct requests: a placement that was looked for before the software of the stream was known is not used',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'this._software === software ||',
+    replace: 'true ||',
+    feature: 'packages/direct/src/test/relay-task.feature',
+    scenario: 'any order of events'
+  },
+  {
+    guarantee: 'direct requests: an upstream from which a request was withdrawn does not count it any more',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'exchange.abandon();\n            release();',
+    replace: 'exchange.abandon();',
+    feature: 'packages/direct/src/test/relay-task.feature',
+    scenario: 'any order of events'
+  },
+  {
+    guarantee: 'direct requests: the limit of an upstream gets back what did not reach the upstream',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'refund();\n                log.info',
+    replace: 'log.info',
+    feature: 'packages/direct/src/test/relay-task.feature',
+    scenario: 'any order of events'
+  },
   {
     guarantee: 'direct requests: a read that one upstream has answered is withdrawn from the other',
     file: 'packages/decisions/dist/lib/relay-flow.js',
--- a/packages/direct/src/lib/relay/relay-runner.ts
+++ b/packages/direct/src/lib/relay/relay-runner.ts
@@ -8,6 +8,7 @@
 import type { CurrentConfig } from '../store/current-config.js'
 import type { EntryMetrics } from '../metrics.js'
 import type { NoticeCoordinator } from '../placing/notice-coordinator.js'
+import { Exchange } from './exchange.js'
 import type { FoundOrigin, OriginCoordinator } from './origin-coordinator.js'
 import type { Placement, PlacementQuery, Placer, SoftwareNeed } from '../placing/placer.js'
 import type { QuarantineCoordinator } from '../quarantine/quarantine-coordinator.js'
@@ -154,6 +155,7 @@
       clock,
       log,
       codec,
+      exchange: (pool, request, sink) => new Exchange(clock, codec, pool, request, sink),
       want: requestedAdapter,
       place: query => this._place(query),
       software,
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -5,7 +5,8 @@
 import { type RequestedAdapter, type ExchangeOutcome, type LateCause, type MeasuredPace, mayHaveCausedTermination, type OverdueTime, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey, type RetryCause, StreamPace } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
-import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
+import type { AnswerHead, Exchange, ExchangeRequest, ExchangeSink, WholeAnswer } from './exchange.js'
+import type { ConnectionPool } from './connection-pool.js'
 import type { Placement, PlacementQuery, PlacementWaits, SoftwareNeed } from '../placing/placer.js'
 import { requestFingerprint } from './request-fingerprint.js'
 import type { RequestSuspects } from '../quarantine/termination-detector.js'
@@ -57,10 +58,15 @@
   readonly unframedFrom: Upstream | undefined
 }
 
+/** An exchange as its request uses it. */
+export type RelayExchange = Pick<Exchange, 'openedAt' | 'abandon' | 'ignore' | 'pause' | 'resume'>
+
 /** What a request needs of its entry. */
 export interface RelayTaskOptions {
   readonly clock: Clock
   readonly log: Log
+  /** Sends a request to the upstream of a connection pool. */
+  readonly exchange: (pool: ConnectionPool, request: ExchangeRequest, sink: ExchangeSink) => RelayExchange
   readonly codec: CallCodec
   /** The adapter that it needs, in the version declared now. */
   readonly want: () => RequestedAdapter | undefined
@@ -140,7 +146,7 @@
 
 /** An exchange with an upstream. */
 interface OpenExchange {
-  readonly exchange: Exchange
+  readonly exchange: RelayExchange
   readonly upstream: Upstream
   /** Why it is the second one that has the request; undefined for the first one. */
   readonly beside: LateCause | undefined
@@ -161,7 +167,7 @@
   private readonly _deadline: Ms
   private _cancelTimeout: CancelTimer = () => {}
   /** The exchange whose answer is passed on. */
-  private _exchange: Exchange | undefined
+  private _exchange: RelayExchange | undefined
   /** Exchanges by upstream: two while a second one has the request. */
   private readonly _exchanges = new Map<string, OpenExchange>()
   private _cancelOverdue: CancelTimer = () => {}
@@ -422,7 +428,7 @@
       ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }),
       ...(resumed === undefined ? {} : { lastEventId: resumed })
     })
-    const exchange = new Exchange(clock, codec, upstream.pool, {
+    const exchange = this._options.exchange(upstream.pool, {
       id: facts.id,
       instance: upstream.id,
       host: upstream.record.host,
@@ -491,7 +497,7 @@
     this._exchanges.set(from, { exchange, upstream, beside, release, isSilent: false })
   }
 
-  private _readFrom (upstream: Upstream, exchange: Exchange, sentAt: Ms): void {
+  private _readFrom (upstream: Upstream, exchange: RelayExchange, sentAt: Ms): void {
     this._exchange = exchange
     this._upstream = upstream
     this._sentAt = sentAt
