Count an upstream that has refused a request as one that got it, also if it terminates then

What callers could see: a request at more servers than max-attempts of its route allows. An engine refuses a draft for lack of its adapter and gets it again a moment later; if it accepts no connection by then, the flow forgot that the first send had arrived, and two further engines got the draft on a route that allows two.

Change: an upstream that gets the request again stays counted when a later connection to it fails. The guard runs; its test fails without it.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -69,6 +69,14 @@
     feature: 'platform/src/test/silent-servers.feature',
     scenario: 'an entry pauses itself'
   },
+  {
+    guarantee: 'direct requests: an upstream that has refused a request counts as one that got it, also if it terminates then',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: '!progress.reached.has(upstream)',
+    replace: 'true',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'an upstream that lacks the adapter terminates'
+  },
   {
     guarantee: 'direct requests: of two upstreams that go on at once, only one is read',
     file: 'packages/direct/dist/lib/relay/relay-task.js',
--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -34,6 +34,8 @@
 class Progress {
   /** Upstreams that bytes of the request may have reached. */
   readonly tried = new Set<string>()
+  /** Those of them that have refused it and may get it again. */
+  readonly reached = new Set<string>()
   /** Upstreams that accepted no connection. */
   readonly unreachable = new Set<string>()
   sends = 0
@@ -150,10 +152,10 @@
   return continueWith(searchNext(progress))
 }
 
-/** Records that nothing arrived at an upstream, so that the attempt does not count. */
+/** Records that nothing arrived at an upstream, so that the attempt does not count, unless an earlier one did arrive. */
 function recordUnreachable (upstream: string, progress: Progress): void {
   progress.sends--
-  progress.tried.delete(upstream)
+  if (!progress.reached.has(upstream)) progress.tried.delete(upstream)
   progress.unreachable.add(upstream)
 }
 
@@ -166,6 +168,7 @@
 function handleRefused (upstream: string, refusal: UpstreamRefusal, request: RelayRequest, progress: Progress): Transition {
   if (refusal === 'adapter-missing' && ++progress.missing <= maxAdapterMissingRetries) {
     if (progress.search.kind !== 'none') return continueWith(searchNext(progress))
+    progress.reached.add(upstream)
     progress.retryUpstream = upstream
     return continueWith([{ kind: 'wait', delay: adapterRetryPause * progress.missing }])
   }
--- a/packages/decisions/src/test/relay-flow.feature
+++ b/packages/decisions/src/test/relay-flow.feature
@@ -25,6 +25,13 @@
     When its upstream refuses it for lack of the adapter
     Then it waits a moment and is placed at the same upstream
 
+  Scenario: an upstream that lacks the adapter terminates
+    Guards against a request that is sent to more upstreams than its route allows: the first one refuses it, and accepts no connection a moment later.
+    Given a direct booking that may be sent to 1 upstream
+    When its upstream refuses it for lack of the adapter
+    And it accepts no connection when the request is sent there again
+    Then it is sent to no other upstream, and refused as not run
+
   Scenario: an answer that is an error of the upstream's own
     A stock check fails although a second upstream could have answered, or gets no answer at all. This happens when the
     first upstream's error 500 is passed on at once, or is lost when no second upstream is available.
--- a/packages/decisions/src/test/relay-flow.steps.ts
+++ b/packages/decisions/src/test/relay-flow.steps.ts
@@ -237,6 +237,17 @@
   assert.ok(effect?.kind === 'place' && effect.retryUpstream === 'u1')
 })
 
+When('it accepts no connection when the request is sent there again', function (this: FlowWorld) {
+  send(this, { kind: 'waited' })
+  send(this, { kind: 'placed', upstream: 'u1' })
+  send(this, { kind: 'unreachable', from: 'u1' })
+})
+
+Then('it is sent to no other upstream, and refused as not run', function (this: FlowWorld) {
+  send(this, { kind: 'placed', upstream: 'u2' })
+  assert.deepEqual(this.effects, [{ kind: 'fail', failure: 'attempts-spent', notRun: true }])
+})
+
 When('its upstream answers with an error and no other is available', function (this: FlowWorld) {
   send(this, { kind: 'whole', failed: true })
   send(this, { kind: 'unplaced', cause: 'no-upstream' })
--- a/packages/direct/src/test/support/relay-model.ts
+++ b/packages/direct/src/test/support/relay-model.ts
@@ -341,6 +341,8 @@
     if (end === 'caller-gone' && this._end !== undefined) this._violate('an answer to nobody')
     if (notRun && this._exchanges.some(({ mayHaveRun }) => mayHaveRun)) this._violate('counted as not run')
     this._checkEvents()
+    const servers = new Set(this._exchanges.filter(({ isUnreachable }) => !isUnreachable).map(({ upstream }) => upstream.id))
+    if (servers.size > this._route.maxAttempts) this._violate(`sent to ${servers.size} upstreams`)
     const left = this._exchanges.filter(({ state }) => state === 'open' || state === 'ignored')
     if (left.length > (this._isIdempotent ? 0 : 1) || left.some(({ state }) => state === 'open')) this._violate(`left at ${left.map(({ upstream }) => upstream.id).join()}`)
     for (const { id, outstanding, uses, unused } of this._upstreams) {
