Close the connection of a request that nobody waits for after its time limit

What callers saw: after servers had left bookings unanswered for a while, entries refused every further booking, also long after the servers were sound again.

Cause: a non-idempotent request whose caller was answered 504, or has left, stays at its upstream, and Exchange.ignore kept its connection without a limit. If no answer ever came, the entries held all connections that the servers accept, for good.

Change: an upstream stops its work at the deadline that the request's headers name, counted from the request's arrival there. The connection is closed 500 ms after that deadline if the answer has not ended by then. Nothing is broken off sooner, also when the pool has no room or the deadline is long: the upstream may still run the booking, whereas a booking that finds no room is refused at once, has not run, and may be sent elsewhere.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -21,6 +21,22 @@
     feature: 'platform/src/test/answers.feature',
     scenario: 'an answer that can\'t be trusted'
   },
+  {
+    guarantee: 'direct requests: a request that nobody waits for holds its connection no longer than its upstream may work on it',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'this._limitDiscarding();',
+    replace: '',
+    feature: 'platform/src/test/overdue-reads.feature',
+    scenario: 'bookings that their servers never answer'
+  },
+  {
+    guarantee: 'direct requests: a booking of a caller that has left is not broken off before its time limit',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'Math.max(0, left)',
+    replace: '0',
+    feature: 'platform/src/test/overdue-reads.feature',
+    scenario: 'callers that leave'
+  },
   {
     guarantee: 'direct answers: a complete answer is passed on although its connection has closed',
     file: 'packages/direct/dist/lib/relay/exchange.js',
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -60,6 +60,8 @@
   readonly path: string
   readonly headers: string[]
   readonly body: Buffer | undefined
+  /** Ms after which the upstream stops working on it, as the request's headers tell the upstream. */
+  readonly timeLimit: Ms
   /** Whether it may be retried after a reset. */
   readonly repeatable: boolean
   /** Silence before the first event of a stream, or within a plain answer that is not passed on yet, after which it counts as stalled. */
@@ -81,6 +83,11 @@
  * request answers within a few ms; its notice, such as a backoff, applies although the caller has left.
  */
 const headGrace: Ms = 40
+/**
+ * Time beyond a request's time limit for which its connection is kept, if nobody waits for the answer. The upstream counts
+ * the limit from the request's arrival there.
+ */
+const discardMargin: Ms = 500
 const badGatewayStatus = 500
 const otherInstanceStatus = 421
 const eventStream = 'text/event-stream'
@@ -103,6 +110,7 @@
   private _abandoned = false
   private _discarding = false
   private _cancelTimer: (() => void) | undefined
+  private readonly _startedAt: Ms
 
   constructor (
     private readonly _clock: Clock,
@@ -111,6 +119,7 @@
     private readonly _call: ExchangeRequest,
     private readonly _sink: ExchangeSink
   ) {
+    this._startedAt = _clock.now()
     const { method, path, host, port, headers, body } = _call
     const framed = body === undefined ? headers : [...headers, 'Content-Length', String(body.length)]
     this._req = request({ agent: _pool.agent(_call.repeatable), host, port, method, path, headers: framed })
@@ -147,13 +156,21 @@
 
   private _closeUnanswered (): void { if (!this._discarding) this._req.destroy() }
 
-  /** Discards the answer but for its notice, and lets the upstream finish the request. */
+  /** Discards the answer but for its notice, and lets the upstream finish the request within its time limit. */
   ignore (): void {
     if (this._over) return
     this._finish()
+    this._limitDiscarding()
     this._res?.resume()
   }
 
+  /** Closes the connection if the upstream has not ended its answer soon after the request's time limit. */
+  private _limitDiscarding (): void {
+    const left = this._startedAt + this._call.timeLimit + discardMargin - this._clock.now()
+    const cancel = this._clock.after(Math.max(0, left), () => this._req.destroy())
+    this._req.once('close', cancel)
+  }
+
   /** Stops reading; silence does not count until it goes on. */
   pause (): void {
     this._cancelTimer?.()
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -413,9 +413,10 @@
     }
     let firstByte: Ms | undefined
     const first = (): Ms => (firstByte ??= clock.now() - sentAt)
+    const timeLimit = Math.max(1, Math.floor(this._remaining))
     const forwarded = codec.forwardHeaders(headers, {
       instance: upstream.id,
-      remaining: Math.max(1, Math.floor(this._remaining)),
+      remaining: timeLimit,
       priority: this._call.priority,
       byKey: this._call.byKey,
       ...(version === undefined ? {} : { adapterVersion: version }),
@@ -431,6 +432,7 @@
       path,
       headers: forwarded,
       body,
+      timeLimit,
       repeatable: this._repeatable,
       firstDataSilence: this._firstDataSilence(),
       gapSilence: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
