--- a/packages/direct/src/test/support/relay-model.ts
+++ b/packages/direct/src/test/support/relay-model.ts
@@ -206,6 +206,7 @@
         return isLeft
       },
       isAllowed: () => this._isAllowed,
+      refusesFrom: () => Infinity,
       quarantine: () => undefined,
       answerLost: none,
       partsAnswered: none,
