With sidecars: keep an idempotent request through a short break of its channel

What callers saw: 502 channel-lost for completions whose engine went on running them.

Cause: when a channel broke, the entry gave up each idempotent request without an event at once, to send it elsewhere. Each of them needs a retry from the budget (one in ten), and the sidecar stopped the runs that the entry no longer listed after it had connected again, some 50 ms later.

Change: these requests go on over the next connection, as bookings and begun answers do. They are sent elsewhere when the first attempt to connect fails (no process listens) or after 400 ms.

The guard's test fails without it.

--- a/packages/bench/src/lib/guards/sidecar-guards.ts
+++ b/packages/bench/src/lib/guards/sidecar-guards.ts
@@ -53,6 +53,14 @@
     feature: 'packages/bench/src/test/whole-answers.feature',
     scenario: 'a stream that the engine has lost'
   },
+  {
+    guarantee: 'no request given up: idempotent requests have time to go on over a new channel',
+    file: 'packages/entry/dist/lib/channel-client.js',
+    find: 'this._startGrace();',
+    replace: 'this._startGrace(); this._failRepeatable();',
+    feature: 'packages/bench/src/test/given-up.feature',
+    scenario: 'the channel breaks while completions wait'
+  },
   {
     guarantee: 'whole answers: chunks that the entry lacks are sent again',
     file: 'packages/sidecar/dist/lib/sidecar.js',
--- /dev/null
+++ b/packages/bench/src/test/given-up.feature
@@ -0,0 +1,8 @@
+Feature: with sidecars, no request is given up while the process that has it goes on
+
+  Scenario: the channel breaks while completions wait for their answers
+    Guards against completions that fail with "may have run" although their engine goes on: their channel breaks for a moment, and each of
+    them needs a retry from the budget, which allows one in ten.
+    Given a system with 1 slow engine of 2 adapter slots and 8 batch slots
+    When 30 whole completions are requested and the channels are cut while the engine runs
+    Then each of them is answered whole and has run once
--- a/packages/entry/src/lib/channel-client.ts
+++ b/packages/entry/src/lib/channel-client.ts
@@ -39,10 +39,13 @@
 
 /** How long an answer that has begun, or a call that is not idempotent, waits for a reconnect. */
 const resumeGraceMs: Ms = 3_000
+/** How long an idempotent request without any part of its answer waits for a reconnect, unless that fails sooner. */
+const repeatableGraceMs: Ms = 400
 const reconnectBackoff = { base: 50, cap: 1_000 }
 const defaultHeartbeatMs: Ms = 250
 const suspectAfterHeartbeats = 4
 const disconnectAfterHeartbeats = 20
+const notRestored = 'The channel to the sidecar broke and was not restored in time.'
 /** Chunks forwarded to the caller between two acknowledgements. */
 const ackEvery = creditChunks / 4
 
@@ -61,7 +64,7 @@
   private _failures = 0
   private _lastReceivedAt: Ms = 0
   private _closed = false
-  private _grace: CancelTimer | undefined
+  private _grace: readonly CancelTimer[] = []
 
   constructor (private readonly _options: ChannelOptions, private readonly _events: ChannelEvents) {
     this._grpc = new GrpcClient(_options.target, _options.credentials ?? ChannelCredentials.createInsecure(), channelOptions)
@@ -197,7 +200,7 @@
     this._welcomes++
     this._connected = true
     this._lastReceivedAt = clock.now()
-    this._grace?.()
+    this._endGrace()
     const isResumed = welcome.incarnation === this._peerIncarnation && welcome.resumed
     this._peerIncarnation = welcome.incarnation
     events.add('channel-open', { peer: welcome.sidecar, upstream: welcome.upstream })
@@ -239,6 +242,8 @@
       log.warn('channel', 'channel lost.', { target, open: this._open.size })
       events.add('channel-lost', { peer: target })
       this._startGrace()
+    } else {
+      this._failRepeatable()
     }
     this._connected = false
     this._events.silent()
@@ -247,19 +252,28 @@
     clock.after(fullJitter(this._failures, reconnectBackoff, Math.random), () => this._connect())
   }
 
+  /** A broken channel does not end the requests at the sidecar: they have time to go on over the next connection. */
   private _startGrace (): void {
-    const lost = failure('may-have-run', 'channel-lost', 'The channel to the sidecar broke and was not restored in time.')
+    const { clock } = this._options
+    this._endGrace()
+    this._grace = [
+      clock.after(repeatableGraceMs, () => { if (!this._connected) this._failRepeatable() }),
+      clock.after(resumeGraceMs, () => { if (!this._connected) this._failOpen('channel-lost', notRestored) })
+    ]
+  }
+
+  private _endGrace (): void {
+    for (const cancel of this._grace) cancel()
+    this._grace = []
+  }
+
+  /** Fails idempotent requests without any part of their answers, so that the entry can send them to another upstream. */
+  private _failRepeatable (): void {
     for (const [seq, attempt] of [...this._open]) {
-      // Waiting for a reconnect takes time. An idempotent request without any part of its answer
-      // fails at once instead, so that the entry can send it to another upstream.
       if (!attempt.request.idempotent || attempt.begun) continue
       this._open.delete(seq)
-      attempt.fail(lost)
+      attempt.fail(failure('may-have-run', 'channel-lost', notRestored))
     }
-    this._grace?.()
-    this._grace = this._options.clock.after(resumeGraceMs, () => {
-      if (!this._connected) this._failOpen('channel-lost', lost.message)
-    })
   }
 
   private _failOpen (code: FailureCode, message: string): void {
