A sidecar that shuts down keeps answers for entries that connect again

What callers saw: 502 channel-lost for a booking that ran.

Cause: a sidecar that shuts down waited until each connected entry had acknowledged its answers. An entry whose channel had just broken was not counted, and connects again within a second.

Change: all sessions count.

--- a/packages/bench/src/lib/guards/sidecar-guards.ts
+++ b/packages/bench/src/lib/guards/sidecar-guards.ts
@@ -61,6 +61,14 @@
     feature: 'packages/bench/src/test/given-up.feature',
     scenario: 'the channel breaks while completions wait'
   },
+  {
+    guarantee: 'no request given up: a sidecar that shuts down waits for entries that connect again',
+    file: 'packages/sidecar/dist/lib/sidecar.js',
+    find: '[...this._sessions.values()].every',
+    replace: '[...this._connections.values()].every',
+    feature: 'packages/bench/src/test/given-up.feature',
+    scenario: 'a sidecar shuts down while its entry connects again'
+  },
   {
     guarantee: 'whole answers: chunks that the entry lacks are sent again',
     file: 'packages/sidecar/dist/lib/sidecar.js',
--- a/packages/bench/src/test/given-up.feature
+++ b/packages/bench/src/test/given-up.feature
@@ -6,3 +6,12 @@
     Given a system with 1 slow engine of 2 adapter slots and 8 batch slots
     When 30 whole completions are requested and the channels are cut while the engine runs
     Then each of them is answered whole and has run once
+
+  Scenario: a sidecar shuts down while its entry connects again
+    Guards against a booking that ran and whose caller gets no confirmation: the sidecar ends while the entry, whose channel has just broken,
+    has not received the answer.
+    Given a system with 1 booking service and 1 entry
+    And the booking services take 300 ms
+    When a booking "one" is running, its sidecar shuts down, and the channels are cut until it has ended
+    Then the booking is confirmed
+    And booking "one" ran 1 time
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -158,10 +158,13 @@
   /** Breaks all channels; entries reconnect. For tests. */
   cutChannels (): void { this._server?.cutAll() }
 
-  /** Whether no request is queued or running and every connected entry has acknowledged all answers sent to it. */
+  /**
+   * Whether no request is queued or running and each entry has acknowledged all answers to it. An entry without a connection
+   * may be connecting again; its answers are discarded after {@link sessionGraceMs}.
+   */
   private _isQuiet (): boolean {
     if (!this._dispatcher.idle) return false
-    return [...this._connections.values()].every(session => session.runs.size === 0)
+    return [...this._sessions.values()].every(session => session.runs.size === 0)
   }
 
   private _pause (ms: Ms): Promise<void> {
