An entry with sidecars that has stopped refuses what it reads from then on

What callers saw: 502 'may have run', after seconds, for a request whose last part arrived while its entry ended. It was never sent to an upstream.

Cause: the entry closes its channels when no request is open, and a request that is still being read does not count. It was sent on a closed channel.

Change: an entry that has stopped answers 503 'not run' at once.

--- a/packages/bench/src/lib/guards/sidecar-guards.ts
+++ b/packages/bench/src/lib/guards/sidecar-guards.ts
@@ -69,6 +69,14 @@
     feature: 'packages/bench/src/test/given-up.feature',
     scenario: 'a sidecar shuts down while its entry connects again'
   },
+  {
+    guarantee: 'no request given up: an entry that has stopped refuses what it reads from then on',
+    file: 'packages/entry/dist/lib/entry.js',
+    find: 'if (this._stopped)',
+    replace: 'if (false)',
+    feature: 'packages/bench/src/test/given-up.feature',
+    scenario: 'a request that is read while its entry ends'
+  },
   {
     guarantee: 'whole answers: chunks that the entry lacks are sent again',
     file: 'packages/sidecar/dist/lib/sidecar.js',
--- a/packages/bench/src/test/given-up.feature
+++ b/packages/bench/src/test/given-up.feature
@@ -15,3 +15,10 @@
     When a booking "one" is running, its sidecar shuts down, and the channels are cut until it has ended
     Then the booking is confirmed
     And booking "one" ran 1 time
+
+  Scenario: a request that is read while its entry ends
+    Guards against a caller that waits until its deadline: the last part of its request arrives after the entry has closed its channels, and
+    it is sent on a closed channel.
+    Given a system with 1 booking service and 1 entry
+    When the entry shuts down while a booking "late" is being read
+    Then the caller is told within 500 ms that it did not run, and its connection is closed
--- a/packages/entry/src/lib/entry.ts
+++ b/packages/entry/src/lib/entry.ts
@@ -26,6 +26,7 @@
 }
 
 const overloadRetryAfter: Ms = 1_000
+const leavingRetryAfter: Ms = 100
 /** Number of engines that terminate while running one request before it is quarantined, and the duration of the quarantine in ms. */
 const quarantineLimits = { after: 3, holdTime: 600_000 }
 const drainCheckMs: Ms = 20
@@ -49,6 +50,7 @@
   private readonly _quarantine = new RequestQuarantine(quarantineLimits)
   private _open = 0
   private _leaving = false
+  private _stopped = false
 
   constructor (readonly options: EntryOptions) {
     const { kv, clock, log, events } = options
@@ -108,8 +110,9 @@
     this.stop()
   }
 
-  /** Stops at once; open requests fail. */
+  /** Stops at once; open requests fail, and requests that are still being read are refused. */
   stop (): void {
+    this._stopped = true
     this._watch.stop()
     this.directory.close()
   }
@@ -229,6 +232,7 @@
   }
 
   private _refusal (call: Call, config: Config): Failure | undefined {
+    if (this._stopped) return failure('not-run', 'leaving', 'This entry shuts down. Send the request again: another entry may accept it.', leavingRetryAfter)
     if (this._open >= this.options.maxOpenRequests) {
       return failure('not-run', 'overloaded', 'This entry has too many open requests. Send the request again later.', overloadRetryAfter)
     }
