--- a/packages/cli/src/lib/queries/cut-answers.ts
+++ b/packages/cli/src/lib/queries/cut-answers.ts
@@ -10,8 +10,13 @@
   'entry-fault': 'an error within the entry: see `ended by a fault of the entry.`',
   'process-end': 'its entry\'s process ended first'
 }
+/** The first sentence: the next ones say whether a request ran that got no answer, which does not hold for a cut answer. */
+function firstSentence (text: string): string { return /^.*?(?=\.( |$))/.exec(text)?.[0] ?? text }
+
 /** Share of an upstream's silence from which the entry's own pause explains it. */
 const ownPauseShare = 0.5
+/** Time in ms without data from which an upstream counts as silent. */
+const silentFrom = 250
 
 /** Answers that were cut for one cause. */
 export interface CutAnswers {
@@ -38,7 +43,7 @@
   open: number
 }
 
-function hasEntryPaused ({ silence, ownPause }: LogLine): boolean { return Number(ownPause) > 0 && Number(ownPause) >= Number(silence) * ownPauseShare }
+function hasEntryPaused ({ silence, ownPause }: LogLine): boolean { return Number(silence) >= silentFrom && Number(ownPause) >= Number(silence) * ownPauseShare }
 
 /**
  * Says why an answer was cut.
@@ -48,10 +53,11 @@
  */
 export function describeCut (line: LogLine, meanings: Readonly<Record<string, string>>): string {
   const { cause, begun, upstream, silence, ownPause } = line
+  const whoStoodStill = hasEntryPaused(line) ? ', so the entry stood still' : Number(silence) >= silentFrom ? ', so the upstream was silent' : ''
   const why = cutCauses[String(cause)] ?? meanings[String(cause)]
   const parts = [
-    `Its connection was closed ${begun === true ? 'within' : 'before'} its answer, by its entry. Cause: ${String(cause)}${why === undefined ? '' : ` (${why.replace(/\.$/, '')})`}.`,
-    ...(silence === undefined ? [] : [`Its upstream ${String(upstream)} had sent nothing for ${String(silence)} ms; the entry's own longest pause in that time was ${String(ownPause)} ms${hasEntryPaused(line) ? ', so the entry stood still' : ', so the upstream was silent'}.`])
+    `Its connection was closed ${begun === true ? 'within' : 'before'} its answer, by its entry. Cause: ${String(cause)}${why === undefined ? '' : ` (${firstSentence(why)})`}.`,
+    ...(silence === undefined ? [] : [`Its upstream ${String(upstream)} had sent nothing for ${String(silence)} ms; the entry's own longest pause in that time was ${String(ownPause)} ms${whoStoodStill}.`])
   ]
   return parts.join(' ')
 }
--- a/packages/cli/src/test/explain.feature
+++ b/packages/cli/src/test/explain.feature
@@ -23,12 +23,12 @@
 
   Scenario Outline: an answer that its entry cut while <what>
     Guards against an entry that stood still being taken for a silent upstream, and the reverse.
-    Given logs of an entry that cut an answer 1300 ms after its upstream's last data, itself paused for <pause> ms
+    Given logs of an entry that cut an answer for "<cause>" 1300 ms after its upstream's last data, itself paused for <pause> ms
     When the cut draft is explained
-    Then the explanation names the cause, the silence of 1300 ms, the pause of <pause> ms and says "<what>"
+    Then the explanation names the cause "<cause>", the silence of 1300 ms, the pause of <pause> ms and says "<what>", but not that the draft did not run
     And the explanation gives configuration and adapter version at each send, and the upstream that was withdrawn for the other
 
     Examples:
-      | pause | what                   |
-      | 40    | the upstream was silent |
-      | 1250  | the entry stood still  |
+      | cause               | pause | what                    |
+      | attempts-spent      | 40    | the upstream was silent |
+      | adapter-unavailable | 1250  | the entry stood still   |
--- a/packages/cli/src/test/explain.steps.ts
+++ b/packages/cli/src/test/explain.steps.ts
@@ -66,7 +66,7 @@
   assert.match(this.report.text, new RegExp(`started again \\(${after} ms later\\)`))
 })
 
-Given('logs of an entry that cut an answer {int} ms after its upstream\'s last data, itself paused for {int} ms', function (this: ExplainWorld, silence: number, ownPause: number) {
+Given('logs of an entry that cut an answer for {string} {int} ms after its upstream\'s last data, itself paused for {int} ms', function (this: ExplainWorld, cause: string, silence: number, ownPause: number) {
   this.logs = [[
     line(1_000, 'e1', 'request: taken.', { request: 'c1', route: 'draft', kind: 'stream', config: 7 }),
     line(1_001, 'e1', 'request: sent.', { request: 'c1', upstream: 'i-1', send: 1, config: 7, version: 3 }),
@@ -74,15 +74,16 @@
     line(2_010, 'e1', 'request: sent.', { request: 'c1', upstream: 'i-2', send: 2, config: 8, version: 4, beside: 'stalled' }),
     line(2_100, 'e1', 'request: withdrawn.', { request: 'c1', upstream: 'i-1', lastEventId: 6 }),
     line(2_200, 'e1', 'request: answer lost.', { request: 'c1', upstream: 'i-2', cause: 'read ECONNRESET' }),
-    line(3_400, 'e1', 'request: answer cut.', { request: 'c1', cause: 'attempts-spent', begun: true, upstream: 'i-2', upstreams: [], silence, ownPause, sends: 2, config: 8, lastEventId: 6 }),
+    line(3_400, 'e1', 'request: answer cut.', { request: 'c1', cause, begun: true, upstream: 'i-2', upstreams: [], silence, ownPause, sends: 2, config: 8, lastEventId: 6 }),
     line(3_400, 'e1', 'request: over.', { request: 'c1', end: 'broken', sends: 2 })
   ].join('\n')]
 })
 
 When('the cut draft is explained', function (this: ExplainWorld) { this.report = explain('c1', this.logs) })
 
-Then('the explanation names the cause, the silence of {int} ms, the pause of {int} ms and says {string}', function (this: ExplainWorld, silence: number, pause: number, what: string) {
-  assert.match(this.report.text, /closed within its answer, by its entry\. Cause: attempts-spent/)
+Then('the explanation names the cause {string}, the silence of {int} ms, the pause of {int} ms and says {string}, but not that the draft did not run', function (this: ExplainWorld, cause: string, silence: number, pause: number, what: string) {
+  assert.match(this.report.text, new RegExp(`closed within its answer, by its entry\\. Cause: ${cause}`))
+  assert.doesNotMatch(this.report.text, /did not run/)
   assert.match(this.report.text, new RegExp(`i-2 had sent nothing for ${silence} ms; the entry's own longest pause in that time was ${pause} ms, so ${what}`))
 })
 
