--- a/packages/cli/src/lib/queries/open-requests.ts
+++ b/packages/cli/src/lib/queries/open-requests.ts
@@ -26,7 +26,6 @@
 }
 
 const fates: Readonly<Record<string, EntryFate>> = { 'daemon: started.': 'started again', 'daemon: stopped.': 'stopped', 'daemon: stopping.': 'stopping' }
-const fatesByWeight: readonly EntryFate[] = ['started again', 'stopped', 'stopping', 'runs']
 
 /**
  * Says what an entry did after a log line of it.
@@ -36,13 +35,12 @@
  * @returns its fate, and the ms until the line that shows it
  */
 export function fateAfter (line: LogLine, own: readonly LogLine[]): Pick<OpenRequest, 'fate' | 'after'> {
-  const found = new Map<EntryFate, number>()
-  for (const { msg, time } of own) {
-    const fate = fates[msg] ?? 'runs'
-    if (time > line.time && (fate === 'runs' || !found.has(fate))) found.set(fate, time - line.time)
-  }
-  const fate = fatesByWeight.find(name => found.has(name)) ?? 'log ends'
-  return { fate, after: found.get(fate) }
+  const later = own.filter(({ time }) => time > line.time)
+  const ends = later.filter(({ msg }) => fates[msg] !== undefined)
+  // After a stop the entry is usually started again: that does not show that it was killed.
+  const end = ends[0]?.msg === 'daemon: stopping.' && ends[1]?.msg === 'daemon: stopped.' ? ends[1] : ends[0]
+  if (end !== undefined) return { fate: fates[end.msg]!, after: end.time - line.time }
+  return later.length === 0 ? { fate: 'log ends', after: undefined } : { fate: 'runs', after: later.at(-1)!.time - line.time }
 }
 
 /**
--- a/packages/cli/src/test/report.steps.ts
+++ b/packages/cli/src/test/report.steps.ts
@@ -142,7 +142,7 @@
   const open = (time: number, node: string, request: string): string => line(time, node, 'request: taken.', { request, route: 'draft' })
   this.recorded = [
     [open(1_000, 'killed', 'k'), line(1_010, 'killed', 'request: sent.', { request: 'k', upstream: 'i-1', send: 1 }), line(1_310, 'killed', 'daemon: started.')].join('\n'),
-    [open(1_001, 'ends', 's'), line(1_100, 'ends', 'daemon: stopping.'), line(1_201, 'ends', 'daemon: stopped.')].join('\n'),
+    [open(1_001, 'ends', 's'), line(1_100, 'ends', 'daemon: stopping.'), line(1_201, 'ends', 'daemon: stopped.'), line(1_500, 'ends', 'daemon: started.')].join('\n'),
     [open(1_002, 'going-on', 'r'), open(1_003, 'going-on', 'ended'), line(1_102, 'going-on', 'request: over.', { request: 'ended', end: 'delivered' })].join('\n'),
     Array.from({ length: further }, (_, n) => open(2_000 + n, 'last', `more-${n}`)).join('\n')
   ]
