A request keeps waiting for its adapter while the engine's holder changes

What callers saw: 503 'not run' after 0.2 s for a draft that waited for an adapter, beside the planned stop of another entry, although the engine served drafts again 0.4 s later.

Cause: when no waiting upstream had a holder that could be sent a load request, the placement gave up. An entry that stops gives its engines away; the next holder takes over within about half a second.

Change: a request that waits there already goes on waiting, for 1 s without a holder at most, while none is listed or the listed one has answered that it is not the holder. A holder that does not answer is replaced seconds later; those requests are refused at once, as before, and so are requests that arrive without a holder.

The guard's test fails without it.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -181,6 +181,14 @@
     feature: 'platform/src/test/adapters.feature',
     scenario: 'a new version of an adapter while a draft waits for it'
   },
+  {
+    guarantee: 'adapters: a request keeps waiting while another entry becomes the holder',
+    file: 'packages/direct/dist/lib/placing/placer.js',
+    find: '!isChanging ||',
+    replace: 'true ||',
+    feature: 'platform/src/test/ended-entries.feature',
+    scenario: 'the holder of the only engine shuts down'
+  },
   {
     guarantee: 'adapters: an adapter reserved for a request stays loaded',
     file: 'packages/decisions/dist/lib/adapter-plan.js',
--- a/packages/direct/src/lib/engines/adapter-directory.ts
+++ b/packages/direct/src/lib/engines/adapter-directory.ts
@@ -99,6 +99,15 @@
     return holder !== undefined && holder.node !== this._node && !this._suspects.has(holder.node)
   }
 
+  /**
+   * Whether the upstream has no holder that can be sent a load request, and another entry is about to become its holder: none
+   * is listed, or the listed one has answered that it is not the holder. One that does not answer is replaced much later.
+   */
+  awaitsHolder (upstream: string): boolean {
+    const holder = this._peers.holder(upstream)
+    return !this.canRequestLoad(upstream) && (holder === undefined || !this._suspects.has(holder.node))
+  }
+
   /** Whether the upstream's own record lists the adapter. Records lag, but stay available through an outage of the store. */
   private _isListed ({ record }: Upstream, want: RequestedAdapter): boolean {
     const model = record.models.find(loaded => loaded.model === want.model)
--- a/packages/direct/src/lib/placing/placer.ts
+++ b/packages/direct/src/lib/placing/placer.ts
@@ -68,6 +68,8 @@
  * be a busy loop.
  */
 const queuePause: Ms = 100
+/** Time within which another entry takes over the engines of a holder that shuts down. */
+const holderChange: Ms = 1_000
 /** Half-life of an adapter's popularity: how fast a change of demand changes its number of replicas. */
 const popularityHalfLife: Ms = 5_000
 /** Weight of each new service time in the mean, so that about thirty requests determine it. */
@@ -237,11 +239,20 @@
     this._options.log.info('request', 'adapter not to be had.', { request: query.prompt.request, ...want, causes, standsAt: queues[0]?.upstream.id, ahead: queues[0]?.length, waits: queues.map(({ wait }) => wait), limitedFor: retryAfter === Infinity ? undefined : Math.round(retryAfter), left: Math.round(until - this._now) })
     const wait = this._hopelessWait(queues, until)
     if (wait !== undefined) return { kind: 'unplaced', cause: 'adapter-unavailable', retryAfter: Math.min(wait, retryAfter) * (1 + Math.random() * turnSpread) }
+    let heldAt = this._now
     for (let turn = 0; until > this._now && !query.cancelled(); turn++) {
-      // Without a holder to send load orders, a queue would never advance.
-      const open = queues.filter(({ upstream }) => this._isOpen(upstream) && this._options.directory.canRequestLoad(upstream.id))
+      const open = queues.filter(({ upstream }) => this._isOpen(upstream))
       if (open.length === 0) break
-      const attempt = await this._awaitWithinLimit(open[turn % open.length]!.upstream, query, { urgency: query.urgency, missing: false, mayWait: true, repeated: true }, until)
+      const held = open.filter(({ upstream }) => this._options.directory.canRequestLoad(upstream.id))
+      if (held.length === 0) {
+        // Without a holder to send load orders, a queue does not advance.
+        const isChanging = open.some(({ upstream }) => this._options.directory.awaitsHolder(upstream.id))
+        if (!isChanging || this._now - heldAt >= holderChange) break
+        await sleep(this._options.clock, queuePause)
+        continue
+      }
+      heldAt = this._now
+      const attempt = await this._awaitWithinLimit(held[turn % held.length]!.upstream, query, { urgency: query.urgency, missing: false, mayWait: true, repeated: true }, until)
       if (attempt.kind === 'placed') return attempt
       await sleep(this._options.clock, queuePause)
     }
