With sidecars: resume a stream as long as it advances

What callers saw: a long stream cut off (stream-incomplete), although its engine had all of it.

Cause: a sidecar resumed each stream three times at most, however far it had come.

Change: three attempts without a further event. The stand-in's switch 'cuts each connection after N events' cut a stream once; it now does what it says, so the existing example of it cuts as before and longer streams are cut more often.

--- a/packages/bench/src/lib/guards/sidecar-guards.ts
+++ b/packages/bench/src/lib/guards/sidecar-guards.ts
@@ -77,6 +77,14 @@
     feature: 'packages/bench/src/test/given-up.feature',
     scenario: 'a request that is read while its entry ends'
   },
+  {
+    guarantee: 'no request given up: a stream is resumed as long as it advances',
+    file: 'packages/engine/dist/lib/engine-client.js',
+    find: 'if (this._events.delivered > this._deliveredBefore)',
+    replace: 'if (false)',
+    feature: 'packages/bench/src/test/given-up.feature',
+    scenario: 'a stream whose connection breaks again and again'
+  },
   {
     guarantee: 'whole answers: chunks that the entry lacks are sent again',
     file: 'packages/sidecar/dist/lib/sidecar.js',
--- a/packages/bench/src/test/given-up.feature
+++ b/packages/bench/src/test/given-up.feature
@@ -22,3 +22,10 @@
     Given a system with 1 booking service and 1 entry
     When the entry shuts down while a booking "late" is being read
     Then the caller is told within 500 ms that it did not run, and its connection is closed
+
+  Scenario: a stream whose connection breaks again and again
+    Guards against a long stream that is cut off although its engine has all of it: its connection to the engine breaks a fourth time.
+    Given a system with 1 engine of 2 adapter slots and 4 batch slots
+    And the engine cuts each connection after 20 events
+    When 150 tokens of "a@1" are requested, streamed
+    Then the answer is all 150 tokens of "a@1"
--- a/packages/engine/src/lib/engine-client.ts
+++ b/packages/engine/src/lib/engine-client.ts
@@ -51,6 +51,7 @@
 const unloadTimeoutMs = 5_000
 const cancelTimeoutMs = 2_000
 const reorderWindow = 64
+/** Times that a stream is resumed without a further event in between. */
 const resumeAttempts = 3
 const doneLine = 'data: [DONE]'
 const dataFieldLength = 'data: '.length
@@ -88,6 +89,7 @@
   private _paused = false
   private _resumed = false
   private _resumesLeft = resumeAttempts
+  private _deliveredBefore = 0
   private _headers: Record<string, string | string[]> = {}
 
   constructor (private readonly _pool: Pool, private readonly _call: CompletionCall, private readonly _sink: AnswerSink) {
@@ -143,6 +145,8 @@
     }
     for (const event of splitter.push(data)) {
       const verdict = this._events.offer(event.id ?? this._events.delivered, event.line)
+      if (this._events.delivered > this._deliveredBefore) this._resumesLeft = resumeAttempts
+      this._deliveredBefore = this._events.delivered
       if (verdict === 'overflow') return this._connectionBroke(failure('may-have-run', 'stream-incomplete', 'The engine skipped part of the stream.'))
       if (this._isFinished) return
     }
--- a/packages/stand-ins/src/lib/engine-stream.ts
+++ b/packages/stand-ins/src/lib/engine-stream.ts
@@ -9,7 +9,7 @@
   doubled: boolean
   /** Every second pair of events is swapped. */
   swapped: boolean
-  /** The connection is cut after this many events; 0 disables the fault. */
+  /** Each connection is cut after this many new events; 0 disables the fault. */
   cutAfter: number
 }
 
@@ -39,6 +39,7 @@
   /** Sends the events from index `from` on a response, and then the new ones. */
   attach (res: ServerResponse, from: number): void {
     this._res = res
+    this._sent = 0
     res.writeHead(200, { 'content-type': 'text/event-stream', 'x-stream-id': this.id, 'transfer-encoding': 'chunked' })
     res.flushHeaders()
     res.on('close', () => {
