Apply the configured limit on headers

Cause: max-header-bytes of the configuration was read and never used; node's 16 KiB was the limit whatever it said. A configuration that allows less had no effect, and callers within one that allows more were answered 431.

Change: headers beyond the configured limit get 431, also on connections that were opened before the limit changed. The parser keeps its limit for a whole connection, so it accepts 64 KiB (more where the configuration allows more; that applies to connections opened from then on), and the configured limit is checked on what it has read. As in the parser, the target, names and values count.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -37,6 +37,14 @@
     feature: 'platform/src/test/overdue-reads.feature',
     scenario: 'callers that leave'
   },
+  {
+    guarantee: 'direct requests: headers larger than the configuration allows are refused',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
+    find: 'headerBytes(req) > this._maxHeaderBytes',
+    replace: 'false',
+    feature: 'packages/direct/src/test/caller-limits.feature',
+    scenario: 'headers that are larger'
+  },
   {
     guarantee: 'direct answers: a complete answer is passed on although its connection has closed',
     file: 'packages/direct/dist/lib/relay/exchange.js',
--- a/packages/direct/src/lib/relay/caller-answer.ts
+++ b/packages/direct/src/lib/relay/caller-answer.ts
@@ -11,6 +11,7 @@
   | { readonly kind: 'relay', readonly failure: RelayFailure, readonly notRun: boolean, readonly retryAfter: Ms }
   | { readonly kind: 'bad-request', readonly message: string }
   | { readonly kind: 'no-route' }
+  | { readonly kind: 'headers-too-large' }
   | { readonly kind: 'body-too-large' }
   | { readonly kind: 'body-incomplete' }
   | { readonly kind: 'no-config', readonly retryAfter: Ms }
@@ -34,6 +35,7 @@
   switch (error.kind) {
     case 'bad-request': return 400
     case 'no-route': return 404
+    case 'headers-too-large': return 431
     case 'body-too-large': return 413
     case 'body-incomplete': return 408
     case 'unauthorised': return 401
@@ -50,6 +52,7 @@
   switch (error.kind) {
     case 'bad-request': return error.message
     case 'no-route': return 'No route matches this host and path.'
+    case 'headers-too-large': return 'The headers are larger than the configuration allows.'
     case 'body-too-large': return 'The body is larger than the configuration allows.'
     case 'body-incomplete': return 'The body did not arrive within the time limit of its route. The request did not run.'
     case 'no-config': return 'No configuration is known yet. Send the request again later.'
--- a/packages/direct/src/lib/relay/caller-server.ts
+++ b/packages/direct/src/lib/relay/caller-server.ts
@@ -34,6 +34,8 @@
 /** How often slow and idle connections are checked. */
 const checkEvery: Ms = 500
 const defaultHeaderBytes = 16 * 1024
+/** Bytes of headers that the parser accepts. It keeps its limit for a whole connection, while the configured one may change. */
+const parsedHeaderBytes = 64 * 1024
 /**
  * Time for which idle connections are kept beyond the configured limit, for requests that are on their way when the
  * limit is reached.
@@ -41,6 +43,11 @@
 const idleSlack: Ms = 500
 const backlog = 1_024
 
+/** Bytes of a request's target, and of its headers without separators. */
+function headerBytes ({ url, rawHeaders }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length, url?.length ?? 0)
+}
+
 function hasBody (req: IncomingMessage): boolean {
   return req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined
 }
@@ -49,11 +56,12 @@
 export class CallerServer {
   readonly server: Server
   private _open = 0
+  private _maxHeaderBytes = defaultHeaderBytes
   private _onDrained: (() => void) | undefined
 
   constructor (private readonly _options: CallerServerOptions) {
     this.server = createServer({
-      maxHeaderSize: defaultHeaderBytes,
+      maxHeaderSize: parsedHeaderBytes,
       connectionsCheckingInterval: checkEvery,
       noDelay: true,
       keepAliveTimeout: 20_000,
@@ -73,6 +81,9 @@
 
   /** Applies the configuration's limits. */
   limit (limits: CallerLimits): void {
+    this._maxHeaderBytes = limits.maxHeaderBytes
+    // Applies to connections that are opened from now on.
+    Object.assign(this.server, { maxHeaderSize: Math.max(parsedHeaderBytes, limits.maxHeaderBytes + 1) })
     this.server.headersTimeout = limits.headerTimeout
     this.server.keepAliveTimeout = limits.idleTimeout + idleSlack
   }
@@ -98,15 +109,16 @@
     })
     res.sendDate = false
     const answer = new CallerAnswer(res, closing)
-    if (!hasBody(req)) return this._handle(req, res, undefined, arrivedAt, answer)
-    const chunks: Buffer[] = []
-    let size = 0
-    const limit = this._options.maxBodyBytes()
     const fail = (error: EntryError): void => {
       // The rest of the body is not read, so the connection can't be used again.
       res.setHeader('Connection', 'close')
       answer.fail(error)
     }
+    if (headerBytes(req) > this._maxHeaderBytes) return fail({ kind: 'headers-too-large' })
+    if (!hasBody(req)) return this._handle(req, res, undefined, arrivedAt, answer)
+    const chunks: Buffer[] = []
+    let size = 0
+    const limit = this._options.maxBodyBytes()
     const cancelTimeout = clock.after(this._options.bodyTimeout(req.headers.host ?? '', req.url ?? '/'), () => { if (!answer.ended) fail({ kind: 'body-incomplete' }) })
     res.on('close', cancelTimeout)
     req.on('data', (chunk: Buffer) => {
