End a connection only after the answers to all requests that were read on it

A caller that sends several requests in one piece on a kept connection got the first answer only, when its entry was stopping; the others ran at their servers, and the connection closed without their answers.

Cause: each answer of a stopping entry carried `Connection: close`, and Node closes a connection after the first such answer, whatever waits behind it. An answer that waits behind another one emits no `close` of its own, so the request also counted as open for good (the entry waited for the whole grace period), and when a caller reset its connection, the work for all but its first request went on.

Change: a connection knows its requests. An answer carries `Connection: close` only if no other request on the connection is open; else the connection is closed after the last answer. While an entry stops, requests are handled after all bytes at hand were read. A request that is read after the last answer has begun is not run. The close of a connection settles all its requests. An answer that ends with its connection still drops what is behind it, since its end can't be shown otherwise: the work for that is ended, and it is logged ("answer cut.", cause `connection-closed`) and counted.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -85,6 +85,30 @@
     feature: 'packages/decisions/src/test/relay-flow.feature',
     scenario: 'refuses a request while the entry stops'
   },
+  {
+    guarantee: 'shared connections: only the last answer ends its connection',
+    file: 'packages/direct/dist/lib/relay/caller-connection.js',
+    find: 'this._pending.size > 1',
+    replace: 'false',
+    feature: 'platform/src/test/shared-connections.feature',
+    scenario: 'their entry stops while they run'
+  },
+  {
+    guarantee: 'shared connections: requests read together are refused together',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
+    find: 'process.nextTick(() => handle(incoming))',
+    replace: 'handle(incoming)',
+    feature: 'platform/src/test/shared-connections.feature',
+    scenario: 'at an entry that refuses new requests'
+  },
+  {
+    guarantee: 'shared connections: the close of a connection ends all its requests',
+    file: 'packages/direct/dist/lib/relay/caller-connection.js',
+    find: '_socket.once(\'close\', () => this._closed())',
+    replace: '',
+    feature: 'platform/src/test/shared-connections.feature',
+    scenario: 'a caller that leaves with two stock checks'
+  },
   {
     guarantee: 'direct requests: a read that one upstream has answered is withdrawn from the other',
     file: 'packages/decisions/dist/lib/relay-flow.js',
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -7,7 +7,7 @@
 import { type QuarantineLimits, RelativePaces, type RouteTable, type SharedBudgetLimits, type Suspect, type UsageBounds } from '@hazelford/decisions'
 import type { EngineControl } from '@hazelford/ports'
 import { AdapterDirectory } from './engines/adapter-directory.js'
-import { CallerServer, createReadyServer } from './relay/caller-server.js'
+import { CallerServer, createReadyServer, type DropCause } from './relay/caller-server.js'
 import type { CurrentConfig } from './store/current-config.js'
 import { ConfigVerifier } from './store/config-verifier.js'
 import { probeConnection } from './peers/connection-probe.js'
@@ -221,10 +221,19 @@
       maxBodyBytes: () => this.config.table?.config.limits.maxBodyBytes ?? defaultMaxBody,
       bodyTimeout: (host, target) => this.config.table?.match(host, target)?.timeout ?? defaultBodyTimeout,
       closing: () => this._closesConnections,
-      handle: incoming => this._intake.handle(incoming)
+      handle: incoming => this._intake.handle(incoming),
+      dropped: (cause, headers) => this._requestDropped(cause, headers)
     })
   }
 
+  /** Logs and counts a request that gets no answer although its caller has not left. */
+  private _requestDropped (cause: DropCause, headers: readonly string[]): void {
+    const { log, metrics, platform } = this._options
+    const facts = platform.codec.readCall(headers)
+    log.warn('request', 'answer cut.', { request: facts.isOk() ? facts.value.id : undefined, cause })
+    metrics.answersCut.inc({ cause })
+  }
+
   /** Handles that an answer has shown a later era of the store. */
   private _storeReturned (isFirst: boolean): void {
     this.engineCoordinator.storeReturned(this._lease.valid)
--- a/packages/direct/src/lib/relay/caller-answer.ts
+++ b/packages/direct/src/lib/relay/caller-answer.ts
@@ -2,6 +2,7 @@
  * Writes the single answer to a caller's request.
  */
 import type { ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Ms } from '@hazelford/core'
 import type { RelayFailure, UnauthorisedCause } from '@hazelford/decisions'
 import type { AnswerHead, WholeAnswer } from './exchange.js'
@@ -67,15 +68,19 @@
   private _begun = false
   private _ended = false
   private _endsWithConnection = false
+  private _isCut = false
 
   /**
    * @param _res - the raw response
-   * @param _closing - whether the connection is closed after this answer
+   * @param _closing - whether the connection is closed after this answer, which begins now
+   * @param _endConnection - called when the end of this answer is the close of its connection
    */
-  constructor (private readonly _res: ServerResponse, private readonly _closing: () => boolean) {}
+  constructor (private readonly _res: ServerResponse, private readonly _closing: () => boolean, private readonly _endConnection: () => void) {}
 
   get begun (): boolean { return this._begun }
   get ended (): boolean { return this._ended }
+  /** Whether it was cut off. */
+  get isCut (): boolean { return this._isCut }
 
   whole (answer: WholeAnswer): void {
     this._begun = true
@@ -92,7 +97,8 @@
   private _unframed (): string[] {
     this._res.useChunkedEncodingByDefault = false
     this._endsWithConnection = true
-    return this._closing() ? [] : ['Connection', 'close']
+    this._endConnection()
+    return ['Connection', 'close']
   }
 
   /** Begins an answer that is passed on as it arrives. */
@@ -127,12 +133,14 @@
   /** Cuts off an answer that has begun, in such a way that the caller can't take it for complete. */
   break (): void {
     this._ended = true
+    this._isCut = true
     // If the close of the connection marks the end of the answer, only a reset shows that the answer is incomplete.
-    if (this._endsWithConnection) this._res.socket?.resetAndDestroy()
-    else this._res.destroy()
+    if (!this._endsWithConnection) this._res.destroy()
+    else if (this._res.socket === null) this._res.once('socket', (socket: Socket) => socket.resetAndDestroy())
+    else this._res.socket.resetAndDestroy()
   }
 
   private _connection (): string[] {
-    return this._closing() ? ['Connection', 'close'] : []
+    return !this._endsWithConnection && this._closing() ? ['Connection', 'close'] : []
   }
 }
--- a/packages/direct/src/lib/relay/caller-server.ts
+++ b/packages/direct/src/lib/relay/caller-server.ts
@@ -4,7 +4,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Clock, type Ms } from '@hazelford/core'
 import type { CallerLimits } from '@hazelford/ports'
+import type { Socket } from 'node:net'
 import { CallerAnswer, type EntryError } from './caller-answer.js'
+import { CallerConnection, type PendingRequest } from './caller-connection.js'
 
 /** A request that was read completely, with the answer to write. */
 export interface IncomingRequest {
@@ -21,6 +23,14 @@
   readonly onGone: (run: () => void) => void
 }
 
+/**
+ * Why a request gets no answer although its caller has not left.
+ *
+ * - `read-too-late`: it was read after the answer that ends its connection had begun, and is not run.
+ * - `connection-closed`: its connection closed after it was read.
+ */
+export type DropCause = 'read-too-late' | 'connection-closed'
+
 /** What the server needs of its entry. */
 export interface CallerServerOptions {
   readonly clock: Clock
@@ -29,6 +39,8 @@
   readonly bodyTimeout: (host: string, target: string) => Ms
   readonly closing: () => boolean
   readonly handle: (incoming: IncomingRequest) => void
+  /** Called with the headers of a request that gets no answer although its caller has not left. */
+  readonly dropped: (cause: DropCause, headers: readonly string[]) => void
 }
 
 /** How often slow and idle connections are checked. */
@@ -49,6 +61,7 @@
 export class CallerServer {
   readonly server: Server
   private _open = 0
+  private readonly _connections = new WeakMap<Socket, CallerConnection>()
   private _onDrained: (() => void) | undefined
 
   constructor (private readonly _options: CallerServerOptions) {
@@ -89,21 +102,23 @@
   }
 
   private _read (req: IncomingMessage, res: ServerResponse): void {
-    const { clock, closing } = this._options
+    const { clock, closing, dropped } = this._options
     const arrivedAt = clock.now()
-    this._open++
-    res.on('close', () => {
-      this._open--
-      if (this._open === 0) this._onDrained?.()
-    })
+    const connection = this._connectionOf(req.socket)
+    if (connection.isEnding) {
+      req.resume()
+      return dropped('read-too-late', req.rawHeaders)
+    }
     res.sendDate = false
-    const answer = new CallerAnswer(res, closing)
-    if (!hasBody(req)) return this._handle(req, res, undefined, arrivedAt, answer)
+    const answer = new CallerAnswer(res, () => closing() && connection.endSoon(), () => connection.end())
+    const pending = this._track(req, res, connection, answer)
+    if (!hasBody(req)) return this._handle(req, pending, undefined, arrivedAt, answer)
     const chunks: Buffer[] = []
     let size = 0
     const limit = this._options.maxBodyBytes()
     const fail = (error: EntryError): void => {
       // The rest of the body is not read, so the connection can't be used again.
+      connection.end()
       res.setHeader('Connection', 'close')
       answer.fail(error)
     }
@@ -117,15 +132,40 @@
     })
     req.on('end', () => {
       cancelTimeout()
-      if (!answer.ended) this._handle(req, res, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), arrivedAt, answer)
+      if (!answer.ended) this._handle(req, pending, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), arrivedAt, answer)
     })
     // The caller broke off within its body. Nothing was passed on, and the close of its connection decrements the
     // number of open requests.
     req.on('error', () => {})
   }
 
-  private _handle (req: IncomingMessage, res: ServerResponse, body: Buffer | undefined, arrivedAt: Ms, answer: CallerAnswer): void {
-    this._options.handle({
+  private _connectionOf (socket: Socket): CallerConnection {
+    const known = this._connections.get(socket)
+    if (known !== undefined) return known
+    const connection = new CallerConnection(socket)
+    this._connections.set(socket, connection)
+    return connection
+  }
+
+  /** Counts a request as open until it has its answer or its connection has closed. */
+  private _track (req: IncomingMessage, res: ServerResponse, connection: CallerConnection, answer: CallerAnswer): PendingRequest {
+    this._open++
+    const pending: PendingRequest = {
+      gone: () => {},
+      done: isLost => {
+        if (isLost && req.complete && !answer.isCut) this._options.dropped('connection-closed', req.rawHeaders)
+        this._open--
+        if (this._open === 0) this._onDrained?.()
+      }
+    }
+    connection.add(pending)
+    res.once('finish', () => connection.settle(pending, false))
+    return pending
+  }
+
+  private _handle (req: IncomingMessage, pending: PendingRequest, body: Buffer | undefined, arrivedAt: Ms, answer: CallerAnswer): void {
+    const { closing, handle } = this._options
+    const incoming: IncomingRequest = {
       method: req.method ?? 'GET',
       host: req.headers.host ?? '',
       target: req.url ?? '/',
@@ -134,17 +174,11 @@
       arrivedAt,
       answer,
       isGone: () => req.socket.destroyed || req.socket.readableEnded,
-      onGone: run => {
-        const { socket } = req
-        const gone = (): void => { if (!res.writableFinished) run() }
-        // When the caller closes its side, `end` is emitted a little before `close`.
-        socket.once('end', gone)
-        res.once('close', () => {
-          socket.removeListener('end', gone)
-          gone()
-        })
-      }
-    })
+      onGone: run => { pending.gone = run }
+    }
+    if (!closing()) return handle(incoming)
+    // Further requests in the bytes that were read are known by then, and the first answer doesn't end their connection.
+    process.nextTick(() => handle(incoming))
   }
 }
 
