Name in the log each request that is open when the process ends

A request that was read and that had no end in the log could not be found: at the end of a process only the number of open requests was logged, and refusals of an entry that stops or knows no configuration were not logged at all.

Change: when the grace period is over, the open requests (50 at most) are logged with their id, their age, whether they wait for a placement or for their upstream, and the upstreams that have them; the answers or cuts follow as `over.` and `answer cut.`. Refusals before a request is relayed are logged with its id, and `explain` knows them.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -85,6 +85,14 @@
     feature: 'packages/decisions/src/test/relay-flow.feature',
     scenario: 'refuses a request while the entry stops'
   },
+  {
+    guarantee: 'stopping entries: open requests are named in the log',
+    file: 'packages/direct/dist/lib/direct-entry.js',
+    find: 'openRequests(mostNamed)',
+    replace: 'openRequests(0)',
+    feature: 'platform/src/test/stopping-entries.feature',
+    scenario: 'a booking that its server answers too late'
+  },
   {
     guarantee: 'shared connections: only the last answer ends its connection',
     file: 'packages/direct/dist/lib/relay/caller-connection.js',
--- a/packages/cli/src/lib/queries/explain.ts
+++ b/packages/cli/src/lib/queries/explain.ts
@@ -46,6 +46,8 @@
 
 /** The meaning of the last log line of a request that was refused before it was accepted. */
 const refusals: Readonly<Record<string, string>> = {
+  'request: refused, since the entry stops.': 'The entry was stopping. It did not run.',
+  'request: refused, since no configuration is known.': 'The entry had just started and knew no configuration yet. It did not run.',
   'request: unauthorised.': 'It carried no key that is valid for its route, by the configuration of the version and age below. It did not run.',
   'request: over its usage limit.': 'Its organisation had used up its limit. It did not run.',
   'request: configuration too old to let callers in.': 'Its entry could not verify that its key was still valid: neither the store nor another entry answered. It did not run.'
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -67,6 +67,8 @@
 const balancerNotice: Ms = 2_600
 /** Time for the last answers to be sent when the process ends. */
 const lastAnswersTime: Ms = 100
+/** Open requests that are named in the log when the process ends. */
+const mostNamed = 50
 /** Part of the grace period that is left for the process itself to exit. */
 const graceMargin: Ms = 700
 const defaultMaxBody = 4 << 20
@@ -522,6 +524,7 @@
     this._runner.stop()
     await Promise.race([Promise.all([this._callers.drained(), leaseReturned]), sleep(clock, until - clock.now())])
     log.info('entry', 'drained.', { open: this._callers.open })
+    for (const open of this._runner.openRequests(mostNamed)) log.warn('request', 'open at the end of the process.', open)
     this._runner.endWithProcess()
     await Promise.race([this._callers.drained(), sleep(clock, lastAnswersTime)])
     this._callers.close()
--- a/packages/direct/src/lib/relay/relay-runner.ts
+++ b/packages/direct/src/lib/relay/relay-runner.ts
@@ -12,7 +12,7 @@
 import type { Placement, PlacementQuery, Placer, SoftwareNeed } from '../placing/placer.js'
 import type { QuarantineCoordinator } from '../quarantine/quarantine-coordinator.js'
 import { ReadPacing } from './read-pacing.js'
-import { type BufferedCall, RelayTask } from './relay-task.js'
+import { type BufferedCall, type OpenRequest, RelayTask } from './relay-task.js'
 import type { AdmittedCall } from './request-intake.js'
 import type { StreamOrigin } from './stream-origins.js'
 import type { WaitingRequests } from './waiting-requests.js'
@@ -102,6 +102,9 @@
     }
   }
 
+  /** The open requests, in order of arrival; `most`: the number that is returned at most. */
+  openRequests (most: number): readonly OpenRequest[] { return [...this._open].slice(0, most).map(({ state }) => state) }
+
   /** Ends the search for upstreams at a time: the entry stops. */
   limitWaits (until: Ms): void { this._refusesFrom = until }
 
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -52,6 +52,18 @@
   readonly unframedFrom: Upstream | undefined
 }
 
+/** An open request, for the log. */
+export interface OpenRequest {
+  readonly request: string
+  /** Ms since its arrival. */
+  readonly age: Ms
+  readonly waitsFor: 'placement' | 'upstream'
+  /** Upstreams that have it. */
+  readonly upstreams: readonly string[]
+  /** Whether a part of its answer was sent. */
+  readonly begun: boolean
+}
+
 /** What a request needs of its entry. */
 export interface RelayTaskOptions {
   readonly clock: Clock
@@ -226,6 +238,12 @@
   /** Ends the request because it is quarantined from now on. */
   endQuarantined (cause: QuarantineCause): void { this._post({ kind: 'held', cause }) }
 
+  /** Where the request is now. */
+  get state (): OpenRequest {
+    const upstreams = [...this._exchanges.keys()]
+    return { request: this._call.facts.id, age: Math.round(this._options.clock.now() - this._call.arrivedAt), waitsFor: upstreams.length > 0 ? 'upstream' : 'placement', upstreams, begun: this._answer.begun }
+  }
+
   /** Refuses the request if it still waits for an upstream: the entry stops soon. */
   stop (): void { this._post({ kind: 'stopping' }) }
 
--- a/packages/direct/src/lib/relay/request-intake.ts
+++ b/packages/direct/src/lib/relay/request-intake.ts
@@ -68,10 +68,16 @@
 
   /** Handles a request that was read completely. */
   handle (incoming: IncomingRequest): void {
-    const { metrics, refusing } = this._options
+    const { log, metrics, refusing } = this._options
     const table = this._options.table()
-    if (table === undefined) return incoming.answer.fail({ kind: 'no-config', retryAfter: noConfigRetryAfter })
-    if (refusing()) return refuseStopping(incoming, metrics)
+    if (table === undefined) {
+      log.info('request', 'refused, since no configuration is known.', { request: this._idOf(incoming) })
+      return incoming.answer.fail({ kind: 'no-config', retryAfter: noConfigRetryAfter })
+    }
+    if (refusing()) {
+      log.info('request', 'refused, since the entry stops.', { request: this._idOf(incoming) })
+      return refuseStopping(incoming, metrics)
+    }
     if (table.config.access.kind === 'anyone') return this._identify(incoming, table, { kind: 'absent' })
     const credential = this._options.codec.readCredential(incoming.headers)
     if (!this._mustVerify(incoming, table, credential)) {
@@ -117,7 +123,7 @@
     const { log, metrics } = this._options
     const route = table.match(incoming.host, incoming.target)
     if (route === undefined) {
-      log.info('request', 'no route.', { host: incoming.host, target: incoming.target, version: table.version })
+      log.info('request', 'no route.', { request: this._idOf(incoming), host: incoming.host, target: incoming.target, version: table.version })
       metrics.requests.inc({ kind: 'none', end: 'no-route' })
       return incoming.answer.fail({ kind: 'no-route' })
     }
@@ -141,7 +147,10 @@
       return incoming.answer.fail({ kind: 'bad-request', message: facts.error })
     }
     const service = pickService(route, facts.value.id)
-    if (service === undefined) return incoming.answer.fail({ kind: 'no-route' })
+    if (service === undefined) {
+      log.info('request', 'no service on its route.', { request: facts.value.id, route: route.name, version: table.version })
+      return incoming.answer.fail({ kind: 'no-route' })
+    }
     const organisation = identity.kind === 'organisation' ? identity.organisation : undefined
     const { method, host, target, headers, body, arrivedAt } = incoming
     // A spread of `incoming`, which holds closures, takes fifty times as long.
