Report answers that were not sent completely when the process ends

An answer that was written as a whole counts as delivered in the log, but its process can end before a slow caller has read it; neither log nor metrics showed that the caller got a part of it.

Change: when the server of callers is closed, each request that was read and whose answer was not sent completely is logged ("answer cut.", cause `connection-closed`) and counted in hazelford_answers_cut_total.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -93,6 +93,14 @@
     feature: 'platform/src/test/stopping-entries.feature',
     scenario: 'a booking that its server answers too late'
   },
+  {
+    guarantee: 'stopping entries: an answer that was not sent completely is reported',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
+    find: 'request.done(true)',
+    replace: 'request.done(false)',
+    feature: 'packages/direct/src/test/caller-server.feature',
+    scenario: 'has not read its whole answer'
+  },
   {
     guarantee: 'shared connections: only the last answer ends its connection',
     file: 'packages/direct/dist/lib/relay/caller-connection.js',
--- a/packages/direct/src/lib/relay/caller-server.ts
+++ b/packages/direct/src/lib/relay/caller-server.ts
@@ -60,7 +60,7 @@
 /** Serves callers. */
 export class CallerServer {
   readonly server: Server
-  private _open = 0
+  private readonly _open = new Set<PendingRequest>()
   private readonly _connections = new WeakMap<Socket, CallerConnection>()
   private _onDrained: (() => void) | undefined
 
@@ -75,7 +75,7 @@
   }
 
   /** Requests whose answer is not complete. */
-  get open (): number { return this._open }
+  get open (): number { return this._open.size }
 
   listen (host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
@@ -92,11 +92,13 @@
 
   /** Waits until no request is open; new ones are still accepted. */
   async drained (): Promise<void> {
-    if (this._open === 0) return
+    if (this._open.size === 0) return
     await new Promise<void>(resolve => { this._onDrained = resolve })
   }
 
+  /** Stops listening, and reports the requests whose answers were not sent completely: the process ends. */
   close (): void {
+    for (const request of [...this._open]) request.done(true)
     this.server.close()
     this.server.closeIdleConnections()
   }
@@ -149,15 +151,15 @@
 
   /** Counts a request as open until it has its answer or its connection has closed. */
   private _track (req: IncomingMessage, res: ServerResponse, connection: CallerConnection, answer: CallerAnswer): PendingRequest {
-    this._open++
     const pending: PendingRequest = {
       gone: () => {},
       done: isLost => {
+        if (!this._open.delete(pending)) return
         if (isLost && req.complete && !answer.isCut) this._options.dropped('connection-closed', req.rawHeaders)
-        this._open--
-        if (this._open === 0) this._onDrained?.()
+        if (this._open.size === 0) this._onDrained?.()
       }
     }
+    this._open.add(pending)
     connection.add(pending)
     res.once('finish', () => connection.settle(pending, false))
     return pending
