--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -7,7 +7,7 @@
 import { type QuarantineLimits, RelativePaces, type RouteTable, type SharedBudgetLimits, type Suspect, type UsageBounds } from '@hazelford/decisions'
 import type { EngineControl } from '@hazelford/ports'
 import { AdapterDirectory } from './engines/adapter-directory.js'
-import { CallerServer, createReadyServer } from './relay/caller-server.js'
+import { CallerServer, createReadyServer, type DropCause } from './relay/caller-server.js'
 import type { CurrentConfig } from './store/current-config.js'
 import { ConfigVerifier } from './store/config-verifier.js'
 import { probeConnection } from './peers/connection-probe.js'
@@ -67,6 +67,8 @@
 const balancerNotice: Ms = 2_600
 /** Time for the last answers to be sent when the process ends. */
 const lastAnswersTime: Ms = 100
+/** Open requests that are named in the log when the process ends. */
+const mostNamed = 50
 /** Part of the grace period that is left for the process itself to exit. */
 const graceMargin: Ms = 700
 const defaultMaxBody = 4 << 20
@@ -221,10 +223,19 @@
       maxBodyBytes: () => this.config.table?.config.limits.maxBodyBytes ?? defaultMaxBody,
       bodyTimeout: (host, target) => this.config.table?.match(host, target)?.timeout ?? defaultBodyTimeout,
       closing: () => this._closesConnections,
-      handle: incoming => this._intake.handle(incoming)
+      handle: incoming => this._intake.handle(incoming),
+      dropped: (cause, headers) => this._requestDropped(cause, headers)
     })
   }
 
+  /** Logs and counts a request that gets no answer although its caller has not left. */
+  private _requestDropped (cause: DropCause, headers: readonly string[]): void {
+    const { log, metrics, platform } = this._options
+    const facts = platform.codec.readCall(headers)
+    log.warn('request', 'answer cut.', { request: facts.isOk() ? facts.value.id : undefined, cause })
+    metrics.answersCut.inc({ cause })
+  }
+
   /** Handles that an answer has shown a later era of the store. */
   private _storeReturned (isFirst: boolean): void {
     this.engineCoordinator.storeReturned(this._lease.valid)
@@ -513,6 +524,7 @@
     this._runner.stop()
     await Promise.race([Promise.all([this._callers.drained(), leaseReturned]), sleep(clock, until - clock.now())])
     log.info('entry', 'drained.', { open: this._callers.open })
+    for (const open of this._runner.openRequests(mostNamed)) log.warn('request', 'open at the end of the process.', open)
     this._runner.endWithProcess()
     await Promise.race([this._callers.drained(), sleep(clock, lastAnswersTime)])
     this._callers.close()
