Let a stream that breaks go on at an upstream from which it was withdrawn

What callers saw: a draft that ends midway although a sound engine had it a moment before. The first engine pauses, a second one gets the draft, the first one goes on and the second is withdrawn; then the first one breaks. Both attempts count as spent, so the answer was cut off.

max-attempts counts upstreams, not sends. Once it is reached, a request that no upstream has may be sent again to those from which it was withdrawn, each once for one withdrawal and for one retry of the budget, and to no others. A pause alone does not send it there again: that would spend a retry and a prompt for each pause.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -77,6 +77,14 @@
     feature: 'packages/decisions/src/test/relay-flow.feature',
     scenario: 'an upstream that lacks the adapter terminates'
   },
+  {
+    guarantee: 'direct requests: a stream that breaks may go on at an upstream from which it was withdrawn',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: 'withdrawn.size === 0 ?',
+    replace: 'true ?',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'after it has gone on'
+  },
   {
     guarantee: 'direct requests: of two upstreams that go on at once, only one is read',
     file: 'packages/direct/dist/lib/relay/relay-task.js',
--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -34,8 +34,10 @@
 class Progress {
   /** Upstreams that bytes of the request may have reached. */
   readonly tried = new Set<string>()
-  /** Those of them that have refused it and may get it again. */
+  /** Those of them that may get it again, after a refusal or since it was withdrawn from them. */
   readonly reached = new Set<string>()
+  /** Upstreams from which it was withdrawn, since another one went on. */
+  readonly withdrawn = new Set<string>()
   /** Upstreams that accepted no connection. */
   readonly unreachable = new Set<string>()
   sends = 0
@@ -85,13 +87,13 @@
 function continueWith (effects: Effects): Transition { return { effects, over: false } }
 function endWith (effects: Effects): Transition { return { effects, over: true } }
 
-/** Looks for the next upstream, unless a search runs whose result can be used. */
-function searchNext (progress: Progress): Effects {
+/** Looks for the next upstream, among the ones in `only` if that is given, unless a search runs whose result can be used. */
+function searchNext (progress: Progress, only?: ReadonlySet<string>): Effects {
   const isSearching = progress.search.kind !== 'none'
   progress.search = { kind: 'next' }
   if (isSearching) return []
   const { avoid, retryUpstream } = progress
-  return [{ kind: 'place', avoid, ...(retryUpstream === undefined ? {} : { retryUpstream }) }]
+  return [{ kind: 'place', avoid, ...(only === undefined ? {} : { only }), ...(retryUpstream === undefined ? {} : { retryUpstream }) }]
 }
 
 /** Whether an answer of a second upstream could be used. */
@@ -136,6 +138,7 @@
     if (!deps.takeRetry('failed')) return endWith(giveUp(progress, 'budget-spent'))
   }
   progress.tried.add(upstream)
+  progress.withdrawn.delete(upstream)
   progress.sends++
   progress.current = upstream
   return continueWith([{ kind: 'send', upstream }])
@@ -148,8 +151,9 @@
 }
 
 function placeElsewhere (request: RelayRequest, progress: Progress, failure: RelayFailure): Transition {
-  if (progress.tried.size >= request.maxAttempts) return endWith(giveUp(progress, failure))
-  return continueWith(searchNext(progress))
+  const { tried, withdrawn } = progress
+  if (tried.size < request.maxAttempts) return continueWith(searchNext(progress))
+  return withdrawn.size === 0 ? endWith(giveUp(progress, failure)) : continueWith(searchNext(progress, new Set(withdrawn)))
 }
 
 /** Records that nothing arrived at an upstream, so that the attempt does not count, unless an earlier one did arrive. */
@@ -222,9 +226,12 @@
 function abandonOther (upstream: string | undefined, progress: Progress): Effects {
   const { current, beside } = progress
   if (beside === undefined || current === undefined) return []
+  const other = upstream === current ? beside.upstream : current
   progress.beside = undefined
   progress.current = upstream
-  return [{ kind: 'abandon', upstream: upstream === current ? beside.upstream : current }]
+  progress.reached.add(other)
+  progress.withdrawn.add(other)
+  return [{ kind: 'abandon', upstream: other }]
 }
 
 /** Handles data of one upstream: it has the request alone from now on. */
--- a/packages/decisions/src/lib/relay-messages.ts
+++ b/packages/decisions/src/lib/relay-messages.ts
@@ -70,8 +70,8 @@
 
 /** What the entry must do. */
 export type RelayEffect =
-  /** Find an upstream outside `avoid`, or use the one named by `retryUpstream`. `beside`: why a second one is needed, while the current one goes on. */
-  | { readonly kind: 'place', readonly avoid: ReadonlySet<string>, readonly retryUpstream?: string, readonly beside?: LateCause }
+  /** Find an upstream outside `avoid`, or one of `only` if that is given, or use the one named by `retryUpstream`. `beside`: why a second one is needed, while the current one goes on. */
+  | { readonly kind: 'place', readonly avoid: ReadonlySet<string>, readonly only?: ReadonlySet<string>, readonly retryUpstream?: string, readonly beside?: LateCause }
   | { readonly kind: 'send', readonly upstream: string }
   /** Send the request to a second upstream, while the first one goes on with it. */
   | { readonly kind: 'send-beside', readonly upstream: string, readonly cause: LateCause }
--- a/packages/direct/src/lib/placing/placer.ts
+++ b/packages/direct/src/lib/placing/placer.ts
@@ -27,6 +27,8 @@
   readonly want: RequestedAdapter | undefined
   readonly urgency: number
   readonly avoid: ReadonlySet<string>
+  /** When given, the upstreams that may get it, also those in `avoid`. */
+  readonly only?: ReadonlySet<string>
   readonly software: SoftwareNeed
   /** The upstream that refused because the adapter was not loaded, to be tried again. */
   readonly retryUpstream?: string
@@ -175,8 +177,8 @@
    * The result when no upstream is open; `retryAfter` is the time until the first upstream in backoff can be tried
    * again, if there is one.
    */
-  private _unplaced ({ service, avoid, software }: PlacementQuery): Placement {
-    const backoffs = this._options.members.serving(service).filter(upstream => !avoid.has(upstream.id) && hasSoftware(upstream, software)).map(({ notices }) => notices.backoffUntil - this._now)
+  private _unplaced ({ service, avoid, only, software }: PlacementQuery): Placement {
+    const backoffs = this._options.members.serving(service).filter(upstream => (only?.has(upstream.id) ?? !avoid.has(upstream.id)) && hasSoftware(upstream, software)).map(({ notices }) => notices.backoffUntil - this._now)
     const backoff = Math.min(...backoffs.filter(left => left > 0))
     return backoff === Infinity
       ? { kind: 'unplaced', cause: 'no-upstream' }
@@ -293,10 +295,10 @@
   }
 
   /** Upstreams that accept new requests now, split into healthy ones and those that this entry has ejected. */
-  private _openUpstreams ({ service, avoid, software }: PlacementQuery): { readonly healthy: readonly Upstream[], readonly ejected: readonly Upstream[] } {
+  private _openUpstreams ({ service, avoid, only, software }: PlacementQuery): { readonly healthy: readonly Upstream[], readonly ejected: readonly Upstream[] } {
     const now = this._now
     const open = this._options.members.serving(service)
-      .filter(upstream => !avoid.has(upstream.id) && hasSoftware(upstream, software) && this._isOpen(upstream) && upstream.pool.hasRoom)
+      .filter(upstream => (only?.has(upstream.id) ?? !avoid.has(upstream.id)) && hasSoftware(upstream, software) && this._isOpen(upstream) && upstream.pool.hasRoom)
     return { healthy: open.filter(({ health }) => health.accepts(now)), ejected: open.filter(({ health }) => !health.accepts(now)) }
   }
 
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -144,6 +144,8 @@
 /** Time kept for the answer's first event before the caller leaves. */
 const firstEventMargin: Ms = 600
 
+type PlaceEffect = RelayEffect & { readonly kind: 'place' }
+
 /** An exchange with an upstream. */
 interface OpenExchange {
   readonly exchange: RelayExchange
@@ -277,7 +279,7 @@
 
   private _perform (effect: RelayEffect): void {
     switch (effect.kind) {
-      case 'place': return this._place(effect.avoid, effect.retryUpstream, effect.beside)
+      case 'place': return this._place(effect)
       case 'send': return this._send()
       case 'send-beside':
         this._options.lateEvent(effect.cause, 'sent')
@@ -317,13 +319,14 @@
     return Math.max(0, Math.min(this._remaining * loadShare, leavesAfter - waited))
   }
 
-  private _place (avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside: LateCause | undefined): void {
-    if (this._software.kind !== 'unknown' || this._verifyOrigin === undefined) return this._placeAt(this._software, avoid, retryUpstream, beside)
-    this._verifyOrigin().then(() => this._placeAt(this._software, avoid, retryUpstream, beside), (error: Error) => this._endAfterFault(error))
+  private _place (effect: PlaceEffect): void {
+    if (this._software.kind !== 'unknown' || this._verifyOrigin === undefined) return this._placeAt(this._software, effect)
+    this._verifyOrigin().then(() => this._placeAt(this._software, effect), (error: Error) => this._endAfterFault(error))
   }
 
-  private _placeAt (software: SoftwareNeed, avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside: LateCause | undefined): void {
+  private _placeAt (software: SoftwareNeed, { beside, ...effect }: PlaceEffect): void {
     if (this._over) return
+    const { avoid, only, retryUpstream } = effect
     this._isPlacingOverdue = beside === 'overdue'
     // A stream may be resumed many seconds after its request arrived. If a new version of its adapter was declared since
     // then, that version is in force at the other upstream; with the version of the first placement, the stream would
@@ -339,6 +342,7 @@
       patience: this._longestWait,
       prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget, ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }) },
       cancelled: () => this._over,
+      ...(only === undefined ? {} : { only }),
       ...(retryUpstream === undefined ? {} : { retryUpstream })
     }
     this._options.place(query).then(placed => {
@@ -349,7 +353,7 @@
         // The first event arrived during the search: it decides the software.
         if (placed.kind === 'placed') this._releasePlacement(placed)
         if (this._exchanges.size > 0) return this._post({ kind: 'unplaced', cause: 'no-upstream' })
-        this._place(avoid, retryUpstream, undefined)
+        this._place(effect)
       }))
     }, (error: Error) => {
       this._options.log.warn('request', 'placement failed.', { request: this._call.facts.id, error: error.message })
--- a/packages/direct/src/test/support/relay-model.ts
+++ b/packages/direct/src/test/support/relay-model.ts
@@ -298,8 +298,8 @@
     if (check !== undefined) this._checks.push(check)
     const open = this._placements.shift()
     if (open === undefined) return
-    const { query: { avoid, software, retryUpstream }, resolve } = open
-    const fits = this._upstreams.filter(({ id, record }) => (!avoid.has(id) || id === retryUpstream) && (software.kind === 'any' || (software.kind === 'version' && software.software === record.software)))
+    const { query: { avoid, only, software, retryUpstream }, resolve } = open
+    const fits = this._upstreams.filter(({ id, record }) => ((only?.has(id) ?? !avoid.has(id)) || id === retryUpstream) && (software.kind === 'any' || (software.kind === 'version' && software.software === record.software)))
     if (fits.length === 0 || software.kind === 'unknown' || this._random() < 0.1) return resolve({ kind: 'unplaced', cause: 'no-upstream' })
     const upstream = fits.find(({ id }) => id === retryUpstream) ?? this._pick(fits)
     const given: Given = { upstream, refunds: 0, sent: undefined }
