Never pass on a large answer that is no stream as the rest of a stream

What callers saw: the first events of a draft, then the body of another engine's error, as one complete answer. An entry buffers answers up to 512 KiB until they are complete; a larger one was passed on as it arrived, also when the request was sent to continue a stream of which the caller had a part. Beside a silent engine it also withdrew the stream from that one.

Change: an exchange that continues an answer ends as lost when its answer is larger than the buffer and no stream. Smaller ones were handled already.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -85,6 +85,14 @@
     feature: 'platform/src/test/silent-servers.feature',
     scenario: 'after it has gone on'
   },
+  {
+    guarantee: 'direct requests: a large answer that is no stream is not passed on as the rest of one',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'this._call.continues',
+    replace: 'false',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'the other one answers "large-error"'
+  },
   {
     guarantee: 'direct requests: of two upstreams that go on at once, only one is read',
     file: 'packages/direct/dist/lib/relay/relay-task.js',
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -67,6 +67,8 @@
   /** Silence between events after which a stream counts as stalled. */
   readonly gapSilence: Ms | undefined
   readonly lastEventId: number | undefined
+  /** Whether it continues an answer of which its caller has a part, so that only further events can be passed on. */
+  readonly continues: boolean
   /**
    * Verifies, for a stream that is resumed, that a connection leads to the software that began it; `openedAt`: when the
    * connection was opened. Undefined for other requests.
@@ -275,7 +277,9 @@
       if (this._begun) return this._sink.data(chunk, undefined)
       chunks.push(chunk)
       size += chunk.length
-      if (size > bufferLimit) release()
+      if (size <= bufferLimit) return
+      if (this._call.continues) this._endAsLost('The answer is not the rest of the stream.')
+      else release()
     })
     res.on('end', () => this._ended(res, () => {
       if (this._begun) this._sink.end()
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -445,6 +445,7 @@
       firstDataSilence: this._firstDataSilence(),
       gapSilence: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
       lastEventId: this._lastEventId,
+      continues: this._answer.begun,
       verify: this._software.kind === 'version' ? openedAt => this._options.verifyIncarnation(upstream, openedAt) : undefined
     }, {
       noticed: notice => this._options.noticed(upstream, notice, clock.now() - sentAt),
