Watch a read for silence also after a connection that failed

What callers saw: 504 for a read after its whole time limit, with idle servers beside the silent one. The first server accepts no connection, which is no attempt, and the next one never answers. The task counted the failed connection as one of two attempts, so the read was watched neither for silence nor for being overdue.

Change: connections that failed are not counted. A caller that leaves after nothing but failed connections has its usage returned, as nothing has run.

The guard runs; its test fails without it.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -93,6 +93,14 @@
     feature: 'platform/src/test/silent-servers.feature',
     scenario: 'the other one answers "large-error"'
   },
+  {
+    guarantee: 'direct requests: a connection that failed does not count as an attempt at a read that is late',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'this._sends - this._failedConnections',
+    replace: 'this._sends',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'one plain server is gone'
+  },
   {
     guarantee: 'direct requests: of two upstreams that go on at once, only one is read',
     file: 'packages/direct/dist/lib/relay/relay-task.js',
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -206,6 +206,8 @@
   private _longestGap: Ms = 0
   private readonly _pace = new StreamPace()
   private _sends = 0
+  /** Sends on connections that were never made. */
+  private _failedConnections = 0
   constructor (
     private readonly _call: BufferedCall,
     private readonly _route: Route,
@@ -299,7 +301,7 @@
       case 'break':
         this._cut(effect.failure)
         return this._end('broken')
-      case 'forget': return this._end('caller-gone', this._sends === 0)
+      case 'forget': return this._end('caller-gone', this._attempts === 0)
       default: return assertNever(effect)
     }
   }
@@ -457,6 +459,7 @@
       },
       unreachable: cause => {
         close('unreachable')
+        this._failedConnections++
         refund()
         log.info('request', 'upstream unreachable.', { request: facts.id, upstream: upstream.id, cause })
         this._post({ kind: 'unreachable', from })
@@ -522,7 +525,7 @@
   private _watchOverdue (upstream: Upstream): () => void {
     const { clock, log, overdueTime, overdue, silentUpstreams } = this._options
     const waited = clock.now() - this._call.arrivedAt
-    const due = this._route.kind === 'read-only' && this._want === undefined && this._sends < this._route.maxAttempts ? overdueTime(waited) : undefined
+    const due = this._route.kind === 'read-only' && this._want === undefined && this._attempts < this._route.maxAttempts ? overdueTime(waited) : undefined
     if (due === undefined || due.after >= this._remaining) return () => {}
     let ended = (): void => {}
     this._cancelOverdue = clock.after(due.after, () => {
@@ -538,6 +541,9 @@
     }
   }
 
+  /** Sends that may have reached an upstream. */
+  private get _attempts (): number { return this._sends - this._failedConnections }
+
   private get _isStream (): boolean { return this._route.kind === 'stream' }
 
   private get _repeatable (): boolean {
@@ -580,7 +586,7 @@
     const { latencyTarget, maxAttempts } = this._route
     if (!this._repeatable) return undefined
     if (this._isStream) return Math.max(streamSilence, 2 * latencyTarget)
-    return this._sends >= maxAttempts ? undefined : Math.max(slowFloor, slowFactor * latencyTarget)
+    return this._attempts >= maxAttempts ? undefined : Math.max(slowFloor, slowFactor * latencyTarget)
   }
 
   private _data (bytes: Buffer, lastEventId: number | undefined, from: string): void {
