--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -149,6 +149,30 @@
     feature: 'packages/decisions/src/test/relay-flow.feature',
     scenario: 'an upstream that lacks the adapter terminates'
   },
+  {
+    guarantee: 'direct requests: a stream that breaks may go on at an upstream from which it was withdrawn',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: 'withdrawn.size === 0 ?',
+    replace: 'true ?',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'after it has gone on'
+  },
+  {
+    guarantee: 'direct requests: a large answer that is no stream is not passed on as the rest of one',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'this._call.continues',
+    replace: 'false',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'the other one answers "large-error"'
+  },
+  {
+    guarantee: 'direct requests: a connection that failed does not count as an attempt at a read that is late',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'this._sends - this._failedConnections',
+    replace: 'this._sends',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'one plain server is gone'
+  },
   {
     guarantee: 'direct requests: of two upstreams that go on at once, only one is read',
     file: 'packages/direct/dist/lib/relay/relay-task.js',
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -153,6 +153,8 @@
 /** Time kept for the answer's first event before the caller leaves. */
 const firstEventMargin: Ms = 600
 
+type PlaceEffect = RelayEffect & { readonly kind: 'place' }
+
 /** An exchange with an upstream. */
 interface OpenExchange {
   readonly exchange: RelayExchange
@@ -213,6 +215,9 @@
   private _longestGap: Ms = 0
   private readonly _pace = new StreamPace()
   private _sends = 0
+  /** Sends on connections that were never made. */
+  private _failedConnections = 0
+
   constructor (
     private readonly _call: BufferedCall,
     private readonly _route: Route,
@@ -298,7 +303,7 @@
 
   private _perform (effect: RelayEffect): void {
     switch (effect.kind) {
-      case 'place': return this._place(effect.avoid, effect.retryUpstream, effect.beside)
+      case 'place': return this._place(effect)
       case 'send': return this._send()
       case 'send-beside':
         this._options.lateEvent(effect.cause, 'sent')
@@ -318,7 +323,7 @@
       case 'break':
         this._cut(effect.failure)
         return this._end('broken')
-      case 'forget': return this._end('caller-gone', this._sends === 0)
+      case 'forget': return this._end('caller-gone', this._attempts === 0)
       default: return assertNever(effect)
     }
   }
@@ -339,13 +344,14 @@
     return Math.max(0, Math.min(this._remaining * loadShare, leavesAfter - waited, untilRefused))
   }
 
-  private _place (avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside: LateCause | undefined): void {
-    if (this._software.kind !== 'unknown' || this._verifyOrigin === undefined) return this._placeAt(this._software, avoid, retryUpstream, beside)
-    this._verifyOrigin().then(() => this._placeAt(this._software, avoid, retryUpstream, beside), (error: Error) => this._endAfterFault(error))
+  private _place (effect: PlaceEffect): void {
+    if (this._software.kind !== 'unknown' || this._verifyOrigin === undefined) return this._placeAt(this._software, effect)
+    this._verifyOrigin().then(() => this._placeAt(this._software, effect), (error: Error) => this._endAfterFault(error))
   }
 
-  private _placeAt (software: SoftwareNeed, avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside: LateCause | undefined): void {
+  private _placeAt (software: SoftwareNeed, { beside, ...effect }: PlaceEffect): void {
     if (this._over) return
+    const { avoid, only, retryUpstream } = effect
     this._isPlacingOverdue = beside === 'overdue'
     // A stream may be resumed many seconds after its request arrived. If a new version of its adapter was declared since
     // then, that version is in force at the other upstream; with the version of the first placement, the stream would
@@ -361,6 +367,7 @@
       patience: this._longestWait,
       prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget, ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }) },
       cancelled: () => this._over || (beside === 'stalled' && this._hasContinued),
+      ...(only === undefined ? {} : { only }),
       ...(retryUpstream === undefined ? {} : { retryUpstream })
     }
     this._options.place(query).then(placed => {
@@ -371,9 +378,9 @@
         if (this._software === software && !this._isOutdated(placed)) return this._placed(placed)
         // During the search, a newer version was declared, or the first event arrived, which decides the software.
         if (placed.kind === 'placed') this._releasePlacement(placed)
-        if (this._software === software) return this._placeAt(software, avoid, undefined, beside)
+        if (this._software === software) return this._placeAt(software, { kind: 'place', avoid, ...(only === undefined ? {} : { only }), ...(beside === undefined ? {} : { beside }) })
         if (this._exchanges.size > 0) return this._post({ kind: 'unplaced', cause: 'no-upstream' })
-        this._place(avoid, retryUpstream, undefined)
+        this._place(effect)
       }))
     }, (error: Error) => {
       this._options.log.warn('request', 'placement failed.', { request: this._call.facts.id, error: error.message })
@@ -473,6 +480,7 @@
       firstDataSilence: this._firstDataSilence(),
       gapSilence: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
       lastEventId: this._lastEventId,
+      continues: this._answer.begun,
       verify: this._software.kind === 'version' ? openedAt => this._options.verifyIncarnation(upstream, openedAt) : undefined
     }, {
       noticed: notice => this._options.noticed(upstream, notice, clock.now() - sentAt),
@@ -484,6 +492,7 @@
       },
       unreachable: cause => {
         close('unreachable')
+        this._failedConnections++
         refund()
         log.info('request', 'upstream unreachable.', { request: facts.id, upstream: upstream.id, cause })
         this._post({ kind: 'unreachable', from })
@@ -549,7 +558,7 @@
   private _watchOverdue (upstream: Upstream): () => void {
     const { clock, log, overdueTime, overdue, silentUpstreams } = this._options
     const waited = clock.now() - this._call.arrivedAt
-    const due = this._route.kind === 'read-only' && this._want === undefined && this._sends < this._route.maxAttempts ? overdueTime(waited) : undefined
+    const due = this._route.kind === 'read-only' && this._want === undefined && this._attempts < this._route.maxAttempts ? overdueTime(waited) : undefined
     if (due === undefined || due.after >= this._remaining) return () => {}
     let ended = (): void => {}
     this._cancelOverdue = clock.after(due.after, () => {
@@ -565,6 +574,9 @@
     }
   }
 
+  /** Sends that may have reached an upstream. */
+  private get _attempts (): number { return this._sends - this._failedConnections }
+
   private get _isStream (): boolean { return this._route.kind === 'stream' }
 
   private get _repeatable (): boolean {
@@ -607,7 +619,7 @@
     const { latencyTarget, maxAttempts } = this._route
     if (!this._repeatable) return undefined
     if (this._isStream) return Math.max(streamSilence, 2 * latencyTarget)
-    return this._sends >= maxAttempts ? undefined : Math.max(slowFloor, slowFactor * latencyTarget)
+    return this._attempts >= maxAttempts ? undefined : Math.max(slowFloor, slowFactor * latencyTarget)
   }
 
   private _data (bytes: Buffer, lastEventId: number | undefined, from: string): void {
--- a/packages/direct/src/test/caller-limits.steps.ts
+++ b/packages/direct/src/test/caller-limits.steps.ts
@@ -34,6 +34,7 @@
     maxBodyBytes: () => 1_000,
     bodyTimeout: () => 1_000,
     closing: () => false,
+    dropped: () => {},
     handle: ({ answer }) => {
       this.handled++
       answer.whole({ status: 200, message: 'OK', headers: [], framed: true, body: Buffer.from('done') })
