Bound the memory of callers' bodies over all requests

Symptom: 50 bodies of 4 MiB at once took an entry over its memory (350 MiB), which ends the process and every request that it has.

Cause: each body was bounded by the configuration, their sum by nothing.

Change: bodies reserve memory, by their declared length at once, in chunks as they arrive. A body that finds no room is refused at once with 503 (not run) and a Retry-After of 150 to 400 ms; the rest of it is read and discarded within the route's time limit, and only then is the connection used again or closed, since a close before that resets it under the answer. The bound is a fifth of memory_mb, which the platform's settings give (limits.memory-mb), else 64 MiB.

Not counted: the body of a non-idempotent request whose caller has left, for as long as its upstream may still read it (its time limit and 500 ms).

In a first form, which ended the answer at once, each refused caller whose connection was to be closed also got EPIPE while it sent the rest.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -45,6 +45,30 @@
     feature: 'packages/direct/src/test/caller-limits.feature',
     scenario: 'headers that are larger'
   },
+  {
+    guarantee: 'direct requests: the memory of bodies is bounded over all callers',
+    file: 'packages/direct/dist/lib/relay/body-memory.js',
+    find: 'this._held + bytes > this._limit',
+    replace: 'false',
+    feature: 'packages/direct/src/test/caller-limits.feature',
+    scenario: 'bodies that together need more memory'
+  },
+  {
+    guarantee: 'direct requests: the memory of a body is free again after its answer',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
+    find: 'cancelTimeout();\n            reservation.release();',
+    replace: 'cancelTimeout();',
+    feature: 'packages/direct/src/test/caller-limits.feature',
+    scenario: 'bodies that together need more memory'
+  },
+  {
+    guarantee: 'direct requests: a connection is not closed while the rest of a refused body arrives',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
+    find: 'end => req.once(\'end\', end)',
+    replace: 'end => end()',
+    feature: 'packages/direct/src/test/caller-limits.feature',
+    scenario: 'a refused body'
+  },
   {
     guarantee: 'direct answers: a complete answer is passed on although its connection has closed',
     file: 'packages/direct/dist/lib/relay/exchange.js',
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -30,6 +30,7 @@
 import { Placer } from './placing/placer.js'
 import type { PlatformPort } from './platform-port.js'
 import { QuarantineCoordinator } from './quarantine/quarantine-coordinator.js'
+import { BodyMemory, bodyMemoryLimit } from './relay/body-memory.js'
 import { RelayRunner } from './relay/relay-runner.js'
 import { RequestIntake } from './relay/request-intake.js'
 import { type PeerService, servePeers } from './peers/serve-peers.js'
@@ -211,6 +212,11 @@
     this._callers = new CallerServer({
       clock,
       maxBodyBytes: () => this.config.table?.config.limits.maxBodyBytes ?? defaultMaxBody,
+      bodyMemory: new BodyMemory(bodyMemoryLimit(settings.memory_mb)),
+      bodyRefused: bytes => {
+        log.info('request', 'no memory for its body, refused.', { bytes })
+        _options.metrics.requests.inc({ kind: 'none', end: 'no-body-memory' })
+      },
       bodyTimeout: (host, target) => this.config.table?.match(host, target)?.timeout ?? defaultBodyTimeout,
       closing: () => this._closesConnections,
       handle: incoming => this._intake.handle(incoming)
--- a/packages/direct/src/lib/entry-settings.ts
+++ b/packages/direct/src/lib/entry-settings.ts
@@ -46,6 +46,8 @@
   cpu_share: z._default(atLeast(0), 0),
   /** Speed of that core, relative to that of the other hosts. */
   cpu_speed: z._default(atLeast(0), 1),
+  /** Memory of the process in MiB, 0 where it is not known; a share of it holds callers' bodies. */
+  memory_mb: z._default(atLeast(0), 0),
   /**
    * Ms after the withdrawal of a key within which every entry refuses it, also an entry that is cut off; 0 lets such an
    * entry go on with the configuration that it has.
@@ -86,7 +88,7 @@
 }
 
 /** Settings that take effect only at a start: sockets are open, and peers know the addresses. */
-export const addressSettings = ['name', 'zone', 'host', 'store', 'listen_callers', 'listen_ready', 'listen_control', 'peer_port', 'advertised_peer_port', 'metrics_port', 'link_mbps', 'cpu_share', 'cpu_speed'] as const
+export const addressSettings = ['name', 'zone', 'host', 'store', 'listen_callers', 'listen_ready', 'listen_control', 'peer_port', 'advertised_peer_port', 'metrics_port', 'link_mbps', 'cpu_share', 'cpu_speed', 'memory_mb'] as const
 
 /** Picks the address settings of a running process. */
 export function pickAddresses (settings: DirectSettings): Pick<DirectSettings, typeof addressSettings[number]> {
--- a/packages/direct/src/lib/relay/caller-answer.ts
+++ b/packages/direct/src/lib/relay/caller-answer.ts
@@ -14,6 +14,7 @@
   | { readonly kind: 'headers-too-large' }
   | { readonly kind: 'body-too-large' }
   | { readonly kind: 'body-incomplete' }
+  | { readonly kind: 'no-body-memory', readonly retryAfter: Ms }
   | { readonly kind: 'no-config', readonly retryAfter: Ms }
   | { readonly kind: 'unauthorised', readonly cause: UnauthorisedCause }
   | { readonly kind: 'over-limit', readonly organisation: string, readonly retryAfter: Ms }
@@ -40,6 +41,7 @@
     case 'body-incomplete': return 408
     case 'unauthorised': return 401
     case 'over-limit': return 429
+    case 'no-body-memory':
     case 'no-config':
     case 'config-unproven': return 503
     case 'relay':
@@ -55,6 +57,7 @@
     case 'headers-too-large': return 'The headers are larger than the configuration allows.'
     case 'body-too-large': return 'The body is larger than the configuration allows.'
     case 'body-incomplete': return 'The body did not arrive within the time limit of its route. The request did not run.'
+    case 'no-body-memory': return 'The entry has no memory for the body now. The request did not run; send it again later.'
     case 'no-config': return 'No configuration is known yet. Send the request again later.'
     case 'unauthorised': return `The request has no valid key for this route (${error.cause}). Send the key of your organisation as "Authorization: Bearer KEY".`
     case 'over-limit': return `The usage limit of ${error.organisation} is used up for now. The request did not run; send it again later.`
@@ -115,7 +118,12 @@
     this._res.end()
   }
 
-  fail (error: EntryError): void {
+  /**
+   * Answers with an error.
+   *
+   * @param endAfter - calls the function that it gets when the response may end; the caller has all of the answer before
+   */
+  fail (error: EntryError, endAfter?: (end: () => void) => void): void {
     this._begun = true
     this._ended = true
     const body = JSON.stringify({ error: { message: messageOf(error), code: error.kind === 'relay' ? error.failure : error.kind } })
@@ -124,7 +132,12 @@
     if (status === 401) headers.push('WWW-Authenticate', 'Bearer')
     else if ('retryAfter' in error) headers.push('Retry-After', (error.retryAfter / 1_000).toFixed(3))
     this._res.writeHead(status, headers)
-    this._res.end(body)
+    if (endAfter === undefined) {
+      this._res.end(body)
+      return
+    }
+    this._res.write(body)
+    endAfter(() => this._res.end())
   }
 
   /** Cuts off an answer that has begun, in such a way that the caller can't take it for complete. */
--- a/packages/direct/src/lib/relay/caller-server.ts
+++ b/packages/direct/src/lib/relay/caller-server.ts
@@ -4,6 +4,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Clock, type Ms } from '@hazelford/core'
 import type { CallerLimits } from '@hazelford/ports'
+import { type BodyMemory, BodyReservation } from './body-memory.js'
 import { CallerAnswer, type EntryError } from './caller-answer.js'
 
 /** A request that was read completely, with the answer to write. */
@@ -25,6 +26,9 @@
 export interface CallerServerOptions {
   readonly clock: Clock
   readonly maxBodyBytes: () => number
+  readonly bodyMemory: BodyMemory
+  /** Called when a request is refused because there is no memory for its body; `bytes`: as far as they are known. */
+  readonly bodyRefused: (bytes: number) => void
   /** Ms within which a request to this host and target must have been read. */
   readonly bodyTimeout: (host: string, target: string) => Ms
   readonly closing: () => boolean
@@ -42,6 +46,9 @@
  */
 const idleSlack: Ms = 500
 const backlog = 1_024
+/** Shortest Retry-After of a request without room for its body; jittered, so that callers refused together don't return together. */
+const bodyRetryAfter: Ms = 150
+const bodyRetrySpread: Ms = 250
 
 /** Bytes of a request's target, and of its headers without separators. */
 function headerBytes ({ url, rawHeaders }: IncomingMessage): number {
@@ -118,13 +125,31 @@
     if (!hasBody(req)) return this._handle(req, res, undefined, arrivedAt, answer)
     const chunks: Buffer[] = []
     let size = 0
+    let isRefused = false
+    const reservation = new BodyReservation(this._options.bodyMemory)
     const limit = this._options.maxBodyBytes()
-    const cancelTimeout = clock.after(this._options.bodyTimeout(req.headers.host ?? '', req.url ?? '/'), () => { if (!answer.ended) fail({ kind: 'body-incomplete' }) })
-    res.on('close', cancelTimeout)
+    const bodyTimeout = this._options.bodyTimeout(req.headers.host ?? '', req.url ?? '/')
+    const refuse = (bytes: number): void => {
+      isRefused = true
+      chunks.length = 0
+      reservation.release()
+      this._options.bodyRefused(bytes)
+      // The rest of the body is read and discarded. A close before that would reset the connection, and the caller may not
+      // have read the answer by then.
+      answer.fail({ kind: 'no-body-memory', retryAfter: bodyRetryAfter + Math.random() * bodyRetrySpread }, end => req.once('end', end))
+      clock.after(bodyTimeout, () => { if (!req.complete) req.socket.destroy() })
+    }
+    const cancelTimeout = clock.after(bodyTimeout, () => { if (!answer.ended) fail({ kind: 'body-incomplete' }) })
+    res.on('close', () => {
+      cancelTimeout()
+      reservation.release()
+    })
     req.on('data', (chunk: Buffer) => {
       size += chunk.length
+      if (isRefused && size > limit) req.socket.destroy()
       if (answer.ended) return
       if (size > limit) return fail({ kind: 'body-too-large' })
+      if (!reservation.growTo(size)) return refuse(size)
       chunks.push(chunk)
     })
     req.on('end', () => {
@@ -134,6 +159,8 @@
     // The caller broke off within its body. Nothing was passed on, and the close of its connection decrements the
     // number of open requests.
     req.on('error', () => {})
+    const declared = Number(req.headers['content-length'] ?? 0)
+    if (declared <= limit && !reservation.growTo(declared)) refuse(declared)
   }
 
   private _handle (req: IncomingMessage, res: ServerResponse, body: Buffer | undefined, arrivedAt: Ms, answer: CallerAnswer): void {
