--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -56,8 +56,8 @@
   {
     guarantee: 'direct requests: the memory of a body is free again after its answer',
     file: 'packages/direct/dist/lib/relay/caller-server.js',
-    find: 'cancelTimeout();\n            reservation.release();',
-    replace: 'cancelTimeout();',
+    find: 'return;\n                reservation.release();',
+    replace: 'return;',
     feature: 'packages/direct/src/test/caller-limits.feature',
     scenario: 'bodies that together need more memory'
   },
@@ -117,6 +117,158 @@
     feature: 'platform/src/test/silent-servers.feature',
     scenario: 'pauses within its streams'
   },
+  {
+    guarantee: 'direct requests: an upstream that a slow caller keeps from being read does not count as silent',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'this._cancelTimer?.();\n        this._res?.pause();',
+    replace: 'this._res?.pause();',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'a caller reads slowly'
+  },
+  {
+    guarantee: 'direct requests: an upstream whose data the entry has not read yet does not count as silent',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'setImmediate(() => setImmediate(() => {\n                if (isCancelled)',
+    replace: '(run => run())((() => {\n                if (isCancelled)',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'an entry pauses itself'
+  },
+  {
+    guarantee: 'stopping entries: what no upstream has is refused before the process ends',
+    file: 'packages/direct/dist/lib/direct-entry.js',
+    find: 'this._runner.stop();',
+    replace: '',
+    feature: 'platform/src/test/stopping-entries.feature',
+    scenario: 'requests that wait for an adapter'
+  },
+  {
+    guarantee: 'stopping entries: what waits before it is relayed is refused',
+    file: 'packages/direct/dist/lib/relay/waiting-requests.js',
+    find: 'this._waiting.add(request);',
+    replace: '',
+    feature: 'packages/direct/src/test/waiting-requests.feature',
+    scenario: 'a request that waits for'
+  },
+  {
+    guarantee: 'stopping entries: every request is answered or cut before the process ends',
+    file: 'packages/direct/dist/lib/direct-entry.js',
+    find: 'this._runner.endWithProcess();',
+    replace: '',
+    feature: 'platform/src/test/stopping-entries.feature',
+    scenario: 'a booking that its server answers too late'
+  },
+  {
+    guarantee: 'stopping entries: what an upstream refuses is not placed again',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: 'held ?? (isStopping',
+    replace: 'held ?? (false',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'refuses a request while the entry stops'
+  },
+  {
+    guarantee: 'direct requests: an upstream that has refused a request counts as one that got it, also if it terminates then',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: '!progress.reached.has(upstream)',
+    replace: 'true',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'an upstream that lacks the adapter terminates'
+  },
+  {
+    guarantee: 'direct requests: a stream that breaks may go on at an upstream from which it was withdrawn',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: 'withdrawn.size === 0 ?',
+    replace: 'true ?',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'after it has gone on'
+  },
+  {
+    guarantee: 'direct requests: a large answer that is no stream is not passed on as the rest of one',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'this._call.continues',
+    replace: 'false',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'the other one answers "large-error"'
+  },
+  {
+    guarantee: 'direct requests: a connection that failed does not count as an attempt at a read that is late',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'this._sends - this._failedConnections',
+    replace: 'this._sends',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'one plain server is gone'
+  },
+  {
+    guarantee: 'direct requests: of two upstreams that go on at once, only one is read',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: '(!open.isSilent && this._exchanges.size === 1)',
+    replace: '!open.isSilent',
+    feature: 'packages/direct/src/test/relay-task.feature',
+    scenario: 'any order of events'
+  },
+  {
+    guarantee: 'direct requests: a placement that was looked for before the software of the stream was known is not used',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'this._software === software ||',
+    replace: 'true ||',
+    feature: 'packages/direct/src/test/relay-task.feature',
+    scenario: 'any order of events'
+  },
+  {
+    guarantee: 'direct requests: an upstream from which a request was withdrawn does not count it any more',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'exchange.abandon();\n            release();',
+    replace: 'exchange.abandon();',
+    feature: 'packages/direct/src/test/relay-task.feature',
+    scenario: 'any order of events'
+  },
+  {
+    guarantee: 'direct requests: the limit of an upstream gets back what did not reach the upstream',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'refund();\n                log.info',
+    replace: 'log.info',
+    feature: 'packages/direct/src/test/relay-task.feature',
+    scenario: 'any order of events'
+  },
+  {
+    guarantee: 'stopping entries: open requests are named in the log',
+    file: 'packages/direct/dist/lib/direct-entry.js',
+    find: 'openRequests(mostNamed)',
+    replace: 'openRequests(0)',
+    feature: 'platform/src/test/stopping-entries.feature',
+    scenario: 'a booking that its server answers too late'
+  },
+  {
+    guarantee: 'stopping entries: an answer that was not sent completely is reported',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
+    find: 'request.done(true)',
+    replace: 'request.done(false)',
+    feature: 'packages/direct/src/test/caller-server.feature',
+    scenario: 'has not read its whole answer'
+  },
+  {
+    guarantee: 'shared connections: only the last answer ends its connection',
+    file: 'packages/direct/dist/lib/relay/caller-connection.js',
+    find: 'this._pending.size > 1',
+    replace: 'false',
+    feature: 'platform/src/test/shared-connections.feature',
+    scenario: 'their entry stops while they run'
+  },
+  {
+    guarantee: 'shared connections: requests read together are refused together',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
+    find: 'process.nextTick(() => handle(incoming))',
+    replace: 'handle(incoming)',
+    feature: 'platform/src/test/shared-connections.feature',
+    scenario: 'at an entry that refuses new requests'
+  },
+  {
+    guarantee: 'shared connections: the close of a connection ends all its requests',
+    file: 'packages/direct/dist/lib/relay/caller-connection.js',
+    find: '_socket.once(\'close\', () => this._closed())',
+    replace: '',
+    feature: 'platform/src/test/shared-connections.feature',
+    scenario: 'a caller that leaves with two stock checks'
+  },
   {
     guarantee: 'direct requests: a read that one upstream has answered is withdrawn from the other',
     file: 'packages/decisions/dist/lib/relay-flow.js',
@@ -237,6 +389,22 @@
     feature: 'platform/src/test/answers.feature',
     scenario: 'does not finish its request'
   },
+  {
+    guarantee: 'adapters: a request is not sent for a version that was replaced while it waited',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: '(placed.version ?? 0) < declared',
+    replace: 'false',
+    feature: 'platform/src/test/adapters.feature',
+    scenario: 'a new version of an adapter while a draft waits for it'
+  },
+  {
+    guarantee: 'adapters: a request keeps waiting while another entry becomes the holder',
+    file: 'packages/direct/dist/lib/placing/placer.js',
+    find: '!isChanging ||',
+    replace: 'true ||',
+    feature: 'platform/src/test/ended-entries.feature',
+    scenario: 'the holder of the only engine shuts down'
+  },
   {
     guarantee: 'adapters: an adapter reserved for a request stays loaded',
     file: 'packages/decisions/dist/lib/adapter-plan.js',
--- a/packages/bench/src/lib/guards/sidecar-guards.ts
+++ b/packages/bench/src/lib/guards/sidecar-guards.ts
@@ -53,6 +53,38 @@
     feature: 'packages/bench/src/test/whole-answers.feature',
     scenario: 'a stream that the engine has lost'
   },
+  {
+    guarantee: 'no request given up: idempotent requests have time to go on over a new channel',
+    file: 'packages/entry/dist/lib/channel-client.js',
+    find: 'this._startGrace();',
+    replace: 'this._startGrace(); this._failRepeatable();',
+    feature: 'packages/bench/src/test/given-up.feature',
+    scenario: 'the channel breaks while completions wait'
+  },
+  {
+    guarantee: 'no request given up: a sidecar that shuts down waits for entries that connect again',
+    file: 'packages/sidecar/dist/lib/sidecar.js',
+    find: '[...this._sessions.values()].every',
+    replace: '[...this._connections.values()].every',
+    feature: 'packages/bench/src/test/given-up.feature',
+    scenario: 'a sidecar shuts down while its entry connects again'
+  },
+  {
+    guarantee: 'no request given up: an entry that has stopped refuses what it reads from then on',
+    file: 'packages/entry/dist/lib/entry.js',
+    find: 'if (this._stopped)',
+    replace: 'if (false)',
+    feature: 'packages/bench/src/test/given-up.feature',
+    scenario: 'a request that is read while its entry ends'
+  },
+  {
+    guarantee: 'no request given up: a stream is resumed as long as it advances',
+    file: 'packages/engine/dist/lib/engine-client.js',
+    find: 'if (this._events.delivered > this._deliveredBefore)',
+    replace: 'if (false)',
+    feature: 'packages/bench/src/test/given-up.feature',
+    scenario: 'a stream whose connection breaks again and again'
+  },
   {
     guarantee: 'whole answers: chunks that the entry lacks are sent again',
     file: 'packages/sidecar/dist/lib/sidecar.js',
--- a/packages/cli/src/lib/queries/explain.ts
+++ b/packages/cli/src/lib/queries/explain.ts
@@ -2,7 +2,9 @@
  * `hazelford explain`: shows the decisions made on one request and the reasons for them, from logs alone.
  */
 import { exitCodes, type Report, report } from '../exit-code.js'
+import { describeCut, describeSends } from './cut-answers.js'
 import { type LogLine, mergeLogs } from './log-lines.js'
+import { fateAfter } from './open-requests.js'
 
 /** Related changes are shown from this many ms before a request to as many after it. */
 const contextMs = 1_500
@@ -40,11 +42,14 @@
   quarantined: 'Upstreams terminated while running it, at this entry or others, so it is quarantined: see the lines with its fingerprint. A 503 says that this attempt did not run.',
   'part-quarantined': 'Upstreams terminated while running requests with one part of its prompt, so requests with that part are quarantined: see the line `prompt part quarantined` that names one of its `parts`. A 503 says that this attempt did not run.',
   'key-withdrawn': 'Its key was withdrawn while it waited. It did not run.',
-  'shutting-down': 'The entry was stopping. It did not run.'
+  'shutting-down': 'The entry was stopping. A 503 says that it did not run.',
+  'process-end': 'The entry had been stopping, and its process ended before the upstream had answered. It may have run.'
 }
 
 /** The meaning of the last log line of a request that was refused before it was accepted. */
 const refusals: Readonly<Record<string, string>> = {
+  'request: refused, since the entry stops.': 'The entry was stopping. It did not run.',
+  'request: refused, since no configuration is known.': 'The entry had just started and knew no configuration yet. It did not run.',
   'request: unauthorised.': 'It carried no key that is valid for its route, by the configuration of the version and age below. It did not run.',
   'request: over its usage limit.': 'Its organisation had used up its limit. It did not run.',
   'request: configuration too old to let callers in.': 'Its entry could not verify that its key was still valid: neither the store nor another entry answered. It did not run.'
@@ -61,6 +66,18 @@
   return upstreams.has(line.upstream) || (nodes.has(line.node) && /^(store|lease|daemon|entry|config|peers):/.test(line.msg))
 }
 
+function outcomeOf (own: readonly LogLine[], lines: readonly LogLine[]): string {
+  const cut = own.findLast(({ msg }) => msg === 'request: answer cut.')
+  if (cut !== undefined) return describeCut(cut, meanings)
+  const end = own.findLast(({ msg }) => msg === 'request: over.')
+  if (end !== undefined) return meanings[String(end.end)] ?? `It ended as ${String(end.end)}.`
+  const last = own.at(-1)!
+  const refusal = refusals[last.msg]
+  if (refusal !== undefined) return refusal
+  const { fate, after } = fateAfter(last, lines.filter(({ node }) => node === last.node))
+  return `These logs do not show how it ended: its entry was killed or cut off, or its log ends too soon. Its entry after its last line: ${fate}${after === undefined ? '' : ` (${after} ms later)`}.`
+}
+
 /**
  * Explains what happened to a request.
  *
@@ -79,11 +96,10 @@
   const upstreams = new Set(own.map(({ upstream }) => upstream).filter(name => name !== undefined))
   const nodes = new Set(own.map(({ node }) => node))
   const changes = lines.filter(line => line.time >= first.time - contextMs && line.time <= last.time + contextMs && isRelated(line, first, upstreams, nodes))
-  const outcome = end === undefined
-    ? refusals[last.msg] ?? 'These logs do not show how it ended: its entry was killed or cut off, or its log ends too soon.'
-    : meanings[String(end.end)] ?? `It ended as ${String(end.end)}.`
+  const outcome = outcomeOf(own, lines)
   const text = [
     `Request ${id}: ${outcome}`,
+    ...describeSends(own),
     ...own.map(line => describe(line, first.time)),
     ...(changes.length === 0 ? [] : ['', 'Related changes around that time:', ...changes.slice(0, shownChanges).map(line => describe(line, first.time))]),
     ...(changes.length > shownChanges ? [`(and ${changes.length - shownChanges} more)`] : [])
--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -34,6 +34,10 @@
 class Progress {
   /** Upstreams that bytes of the request may have reached. */
   readonly tried = new Set<string>()
+  /** Those of them that may get it again, after a refusal or since it was withdrawn from them. */
+  readonly reached = new Set<string>()
+  /** Upstreams from which it was withdrawn, since another one went on. */
+  readonly withdrawn = new Set<string>()
   /** Upstreams that accepted no connection. */
   readonly unreachable = new Set<string>()
   sends = 0
@@ -54,6 +58,8 @@
   held: QuarantineCause | undefined
   /** Whether an upstream's own error has arrived, to be delivered if no other upstream answers. */
   holdsError = false
+  /** Whether the entry stops soon. */
+  isStopping = false
 
   /** Upstreams that are excluded from the next placement. */
   get avoid (): ReadonlySet<string> { return new Set([...this.tried, ...this.unreachable]) }
@@ -83,13 +89,13 @@
 function continueWith (effects: Effects): Transition { return { effects, over: false } }
 function endWith (effects: Effects): Transition { return { effects, over: true } }
 
-/** Looks for the next upstream, unless a search runs whose result can be used. */
-function searchNext (progress: Progress): Effects {
+/** Looks for the next upstream, among the ones in `only` if that is given, unless a search runs whose result can be used. */
+function searchNext (progress: Progress, only?: ReadonlySet<string>): Effects {
   const isSearching = progress.search.kind !== 'none'
   progress.search = { kind: 'next' }
   if (isSearching) return []
   const { avoid, retryUpstream } = progress
-  return [{ kind: 'place', avoid, ...(retryUpstream === undefined ? {} : { retryUpstream }) }]
+  return [{ kind: 'place', avoid, ...(only === undefined ? {} : { only }), ...(retryUpstream === undefined ? {} : { retryUpstream }) }]
 }
 
 /** Whether an answer of a second upstream could be used. */
@@ -134,6 +140,7 @@
     if (!deps.takeRetry('failed')) return endWith(giveUp(progress, 'budget-spent'))
   }
   progress.tried.add(upstream)
+  progress.withdrawn.delete(upstream)
   progress.sends++
   progress.current = upstream
   return continueWith([{ kind: 'send', upstream }])
@@ -146,14 +153,15 @@
 }
 
 function placeElsewhere (request: RelayRequest, progress: Progress, failure: RelayFailure): Transition {
-  if (progress.tried.size >= request.maxAttempts) return endWith(giveUp(progress, failure))
-  return continueWith(searchNext(progress))
+  const { tried, withdrawn } = progress
+  if (tried.size < request.maxAttempts) return continueWith(searchNext(progress))
+  return withdrawn.size === 0 ? endWith(giveUp(progress, failure)) : continueWith(searchNext(progress, new Set(withdrawn)))
 }
 
-/** Records that nothing arrived at an upstream, so that the attempt does not count. */
+/** Records that nothing arrived at an upstream, so that the attempt does not count, unless an earlier one did arrive. */
 function recordUnreachable (upstream: string, progress: Progress): void {
   progress.sends--
-  progress.tried.delete(upstream)
+  if (!progress.reached.has(upstream)) progress.tried.delete(upstream)
   progress.unreachable.add(upstream)
 }
 
@@ -166,6 +174,7 @@
 function handleRefused (upstream: string, refusal: UpstreamRefusal, request: RelayRequest, progress: Progress): Transition {
   if (refusal === 'adapter-missing' && ++progress.missing <= maxAdapterMissingRetries) {
     if (progress.search.kind !== 'none') return continueWith(searchNext(progress))
+    progress.reached.add(upstream)
     progress.retryUpstream = upstream
     return continueWith([{ kind: 'wait', delay: adapterRetryPause * progress.missing }])
   }
@@ -192,11 +201,23 @@
   return continueWith([{ kind: 'hold' }, ...searchNext(progress)])
 }
 
-function handleInterrupted (cause: 'timeout' | 'caller-gone', request: RelayRequest, progress: Progress): Transition {
+function handleInterrupted (cause: 'timeout' | 'caller-gone' | 'process-end', request: RelayRequest, progress: Progress): Transition {
   const stop = abandon(request, progress)
   if (cause === 'caller-gone') return endWith([...stop, { kind: 'forget' }])
   if (progress.current !== undefined) progress.mayHaveRun = true
-  return endWith([...stop, ...giveUp(progress, progress.mayHaveRun ? 'timeout-sent' : 'timeout-unsent')])
+  const timeout = progress.mayHaveRun ? 'timeout-sent' : 'timeout-unsent'
+  return endWith([...stop, ...giveUp(progress, cause === 'timeout' ? timeout : cause)])
+}
+
+/** Refuses a request that no upstream has, so that its caller can send it to another entry while it has time. */
+function handleStopping (progress: Progress): Transition {
+  progress.isStopping = true
+  return progress.current === undefined && !progress.begun ? endWith(giveUp(progress, 'shutting-down')) : continueWith([])
+}
+
+/** Why a request that no upstream has any more is not placed again; undefined when it may be. */
+function causeToEnd ({ held, isStopping, mayHaveRun }: Progress): RelayFailure | undefined {
+  return held ?? (isStopping && !mayHaveRun ? 'shutting-down' : undefined)
 }
 
 /**
@@ -219,9 +240,12 @@
 function abandonOther (upstream: string | undefined, progress: Progress): Effects {
   const { current, beside } = progress
   if (beside === undefined || current === undefined) return []
+  const other = upstream === current ? beside.upstream : current
   progress.beside = undefined
   progress.current = upstream
-  return [{ kind: 'abandon', upstream: upstream === current ? beside.upstream : current }]
+  progress.reached.add(other)
+  progress.withdrawn.add(other)
+  return [{ kind: 'abandon', upstream: other }]
 }
 
 /** Handles data of one upstream: it has the request alone from now on. */
@@ -282,7 +306,9 @@
     case 'stalled': return searchBeside(msg.kind, request, progress)
     case 'waited': return continueWith(searchNext(progress))
     case 'timeout':
-    case 'caller-gone': return handleInterrupted(msg.kind, request, progress)
+    case 'caller-gone':
+    case 'process-end': return handleInterrupted(msg.kind, request, progress)
+    case 'stopping': return handleStopping(progress)
     case 'held': return handleQuarantined(msg.cause, request, progress)
     case 'streaming': return handleStreaming(msg.from, progress)
     case 'stream-ended': return endWith([...abandonOther(msg.from, progress), { kind: 'finish' }])
@@ -293,7 +319,8 @@
   progress.current = undefined
   progress.retryUpstream = undefined
   const next = handleExchangeEnd(msg, current!, request, progress)
-  return progress.held !== undefined && !next.over ? endWith(giveUp(progress, progress.held)) : next
+  const cause = causeToEnd(progress)
+  return cause !== undefined && !next.over ? endWith(giveUp(progress, cause)) : next
 }
 
 /**
--- a/packages/direct/src/lib/placing/placer.ts
+++ b/packages/direct/src/lib/placing/placer.ts
@@ -24,9 +24,12 @@
 /** A request to be placed. */
 export interface PlacementQuery {
   readonly service: string
-  readonly want: RequestedAdapter | undefined
+  /** The adapter that it needs, in the version declared now; a newer one may be declared while it waits. */
+  readonly want: () => RequestedAdapter | undefined
   readonly urgency: number
   readonly avoid: ReadonlySet<string>
+  /** When given, the upstreams that may get it, also those in `avoid`. */
+  readonly only?: ReadonlySet<string>
   readonly software: SoftwareNeed
   /** The upstream that refused because the adapter was not loaded, to be tried again. */
   readonly retryUpstream?: string
@@ -67,6 +70,8 @@
  * be a busy loop.
  */
 const queuePause: Ms = 100
+/** Time within which another entry takes over the engines of a holder that shuts down. */
+const holderChange: Ms = 1_000
 /** Half-life of an adapter's popularity: how fast a change of demand changes its number of replicas. */
 const popularityHalfLife: Ms = 5_000
 /** Weight of each new service time in the mean, so that about thirty requests determine it. */
@@ -93,6 +98,9 @@
   | AdapterAttempt & { readonly kind: 'not-there' }
   | Admission & { readonly kind: 'over-limit' }
 
+/** A load request without what may change while the request waits. */
+type LoadQuery = Omit<EnsureQuery, 'want' | 'patience' | 'prompt'>
+
 /** What a placer needs of its entry. */
 export interface PlacerOptions {
   readonly clock: Clock
@@ -168,15 +176,16 @@
   }
 
   private _placeAmong (query: PlacementQuery, ranked: readonly Upstream[]): Promise<Placement> {
-    return query.want === undefined ? this._placePlain(ranked) : this._placeAdapter(query, query.want, ranked.slice(0, maxTried))
+    const want = query.want()
+    return want === undefined ? this._placePlain(ranked) : this._placeAdapter(query, want, ranked.slice(0, maxTried))
   }
 
   /**
    * The result when no upstream is open; `retryAfter` is the time until the first upstream in backoff can be tried
    * again, if there is one.
    */
-  private _unplaced ({ service, avoid, software }: PlacementQuery): Placement {
-    const backoffs = this._options.members.serving(service).filter(upstream => !avoid.has(upstream.id) && hasSoftware(upstream, software)).map(({ notices }) => notices.backoffUntil - this._now)
+  private _unplaced ({ service, avoid, only, software }: PlacementQuery): Placement {
+    const backoffs = this._options.members.serving(service).filter(upstream => (only?.has(upstream.id) ?? !avoid.has(upstream.id)) && hasSoftware(upstream, software)).map(({ notices }) => notices.backoffUntil - this._now)
     const backoff = Math.min(...backoffs.filter(left => left > 0))
     return backoff === Infinity
       ? { kind: 'unplaced', cause: 'no-upstream' }
@@ -219,7 +228,7 @@
     for (const upstream of candidates) {
       // The adapter may be loaded at a further upstream if no queue advances in time.
       if (queues.length >= maxQueues && this._hopelessWait(queues, until) === undefined) break
-      const attempt = await this._awaitWithinLimit(upstream, query, { want, urgency: query.urgency, missing: query.retryUpstream === upstream.id, mayWait: false, repeated: query.retryUpstream === upstream.id }, until)
+      const attempt = await this._awaitWithinLimit(upstream, query, { urgency: query.urgency, missing: query.retryUpstream === upstream.id, mayWait: false, repeated: query.retryUpstream === upstream.id }, until)
       if (attempt.kind === 'placed') return attempt
       if (attempt.kind === 'over-limit') {
         retryAfter = Math.min(retryAfter, attempt.retryAfter)
@@ -232,11 +241,20 @@
     this._options.log.info('request', 'adapter not to be had.', { request: query.prompt.request, ...want, causes, standsAt: queues[0]?.upstream.id, ahead: queues[0]?.length, waits: queues.map(({ wait }) => wait), limitedFor: retryAfter === Infinity ? undefined : Math.round(retryAfter), left: Math.round(until - this._now) })
     const wait = this._hopelessWait(queues, until)
     if (wait !== undefined) return { kind: 'unplaced', cause: 'adapter-unavailable', retryAfter: Math.min(wait, retryAfter) * (1 + Math.random() * turnSpread) }
+    let heldAt = this._now
     for (let turn = 0; until > this._now && !query.cancelled(); turn++) {
-      // Without a holder to send load orders, a queue would never advance.
-      const open = queues.filter(({ upstream }) => this._isOpen(upstream) && this._options.directory.canRequestLoad(upstream.id))
+      const open = queues.filter(({ upstream }) => this._isOpen(upstream))
       if (open.length === 0) break
-      const attempt = await this._awaitWithinLimit(open[turn % open.length]!.upstream, query, { want, urgency: query.urgency, missing: false, mayWait: true, repeated: true }, until)
+      const held = open.filter(({ upstream }) => this._options.directory.canRequestLoad(upstream.id))
+      if (held.length === 0) {
+        // Without a holder to send load orders, a queue does not advance.
+        const isChanging = open.some(({ upstream }) => this._options.directory.awaitsHolder(upstream.id))
+        if (!isChanging || this._now - heldAt >= holderChange) break
+        await sleep(this._options.clock, queuePause)
+        continue
+      }
+      heldAt = this._now
+      const attempt = await this._awaitWithinLimit(held[turn % held.length]!.upstream, query, { urgency: query.urgency, missing: false, mayWait: true, repeated: true }, until)
       if (attempt.kind === 'placed') return attempt
       await sleep(this._options.clock, queuePause)
     }
@@ -248,7 +266,7 @@
   }
 
   /** Waits for an adapter at one upstream, if the upstream's limit leaves room for a request. */
-  private async _awaitWithinLimit (upstream: Upstream, query: PlacementQuery, loadQuery: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<Attempt> {
+  private async _awaitWithinLimit (upstream: Upstream, query: PlacementQuery, loadQuery: LoadQuery, until: Ms): Promise<Attempt> {
     const admission = await this._options.admit(upstream)
     if (admission.kind === 'over-limit') return admission
     const { refund } = admission
@@ -262,14 +280,15 @@
    * Waits for an adapter at one upstream while the adapter is being loaded there. If it were requested at another
    * upstream meanwhile, it would be loaded twice, and both loads would share the weight store's rate.
    */
-  private async _awaitAdapter (upstream: Upstream, query: PlacementQuery, loadQuery: Omit<EnsureQuery, 'patience' | 'prompt'>, until: Ms): Promise<AdapterAttempt> {
+  private async _awaitAdapter (upstream: Upstream, query: PlacementQuery, loadQuery: LoadQuery, until: Ms): Promise<AdapterAttempt> {
     let { missing, repeated } = loadQuery
     const { dueAt, ...prompt } = query.prompt
     let admissionWait = 0
     for (;;) {
       const patience = until - this._now
-      if (patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return { kind: 'not-there', line: 0 }
-      const outcome = await this._options.directory.ensure(upstream, { ...loadQuery, missing, repeated, patience, prompt: { ...prompt, dueIn: dueAt - this._now } })
+      const want = query.want()
+      if (want === undefined || patience <= 0 || query.cancelled() || !this._isOpen(upstream)) return { kind: 'not-there', line: 0 }
+      const outcome = await this._options.directory.ensure(upstream, { ...loadQuery, want, missing, repeated, patience, prompt: { ...prompt, dueIn: dueAt - this._now } })
       if (outcome.kind === 'unavailable') return { kind: 'not-there', cause: outcome.cause, line: outcome.line ?? 0, ...(outcome.wait === undefined ? {} : { wait: outcome.wait }) }
       admissionWait += outcome.atDoor ?? 0
       // While the request waited, the upstream may have announced that it leaves.
@@ -293,15 +312,16 @@
   }
 
   /** Upstreams that accept new requests now, split into healthy ones and those that this entry has ejected. */
-  private _openUpstreams ({ service, avoid, software }: PlacementQuery): { readonly healthy: readonly Upstream[], readonly ejected: readonly Upstream[] } {
+  private _openUpstreams ({ service, avoid, only, software }: PlacementQuery): { readonly healthy: readonly Upstream[], readonly ejected: readonly Upstream[] } {
     const now = this._now
     const open = this._options.members.serving(service)
-      .filter(upstream => !avoid.has(upstream.id) && hasSoftware(upstream, software) && this._isOpen(upstream) && upstream.pool.hasRoom)
+      .filter(upstream => (only?.has(upstream.id) ?? !avoid.has(upstream.id)) && hasSoftware(upstream, software) && this._isOpen(upstream) && upstream.pool.hasRoom)
     return { healthy: open.filter(({ health }) => health.accepts(now)), ejected: open.filter(({ health }) => !health.accepts(now)) }
   }
 
   private _rankCapable (query: PlacementQuery, open: readonly Upstream[]): readonly Upstream[] {
-    const withModel = query.want === undefined ? open : this._withModel(open, query.want.model)
+    const want = query.want()
+    const withModel = want === undefined ? open : this._withModel(open, want.model)
     return this._rank(query, withModel.length > 0 ? withModel : open)
   }
 
@@ -311,7 +331,7 @@
   }
 
   private _rank (query: PlacementQuery, upstreams: readonly Upstream[]): readonly Upstream[] {
-    const { want } = query
+    const want = query.want()
     const entries = this._options.entries()
     const ranks = want?.adapter === undefined ? undefined : this._ranksFor(`${want.model}/${want.adapter}`, upstreams)
     const running = this._loadEstimate(upstreams, want, entries)
--- a/packages/direct/src/lib/relay/caller-server.ts
+++ b/packages/direct/src/lib/relay/caller-server.ts
@@ -4,8 +4,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Clock, type Ms } from '@hazelford/core'
 import type { CallerLimits } from '@hazelford/ports'
+import type { Socket } from 'node:net'
 import { type BodyMemory, BodyReservation } from './body-memory.js'
 import { CallerAnswer, type EntryError } from './caller-answer.js'
+import { CallerConnection, type PendingRequest } from './caller-connection.js'
 
 /** A request that was read completely, with the answer to write. */
 export interface IncomingRequest {
@@ -22,6 +24,14 @@
   readonly onGone: (run: () => void) => void
 }
 
+/**
+ * Why a request gets no answer although its caller has not left.
+ *
+ * - `read-too-late`: it was read after the answer that ends its connection had begun, and is not run.
+ * - `connection-closed`: its connection closed after it was read.
+ */
+export type DropCause = 'read-too-late' | 'connection-closed'
+
 /** What the server needs of its entry. */
 export interface CallerServerOptions {
   readonly clock: Clock
@@ -33,6 +43,8 @@
   readonly bodyTimeout: (host: string, target: string) => Ms
   readonly closing: () => boolean
   readonly handle: (incoming: IncomingRequest) => void
+  /** Called with the headers of a request that gets no answer although its caller has not left. */
+  readonly dropped: (cause: DropCause, headers: readonly string[]) => void
 }
 
 /** How often slow and idle connections are checked. */
@@ -62,7 +74,8 @@
 /** Serves callers. */
 export class CallerServer {
   readonly server: Server
-  private _open = 0
+  private readonly _open = new Set<PendingRequest>()
+  private readonly _connections = new WeakMap<Socket, CallerConnection>()
   private _maxHeaderBytes = defaultHeaderBytes
   private _onDrained: (() => void) | undefined
 
@@ -77,7 +90,7 @@
   }
 
   /** Requests whose answer is not complete. */
-  get open (): number { return this._open }
+  get open (): number { return this._open.size }
 
   listen (host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
@@ -97,36 +110,40 @@
 
   /** Waits until no request is open; new ones are still accepted. */
   async drained (): Promise<void> {
-    if (this._open === 0) return
+    if (this._open.size === 0) return
     await new Promise<void>(resolve => { this._onDrained = resolve })
   }
 
+  /** Stops listening, and reports the requests whose answers were not sent completely: the process ends. */
   close (): void {
+    for (const request of [...this._open]) request.done(true)
     this.server.close()
     this.server.closeIdleConnections()
   }
 
   private _read (req: IncomingMessage, res: ServerResponse): void {
-    const { clock, closing } = this._options
+    const { clock, closing, dropped } = this._options
     const arrivedAt = clock.now()
-    this._open++
-    res.on('close', () => {
-      this._open--
-      if (this._open === 0) this._onDrained?.()
-    })
+    const connection = this._connectionOf(req.socket)
+    if (connection.isEnding) {
+      req.resume()
+      return dropped('read-too-late', req.rawHeaders)
+    }
     res.sendDate = false
-    const answer = new CallerAnswer(res, closing)
+    const answer = new CallerAnswer(res, () => closing() && connection.endSoon(), () => connection.end())
+    const reservation = new BodyReservation(this._options.bodyMemory)
+    const pending = this._track(req, res, connection, answer, reservation)
     const fail = (error: EntryError): void => {
       // The rest of the body is not read, so the connection can't be used again.
+      connection.end()
       res.setHeader('Connection', 'close')
       answer.fail(error)
     }
     if (headerBytes(req) > this._maxHeaderBytes) return fail({ kind: 'headers-too-large' })
-    if (!hasBody(req)) return this._handle(req, res, undefined, arrivedAt, answer)
+    if (!hasBody(req)) return this._handle(req, pending, undefined, arrivedAt, answer)
     const chunks: Buffer[] = []
     let size = 0
     let isRefused = false
-    const reservation = new BodyReservation(this._options.bodyMemory)
     const limit = this._options.maxBodyBytes()
     const bodyTimeout = this._options.bodyTimeout(req.headers.host ?? '', req.url ?? '/')
     const refuse = (bytes: number): void => {
@@ -140,10 +157,7 @@
       clock.after(bodyTimeout, () => { if (!req.complete) req.socket.destroy() })
     }
     const cancelTimeout = clock.after(bodyTimeout, () => { if (!answer.ended) fail({ kind: 'body-incomplete' }) })
-    res.on('close', () => {
-      cancelTimeout()
-      reservation.release()
-    })
+    res.on('close', cancelTimeout)
     req.on('data', (chunk: Buffer) => {
       size += chunk.length
       if (isRefused && size > limit) req.socket.destroy()
@@ -154,7 +168,7 @@
     })
     req.on('end', () => {
       cancelTimeout()
-      if (!answer.ended) this._handle(req, res, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), arrivedAt, answer)
+      if (!answer.ended) this._handle(req, pending, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), arrivedAt, answer)
     })
     // The caller broke off within its body. Nothing was passed on, and the close of its connection decrements the
     // number of open requests.
@@ -163,8 +177,34 @@
     if (declared <= limit && !reservation.growTo(declared)) refuse(declared)
   }
 
-  private _handle (req: IncomingMessage, res: ServerResponse, body: Buffer | undefined, arrivedAt: Ms, answer: CallerAnswer): void {
-    this._options.handle({
+  private _connectionOf (socket: Socket): CallerConnection {
+    const known = this._connections.get(socket)
+    if (known !== undefined) return known
+    const connection = new CallerConnection(socket)
+    this._connections.set(socket, connection)
+    return connection
+  }
+
+  /** Counts a request as open until it has its answer or its connection has closed. */
+  private _track (req: IncomingMessage, res: ServerResponse, connection: CallerConnection, answer: CallerAnswer, reservation: BodyReservation): PendingRequest {
+    const pending: PendingRequest = {
+      gone: () => {},
+      done: isLost => {
+        if (!this._open.delete(pending)) return
+        reservation.release()
+        if (isLost && req.complete && !answer.isCut) this._options.dropped('connection-closed', req.rawHeaders)
+        if (this._open.size === 0) this._onDrained?.()
+      }
+    }
+    this._open.add(pending)
+    connection.add(pending)
+    res.once('finish', () => connection.settle(pending, false))
+    return pending
+  }
+
+  private _handle (req: IncomingMessage, pending: PendingRequest, body: Buffer | undefined, arrivedAt: Ms, answer: CallerAnswer): void {
+    const { closing, handle } = this._options
+    const incoming: IncomingRequest = {
       method: req.method ?? 'GET',
       host: req.headers.host ?? '',
       target: req.url ?? '/',
@@ -173,17 +213,11 @@
       arrivedAt,
       answer,
       isGone: () => req.socket.destroyed || req.socket.readableEnded,
-      onGone: run => {
-        const { socket } = req
-        const gone = (): void => { if (!res.writableFinished) run() }
-        // When the caller closes its side, `end` is emitted a little before `close`.
-        socket.once('end', gone)
-        res.once('close', () => {
-          socket.removeListener('end', gone)
-          gone()
-        })
-      }
-    })
+      onGone: run => { pending.gone = run }
+    }
+    if (!closing()) return handle(incoming)
+    // Further requests in the bytes that were read are known by then, and the first answer doesn't end their connection.
+    process.nextTick(() => handle(incoming))
   }
 }
 
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -5,7 +5,8 @@
 import { type RequestedAdapter, type ExchangeOutcome, type LateCause, type MeasuredPace, mayHaveCausedTermination, type OverdueTime, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey, type RetryCause, StreamPace } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
 import type { CallerAnswer } from './caller-answer.js'
-import { type AnswerHead, Exchange, type WholeAnswer } from './exchange.js'
+import type { AnswerHead, Exchange, ExchangeRequest, ExchangeSink, WholeAnswer } from './exchange.js'
+import type { ConnectionPool } from './connection-pool.js'
 import type { Placement, PlacementQuery, PlacementWaits, SoftwareNeed } from '../placing/placer.js'
 import { requestFingerprint } from './request-fingerprint.js'
 import type { RequestSuspects } from '../quarantine/termination-detector.js'
@@ -33,13 +34,8 @@
 /** How a request ended, for logs and metrics. */
 export type RelayEnd = 'delivered' | 'broken' | 'caller-gone' | RelayFailure
 
-/**
- * Why a caller got part of an answer, or none, and its connection was closed.
- *
- * - `entry-fault`: an error within the entry.
- * - `process-end`: the entry's process ended first.
- */
-export type CutCause = RelayFailure | 'entry-fault' | 'process-end'
+/** Why a caller got part of an answer, or none, and its connection was closed; `entry-fault`: an error within the entry. */
+export type CutCause = RelayFailure | 'entry-fault'
 
 /** Summary of a request at its end. */
 export interface RelaySummary {
@@ -57,10 +53,27 @@
   readonly unframedFrom: Upstream | undefined
 }
 
+/** An exchange as its request uses it. */
+export type RelayExchange = Pick<Exchange, 'openedAt' | 'abandon' | 'ignore' | 'pause' | 'resume'>
+
+/** An open request, for the log. */
+export interface OpenRequest {
+  readonly request: string
+  /** Ms since its arrival. */
+  readonly age: Ms
+  readonly waitsFor: 'placement' | 'upstream'
+  /** Upstreams that have it. */
+  readonly upstreams: readonly string[]
+  /** Whether a part of its answer was sent. */
+  readonly begun: boolean
+}
+
 /** What a request needs of its entry. */
 export interface RelayTaskOptions {
   readonly clock: Clock
   readonly log: Log
+  /** Sends a request to the upstream of a connection pool. */
+  readonly exchange: (pool: ConnectionPool, request: ExchangeRequest, sink: ExchangeSink) => RelayExchange
   readonly codec: CallCodec
   /** The adapter that it needs, in the version declared now. */
   readonly want: () => RequestedAdapter | undefined
@@ -91,8 +104,10 @@
   readonly partsAnswered: (since: Ms) => void
   /** Called with the upstream's notice in an answer; `took`: ms from the send to the answer's head. */
   readonly noticed: (upstream: Upstream, notice: UpstreamNotice, took: Ms) => void
-  /** Ms after which a caller refused for this failure is asked to return. */
-  readonly retryAfter: (failure: RelayFailure) => Ms
+  /** Ms after which a caller refused for this failure is asked to return; `placeable`: when an upstream can be expected to accept the request, where that is known. */
+  readonly retryAfter: (failure: RelayFailure, placeable: Ms | undefined) => Ms
+  /** Time until which a request may wait for its first upstream: when the entry refuses requests, since it stops; else infinite. */
+  readonly refusesFrom: () => Ms
   /** Called when an upstream refused the request because the adapter was not loaded. */
   readonly adapterBroken: (upstream: string, want: RequestedAdapter) => void
   /** Called when an exchange with an upstream has ended or stalled; `serviceTime`: ms from the send until then. */
@@ -138,9 +153,11 @@
 /** Time kept for the answer's first event before the caller leaves. */
 const firstEventMargin: Ms = 600
 
+type PlaceEffect = RelayEffect & { readonly kind: 'place' }
+
 /** An exchange with an upstream. */
 interface OpenExchange {
-  readonly exchange: Exchange
+  readonly exchange: RelayExchange
   readonly upstream: Upstream
   /** Why it is the second one that has the request; undefined for the first one. */
   readonly beside: LateCause | undefined
@@ -161,7 +178,7 @@
   private readonly _deadline: Ms
   private _cancelTimeout: CancelTimer = () => {}
   /** The exchange whose answer is passed on. */
-  private _exchange: Exchange | undefined
+  private _exchange: RelayExchange | undefined
   /** Exchanges by upstream: two while a second one has the request. */
   private readonly _exchanges = new Map<string, OpenExchange>()
   private _cancelOverdue: CancelTimer = () => {}
@@ -198,6 +215,9 @@
   private _longestGap: Ms = 0
   private readonly _pace = new StreamPace()
   private _sends = 0
+  /** Sends on connections that were never made. */
+  private _failedConnections = 0
+
   constructor (
     private readonly _call: BufferedCall,
     private readonly _route: Route,
@@ -229,6 +249,18 @@
   /** Ends the request because it is quarantined from now on. */
   endQuarantined (cause: QuarantineCause): void { this._post({ kind: 'held', cause }) }
 
+  /** Where the request is now. */
+  get state (): OpenRequest {
+    const upstreams = [...this._exchanges.keys()]
+    return { request: this._call.facts.id, age: Math.round(this._options.clock.now() - this._call.arrivedAt), waitsFor: upstreams.length > 0 ? 'upstream' : 'placement', upstreams, begun: this._answer.begun }
+  }
+
+  /** Refuses the request if it still waits for an upstream: the entry stops soon. */
+  stop (): void { this._post({ kind: 'stopping' }) }
+
+  /** Answers or cuts off the request, since the entry's process ends now. */
+  endWithProcess (): void { this._post({ kind: 'process-end' }) }
+
   /** Handles that the caller has closed its connection. */
   callerGone (): void { this._post({ kind: 'caller-gone' }) }
 
@@ -271,7 +303,7 @@
 
   private _perform (effect: RelayEffect): void {
     switch (effect.kind) {
-      case 'place': return this._place(effect.avoid, effect.retryUpstream, effect.beside)
+      case 'place': return this._place(effect)
       case 'send': return this._send()
       case 'send-beside':
         this._options.lateEvent(effect.cause, 'sent')
@@ -286,12 +318,12 @@
       case 'deliver': return this._deliver()
       case 'finish': return this._end('delivered')
       case 'fail':
-        this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._retryAfter ?? this._options.retryAfter(effect.failure) })
+        this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._options.retryAfter(effect.failure, this._retryAfter) })
         return this._end(effect.failure, effect.notRun)
       case 'break':
         this._cut(effect.failure)
         return this._end('broken')
-      case 'forget': return this._end('caller-gone', this._sends === 0)
+      case 'forget': return this._end('caller-gone', this._attempts === 0)
       default: return assertNever(effect)
     }
   }
@@ -308,16 +340,18 @@
   private get _longestWait (): Ms {
     const waited = this._options.clock.now() - (this._dataAt ?? this._call.arrivedAt)
     const leavesAfter = Math.max(leaveFloor, leaveTargets * this._route.latencyTarget) - firstEventMargin
-    return Math.max(0, Math.min(this._remaining * loadShare, leavesAfter - waited))
+    const untilRefused = this._answer.begun ? Infinity : this._options.refusesFrom() - this._options.clock.now()
+    return Math.max(0, Math.min(this._remaining * loadShare, leavesAfter - waited, untilRefused))
   }
 
-  private _place (avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside: LateCause | undefined): void {
-    if (this._software.kind !== 'unknown' || this._verifyOrigin === undefined) return this._placeAt(this._software, avoid, retryUpstream, beside)
-    this._verifyOrigin().then(() => this._placeAt(this._software, avoid, retryUpstream, beside), (error: Error) => this._endAfterFault(error))
+  private _place (effect: PlaceEffect): void {
+    if (this._software.kind !== 'unknown' || this._verifyOrigin === undefined) return this._placeAt(this._software, effect)
+    this._verifyOrigin().then(() => this._placeAt(this._software, effect), (error: Error) => this._endAfterFault(error))
   }
 
-  private _placeAt (software: SoftwareNeed, avoid: ReadonlySet<string>, retryUpstream: string | undefined, beside: LateCause | undefined): void {
+  private _placeAt (software: SoftwareNeed, { beside, ...effect }: PlaceEffect): void {
     if (this._over) return
+    const { avoid, only, retryUpstream } = effect
     this._isPlacingOverdue = beside === 'overdue'
     // A stream may be resumed many seconds after its request arrived. If a new version of its adapter was declared since
     // then, that version is in force at the other upstream; with the version of the first placement, the stream would
@@ -326,24 +360,27 @@
     this._retryAfter = undefined
     const query: PlacementQuery = {
       service: this._service,
-      want: this._want,
+      want: this._options.want,
       urgency: this._call.priority,
       avoid: beside === 'overdue' ? new Set([...avoid, ...this._options.silentUpstreams() ?? []]) : avoid,
       software,
       patience: this._longestWait,
       prompt: { request: this._call.facts.id, tokens: this._call.facts.promptTokens, dueAt: this._call.arrivedAt + this._route.latencyTarget, ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }) },
-      cancelled: () => this._over,
+      cancelled: () => this._over || (beside === 'stalled' && this._hasContinued),
+      ...(only === undefined ? {} : { only }),
       ...(retryUpstream === undefined ? {} : { retryUpstream })
     }
     this._options.place(query).then(placed => {
       // On a busy host, a request and the close of its connection are read in two consecutive turns of the event loop.
       // A request sent between the two would run for a caller who left long before.
       setImmediate(() => setImmediate(() => {
-        if (this._software === software || this._over) return this._placed(placed)
-        // The first event arrived during the search: it decides the software.
+        if (this._over) return this._placed(placed)
+        if (this._software === software && !this._isOutdated(placed)) return this._placed(placed)
+        // During the search, a newer version was declared, or the first event arrived, which decides the software.
         if (placed.kind === 'placed') this._releasePlacement(placed)
+        if (this._software === software) return this._placeAt(software, { kind: 'place', avoid, ...(only === undefined ? {} : { only }), ...(beside === undefined ? {} : { beside }) })
         if (this._exchanges.size > 0) return this._post({ kind: 'unplaced', cause: 'no-upstream' })
-        this._place(avoid, retryUpstream, undefined)
+        this._place(effect)
       }))
     }, (error: Error) => {
       this._options.log.warn('request', 'placement failed.', { request: this._call.facts.id, error: error.message })
@@ -351,6 +388,12 @@
     })
   }
 
+  /** Whether a newer version of the adapter was declared than the one at the upstream. */
+  private _isOutdated (placed: Placement): boolean {
+    const declared = this._options.want()?.version
+    return placed.kind === 'placed' && declared !== undefined && (placed.version ?? 0) < declared
+  }
+
   /**
    * Handles the result of a placement.
    *
@@ -423,7 +466,7 @@
       ...(this._call.organisation === undefined ? {} : { organisation: this._call.organisation }),
       ...(resumed === undefined ? {} : { lastEventId: resumed })
     })
-    const exchange = new Exchange(clock, codec, upstream.pool, {
+    const exchange = this._options.exchange(upstream.pool, {
       id: facts.id,
       instance: upstream.id,
       host: upstream.record.host,
@@ -437,6 +480,7 @@
       firstDataSilence: this._firstDataSilence(),
       gapSilence: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
       lastEventId: this._lastEventId,
+      continues: this._answer.begun,
       verify: this._software.kind === 'version' ? openedAt => this._options.verifyIncarnation(upstream, openedAt) : undefined
     }, {
       noticed: notice => this._options.noticed(upstream, notice, clock.now() - sentAt),
@@ -448,6 +492,7 @@
       },
       unreachable: cause => {
         close('unreachable')
+        this._failedConnections++
         refund()
         log.info('request', 'upstream unreachable.', { request: facts.id, upstream: upstream.id, cause })
         this._post({ kind: 'unreachable', from })
@@ -493,7 +538,7 @@
     this._exchanges.set(from, { exchange, upstream, beside, release, isSilent: false })
   }
 
-  private _readFrom (upstream: Upstream, exchange: Exchange, sentAt: Ms): void {
+  private _readFrom (upstream: Upstream, exchange: RelayExchange, sentAt: Ms): void {
     this._exchange = exchange
     this._upstream = upstream
     this._sentAt = sentAt
@@ -513,7 +558,7 @@
   private _watchOverdue (upstream: Upstream): () => void {
     const { clock, log, overdueTime, overdue, silentUpstreams } = this._options
     const waited = clock.now() - this._call.arrivedAt
-    const due = this._route.kind === 'read-only' && this._want === undefined && this._sends < this._route.maxAttempts ? overdueTime(waited) : undefined
+    const due = this._route.kind === 'read-only' && this._want === undefined && this._attempts < this._route.maxAttempts ? overdueTime(waited) : undefined
     if (due === undefined || due.after >= this._remaining) return () => {}
     let ended = (): void => {}
     this._cancelOverdue = clock.after(due.after, () => {
@@ -529,6 +574,9 @@
     }
   }
 
+  /** Sends that may have reached an upstream. */
+  private get _attempts (): number { return this._sends - this._failedConnections }
+
   private get _isStream (): boolean { return this._route.kind === 'stream' }
 
   private get _repeatable (): boolean {
@@ -571,7 +619,7 @@
     const { latencyTarget, maxAttempts } = this._route
     if (!this._repeatable) return undefined
     if (this._isStream) return Math.max(streamSilence, 2 * latencyTarget)
-    return this._sends >= maxAttempts ? undefined : Math.max(slowFloor, slowFactor * latencyTarget)
+    return this._attempts >= maxAttempts ? undefined : Math.max(slowFloor, slowFactor * latencyTarget)
   }
 
   private _data (bytes: Buffer, lastEventId: number | undefined, from: string): void {
@@ -589,6 +637,9 @@
     this._write(bytes)
   }
 
+  /** Whether an upstream has the request and is not silent. */
+  private get _hasContinued (): boolean { return [...this._exchanges.values()].some(({ isSilent }) => !isSilent) }
+
   /** Records data of an upstream; returns whether it was silent, or another one has the request too. */
   private _recordContinued (from: string): boolean {
     const open = this._exchanges.get(from)
