--- a/packages/direct/src/lib/relay/caller-server.ts
+++ b/packages/direct/src/lib/relay/caller-server.ts
@@ -5,6 +5,7 @@
 import { type Clock, type Ms } from '@hazelford/core'
 import type { CallerLimits } from '@hazelford/ports'
 import type { Socket } from 'node:net'
+import { type BodyMemory, BodyReservation } from './body-memory.js'
 import { CallerAnswer, type EntryError } from './caller-answer.js'
 import { CallerConnection, type PendingRequest } from './caller-connection.js'
 
@@ -35,6 +36,9 @@
 export interface CallerServerOptions {
   readonly clock: Clock
   readonly maxBodyBytes: () => number
+  readonly bodyMemory: BodyMemory
+  /** Called when a request is refused because there is no memory for its body; `bytes`: as far as they are known. */
+  readonly bodyRefused: (bytes: number) => void
   /** Ms within which a request to this host and target must have been read. */
   readonly bodyTimeout: (host: string, target: string) => Ms
   readonly closing: () => boolean
@@ -54,6 +58,9 @@
  */
 const idleSlack: Ms = 500
 const backlog = 1_024
+/** Shortest Retry-After of a request without room for its body; jittered, so that callers refused together don't return together. */
+const bodyRetryAfter: Ms = 150
+const bodyRetrySpread: Ms = 250
 
 /** Bytes of a request's target, and of its headers without separators. */
 function headerBytes ({ url, rawHeaders }: IncomingMessage): number {
@@ -124,7 +131,8 @@
     }
     res.sendDate = false
     const answer = new CallerAnswer(res, () => closing() && connection.endSoon(), () => connection.end())
-    const pending = this._track(req, res, connection, answer)
+    const reservation = new BodyReservation(this._options.bodyMemory)
+    const pending = this._track(req, res, connection, answer, reservation)
     const fail = (error: EntryError): void => {
       // The rest of the body is not read, so the connection can't be used again.
       connection.end()
@@ -135,13 +143,27 @@
     if (!hasBody(req)) return this._handle(req, pending, undefined, arrivedAt, answer)
     const chunks: Buffer[] = []
     let size = 0
+    let isRefused = false
     const limit = this._options.maxBodyBytes()
-    const cancelTimeout = clock.after(this._options.bodyTimeout(req.headers.host ?? '', req.url ?? '/'), () => { if (!answer.ended) fail({ kind: 'body-incomplete' }) })
+    const bodyTimeout = this._options.bodyTimeout(req.headers.host ?? '', req.url ?? '/')
+    const refuse = (bytes: number): void => {
+      isRefused = true
+      chunks.length = 0
+      reservation.release()
+      this._options.bodyRefused(bytes)
+      // The rest of the body is read and discarded. A close before that would reset the connection, and the caller may not
+      // have read the answer by then.
+      answer.fail({ kind: 'no-body-memory', retryAfter: bodyRetryAfter + Math.random() * bodyRetrySpread }, end => req.once('end', end))
+      clock.after(bodyTimeout, () => { if (!req.complete) req.socket.destroy() })
+    }
+    const cancelTimeout = clock.after(bodyTimeout, () => { if (!answer.ended) fail({ kind: 'body-incomplete' }) })
     res.on('close', cancelTimeout)
     req.on('data', (chunk: Buffer) => {
       size += chunk.length
+      if (isRefused && size > limit) req.socket.destroy()
       if (answer.ended) return
       if (size > limit) return fail({ kind: 'body-too-large' })
+      if (!reservation.growTo(size)) return refuse(size)
       chunks.push(chunk)
     })
     req.on('end', () => {
@@ -151,6 +173,8 @@
     // The caller broke off within its body. Nothing was passed on, and the close of its connection decrements the
     // number of open requests.
     req.on('error', () => {})
+    const declared = Number(req.headers['content-length'] ?? 0)
+    if (declared <= limit && !reservation.growTo(declared)) refuse(declared)
   }
 
   private _connectionOf (socket: Socket): CallerConnection {
@@ -162,11 +186,12 @@
   }
 
   /** Counts a request as open until it has its answer or its connection has closed. */
-  private _track (req: IncomingMessage, res: ServerResponse, connection: CallerConnection, answer: CallerAnswer): PendingRequest {
+  private _track (req: IncomingMessage, res: ServerResponse, connection: CallerConnection, answer: CallerAnswer, reservation: BodyReservation): PendingRequest {
     const pending: PendingRequest = {
       gone: () => {},
       done: isLost => {
         if (!this._open.delete(pending)) return
+        reservation.release()
         if (isLost && req.complete && !answer.isCut) this._options.dropped('connection-closed', req.rawHeaders)
         if (this._open.size === 0) this._onDrained?.()
       }
--- a/packages/direct/src/test/caller-server.steps.ts
+++ b/packages/direct/src/test/caller-server.steps.ts
@@ -5,6 +5,7 @@
 import { connect, type AddressInfo, type Socket } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { systemClock } from '@hazelford/core'
+import { BodyMemory } from '../lib/relay/body-memory.js'
 import { CallerServer, type DropCause } from '../lib/relay/caller-server.js'
 
 interface ServerWorld { server: CallerServer, socket: Socket, dropped: Array<{ cause: DropCause, headers: readonly string[] }> }
@@ -15,6 +16,8 @@
     this.server = new CallerServer({
       clock: systemClock,
       maxBodyBytes: () => 1_000,
+      bodyMemory: new BodyMemory(1_000),
+      bodyRefused: () => {},
       bodyTimeout: () => 1_000,
       closing: () => true,
       handle: ({ answer }) => {
