Look once more for an upstream when a search that was not needed has found nothing

A silent upstream goes on while another one is looked for, and then breaks its connection. The running search was taken over as the search for the request's next upstream. That search ends early once it is not needed, and its time was measured from the data before the silence; its failure then cut the stream off (or failed the read) without a search of its own.

Found by reading; not seen in a run with servers.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -165,6 +165,14 @@
     feature: 'packages/decisions/src/test/relay-flow.feature',
     scenario: 'refuses a request while the entry stops'
   },
+  {
+    guarantee: 'direct requests: a search that was not needed any more does not decide that no upstream can be found',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: 'search.kind === \'next\' && search.isReused',
+    replace: 'false',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'goes on and breaks the connection during the search'
+  },
   {
     guarantee: 'direct requests: an upstream that has refused a request counts as one that got it, also if it terminates then',
     file: 'packages/decisions/dist/lib/relay-flow.js',
--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -22,12 +22,13 @@
 /**
  * The search for an upstream.
  *
- * - `next`: no upstream has the request.
+ * - `next`: no upstream has the request; `isReused`: it began while one had it.
  * - `beside`: an upstream has it, and a second one is needed.
  * - `unneeded`: the upstream that has it has continued since, so the result is not used.
  */
 type Search =
-  | { readonly kind: 'none' | 'next' | 'unneeded' }
+  | { readonly kind: 'none' | 'unneeded' }
+  | { readonly kind: 'next', readonly isReused: boolean }
   | { readonly kind: 'beside', readonly cause: LateCause }
 
 /** Progress of a request. */
@@ -92,7 +93,7 @@
 /** Looks for the next upstream, among the ones in `only` if that is given, unless a search runs whose result can be used. */
 function searchNext (progress: Progress, only?: ReadonlySet<string>): Effects {
   const isSearching = progress.search.kind !== 'none'
-  progress.search = { kind: 'next' }
+  progress.search = { kind: 'next', isReused: isSearching }
   if (isSearching) return []
   const { avoid, retryUpstream } = progress
   return [{ kind: 'place', avoid, ...(only === undefined ? {} : { only }), ...(retryUpstream === undefined ? {} : { retryUpstream }) }]
@@ -149,6 +150,8 @@
 function handleUnplaced (cause: UnplacedCause, progress: Progress): Transition {
   const { search } = progress
   progress.search = { kind: 'none' }
+  // The search may have ended early since it was not needed, or its time was shorter.
+  if (search.kind === 'next' && search.isReused) return continueWith(searchNext(progress))
   return search.kind === 'beside' || search.kind === 'unneeded' ? continueWith([]) : endWith(giveUp(progress, cause))
 }
 
--- a/packages/decisions/src/test/relay-flow.feature
+++ b/packages/decisions/src/test/relay-flow.feature
@@ -67,6 +67,12 @@
     When its upstream stalls and breaks the connection while another is looked for
     Then no second search starts, and it continues where it is placed
 
+  Scenario: a silent engine goes on and breaks the connection during the search
+    Guards against a stream that is cut off because the search which was not needed any more has found nothing.
+    Given a resumable stream that may be sent to 2 upstreams
+    When its upstream stalls, goes on and breaks the connection while another is looked for in vain
+    Then another is looked for once more, and without one the stream is cut off
+
   Scenario: an upstream refuses a request while the entry stops
     Guards against a caller that waits at an entry whose process ends, although another entry could send its request at once.
     Given a direct stock check that may be sent to 2 upstreams
--- a/packages/decisions/src/test/relay-flow.steps.ts
+++ b/packages/decisions/src/test/relay-flow.steps.ts
@@ -382,6 +382,19 @@
   assert.deepEqual(this.effects, [{ kind: 'send', upstream: 'u2' }])
 })
 
+When('its upstream stalls, goes on and breaks the connection while another is looked for in vain', function (this: FlowWorld) {
+  send(this, { kind: 'stalled' })
+  send(this, { kind: 'streaming' })
+  send(this, { kind: 'lost' })
+  send(this, { kind: 'unplaced', cause: 'no-upstream' })
+})
+
+Then('another is looked for once more, and without one the stream is cut off', function (this: FlowWorld) {
+  assert.deepEqual(this.effects, [{ kind: 'place', avoid: new Set(['u1']) }])
+  send(this, { kind: 'unplaced', cause: 'no-upstream' })
+  assert.deepEqual(this.effects, [{ kind: 'break', failure: 'no-upstream' }])
+})
+
 Given('a direct stock check whose key is withdrawn before it is placed', function (this: FlowWorld) {
   this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRetry: () => true, isAllowed: () => false, quarantine: () => undefined })
   this.flow.next()
