--- a/packages/decisions/src/lib/relay-messages.ts
+++ b/packages/decisions/src/lib/relay-messages.ts
@@ -47,7 +47,7 @@
   | { readonly kind: 'refused', readonly refusal: UpstreamRefusal } & FromUpstream
   /** No connection was made, and nothing was sent. */
   | { readonly kind: 'unreachable' } & FromUpstream
-  /** The connection broke, or the upstream became silent, after bytes were sent. */
+  /** The connection broke, or the answer can't be used, after bytes were sent. */
   | { readonly kind: 'lost' } & FromUpstream
   /** A read has no answer by the time when another upstream could still answer it within the route's latency target. */
   | { readonly kind: 'overdue' }
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -29,7 +29,7 @@
  * How an answer was lost.
  *
  * - `broke`: the connection ended, from either side.
- * - `unusable`: the answer was late or not the one expected.
+ * - `unusable`: the answer was not the one expected.
  * - `other-software`: it may come from other software than the stream began at.
  */
 export type LossKind = 'broke' | 'unusable' | 'other-software'
