Judge a time limit only after what has arrived was read

What callers saw: a draft cut off, or a 504, although all of the answer had arrived in time. Cause: after a pause of the entry its timers run before the data that waits in its sockets is read. The watch for silence already waited for that; the time limit of a request and of its body did not.

Change: afterReading, one place for the three timers.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -127,11 +127,19 @@
   },
   {
     guarantee: 'direct requests: an upstream whose data the entry has not read yet does not count as silent',
-    file: 'packages/direct/dist/lib/relay/exchange.js',
-    find: 'setImmediate(() => setImmediate(() => {\n                if (isCancelled)',
-    replace: '(run => run())((() => {\n                if (isCancelled)',
+    file: 'packages/direct/dist/lib/after-reading.js',
+    find: 'setImmediate(() => setImmediate(() => {',
+    replace: '(go => go())((() => {',
+    feature: 'platform/src/test/silent-servers.feature',
+    scenario: 'an entry pauses itself while'
+  },
+  {
+    guarantee: 'direct requests: an answer that has arrived in time is delivered, also if the entry has paused meanwhile',
+    file: 'packages/direct/dist/lib/relay/relay-task.js',
+    find: 'this._cancelTimeout = afterReading(clock, ',
+    replace: 'this._cancelTimeout = clock.after(',
     feature: 'platform/src/test/silent-servers.feature',
-    scenario: 'an entry pauses itself'
+    scenario: 'an entry pauses itself until'
   },
   {
     guarantee: 'stopping entries: what no upstream has is refused before the process ends',
--- a/packages/direct/src/lib/relay/caller-server.ts
+++ b/packages/direct/src/lib/relay/caller-server.ts
@@ -5,6 +5,7 @@
 import { type Clock, type Ms } from '@hazelford/core'
 import type { CallerLimits } from '@hazelford/ports'
 import type { Socket } from 'node:net'
+import { afterReading } from '../after-reading.js'
 import { type BodyMemory, BodyReservation } from './body-memory.js'
 import { CallerAnswer, type EntryError } from './caller-answer.js'
 import { CallerConnection, type PendingRequest } from './caller-connection.js'
@@ -156,7 +157,7 @@
       answer.fail({ kind: 'no-body-memory', retryAfter: bodyRetryAfter + Math.random() * bodyRetrySpread }, end => req.once('end', end))
       clock.after(bodyTimeout, () => { if (!req.complete) req.socket.destroy() })
     }
-    const cancelTimeout = clock.after(bodyTimeout, () => { if (!answer.ended) fail({ kind: 'body-incomplete' }) })
+    const cancelTimeout = afterReading(clock, bodyTimeout, () => { if (!answer.ended) fail({ kind: 'body-incomplete' }) })
     res.on('close', cancelTimeout)
     req.on('data', (chunk: Buffer) => {
       size += chunk.length
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -5,6 +5,7 @@
 import type { Clock, Ms } from '@hazelford/core'
 import type { UpstreamRefusal } from '@hazelford/decisions'
 import type { AnswerMetadata, CallCodec, UpstreamNotice } from '@hazelford/ports'
+import { afterReading } from '../after-reading.js'
 import type { ConnectionPool } from './connection-pool.js'
 import { EventFramer } from './event-framer.js'
 import { endToEndHeaders } from './hop-headers.js'
@@ -194,19 +195,10 @@
   private _watchSilence (limit: Ms | undefined, what: string): void {
     this._cancelTimer?.()
     if (limit === undefined) return
-    let isCancelled = false
-    const cancel = this._clock.after(limit, () => {
-      // After a pause of this process its timers run before the data that waits in its sockets is read.
-      setImmediate(() => setImmediate(() => {
-        if (isCancelled) return
-        this._watchSilence(limit, what)
-        this._sink.stalled(`${what} within ${Math.round(limit)} ms.`)
-      }))
+    this._cancelTimer = afterReading(this._clock, limit, () => {
+      this._watchSilence(limit, what)
+      this._sink.stalled(`${what} within ${Math.round(limit)} ms.`)
     })
-    this._cancelTimer = () => {
-      isCancelled = true
-      cancel()
-    }
   }
 
   /** Ends the exchange as lost, since its answer can no longer be received. */
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -4,6 +4,7 @@
 import { assertNever, type CancelTimer, type Clock, type Log, type Ms, Task } from '@hazelford/core'
 import { type RequestedAdapter, type ExchangeOutcome, type LateCause, type MeasuredPace, mayHaveCausedTermination, type OverdueTime, provesPartHarmless, type QuarantineCause, type RelayEffect, type RelayFailure, relayFlow, type RelayMessage, requestedAdapterKey, type RetryCause, StreamPace } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
+import { afterReading } from '../after-reading.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { AnswerHead, Exchange, ExchangeRequest, ExchangeSink, WholeAnswer } from './exchange.js'
 import type { ConnectionPool } from './connection-pool.js'
@@ -233,7 +234,7 @@
   /** Starts looking for an upstream. */
   start (): void {
     const { clock, quarantine, isAllowed, takeRepeat } = this._options
-    this._cancelTimeout = clock.after(this._deadline + timeoutMargin - clock.now(), () => this._post({ kind: 'timeout' }))
+    this._cancelTimeout = afterReading(clock, this._deadline + timeoutMargin - clock.now(), () => this._post({ kind: 'timeout' }))
     this._task = new Task(relayFlow(this._route, { takeRetry: takeRepeat, isAllowed, quarantine: () => quarantine(() => this.fingerprint) }), effect => this._perform(effect))
   }
 
