Refuse a request whose key or usage can't be checked because of an error

What callers saw: neither an answer nor a refusal, if the verification of the configuration or the charge of usage ended by an error, or if no configuration was known any more when the verification ended. Cause: these ends were logged only. Found by reading; no event that brings it about is known.

Change: 503, not run: 'config-unproven', 'usage-unknown' (new) or 'no-config'. Evidence: two examples of waiting-requests.feature failed 1 of 1 before and pass; a guard.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -157,6 +157,14 @@
     feature: 'packages/direct/src/test/waiting-requests.feature',
     scenario: 'a request that waits for'
   },
+  {
+    guarantee: 'intake: a request whose usage can not be charged is refused',
+    file: 'packages/direct/dist/lib/relay/request-intake.js',
+    find: 'this._refuse(incoming, { kind: \'usage-unknown\', retryAfter: unverifiedRetryAfter });',
+    replace: '',
+    feature: 'packages/direct/src/test/waiting-requests.feature',
+    scenario: 'ends by an error'
+  },
   {
     guarantee: 'stopping entries: every request is answered or cut before the process ends',
     file: 'packages/direct/dist/lib/direct-entry.js',
--- a/packages/direct/src/lib/relay/caller-answer.ts
+++ b/packages/direct/src/lib/relay/caller-answer.ts
@@ -18,6 +18,8 @@
   | { readonly kind: 'no-body-memory', readonly retryAfter: Ms }
   | { readonly kind: 'no-config', readonly retryAfter: Ms }
   | { readonly kind: 'unauthorised', readonly cause: UnauthorisedCause }
+  /** Whether the usage of its organisation is within the limit could not be found out. */
+  | { readonly kind: 'usage-unknown', readonly retryAfter: Ms }
   | { readonly kind: 'over-limit', readonly organisation: string, readonly retryAfter: Ms }
   /** The configuration may have changed without this entry knowing, so the request's key may be withdrawn. */
   | { readonly kind: 'config-unproven', readonly retryAfter: Ms }
@@ -43,6 +45,7 @@
     case 'unauthorised': return 401
     case 'over-limit': return 429
     case 'no-body-memory':
+    case 'usage-unknown':
     case 'no-config':
     case 'config-unproven': return 503
     case 'relay':
@@ -61,6 +64,7 @@
     case 'no-body-memory': return 'The entry has no memory for the body now. The request did not run; send it again later.'
     case 'no-config': return 'No configuration is known yet. Send the request again later.'
     case 'unauthorised': return `The request has no valid key for this route (${error.cause}). Send the key of your organisation as "Authorization: Bearer KEY".`
+    case 'usage-unknown': return 'Whether the usage limit leaves room can not be found out now. The request did not run; send it again later.'
     case 'over-limit': return `The usage limit of ${error.organisation} is used up for now. The request did not run; send it again later.`
     case 'config-unproven': return 'Whether the key is still valid can not be verified now. The request did not run; send it again later.'
     case 'relay': return error.notRun
--- a/packages/direct/src/lib/relay/request-intake.ts
+++ b/packages/direct/src/lib/relay/request-intake.ts
@@ -4,6 +4,7 @@
 import { type Clock, type Log, type Ms, abbreviateKeyDigest } from '@hazelford/core'
 import { type CallerIdentity, identifyCaller, pickService, type RouteTable } from '@hazelford/decisions'
 import type { CallCodec, CallMetadata, Credential, Organisation, Route } from '@hazelford/ports'
+import type { EntryError } from './caller-answer.js'
 import type { IncomingRequest } from './caller-server.js'
 import { shutdownRetryAfter } from './relay-runner.js'
 import type { WaitingRequests } from './waiting-requests.js'
@@ -87,7 +88,10 @@
     const { verifier, waiting } = this._options
     waiting.wait(incoming, this._idOf(incoming), 'configuration', verifier.verify()).then(
       () => this._verified(incoming, credential),
-      (error: Error) => this._options.log.warn('config', 'not verified.', { error: error.message })
+      (error: Error) => {
+        this._options.log.warn('config', 'not verified.', { request: this._idOf(incoming), error: error.message })
+        this._refuse(incoming, { kind: 'config-unproven', retryAfter: unverifiedRetryAfter })
+      }
     )
   }
 
@@ -103,14 +107,21 @@
   private _isPublic ({ host, target }: IncomingRequest, table: RouteTable): boolean { return table.match(host, target)?.public === true }
 
   private _verified (incoming: IncomingRequest, credential: Credential): void {
-    const { verifier, log, metrics, viewAge } = this._options
+    const { verifier, log, viewAge } = this._options
     const table = this._options.table()
     // The caller may have left during the query.
-    if (table === undefined || incoming.answer.ended || incoming.isGone()) return
+    if (incoming.answer.ended || incoming.isGone()) return
+    if (table === undefined) return this._refuse(incoming, { kind: 'no-config', retryAfter: noConfigRetryAfter })
     if (verifier.isFresh || this._isPublic(incoming, table)) return this._identify(incoming, table, credential)
-    metrics.requests.inc({ kind: 'none', end: 'config-unproven' })
     log.info('request', 'configuration too old to let callers in.', { request: this._idOf(incoming), age: Math.round(viewAge()), version: table.version })
-    incoming.answer.fail({ kind: 'config-unproven', retryAfter: unverifiedRetryAfter })
+    this._refuse(incoming, { kind: 'config-unproven', retryAfter: unverifiedRetryAfter })
+  }
+
+  /** Refuses a request that has not run, unless it has its answer. */
+  private _refuse (incoming: IncomingRequest, error: EntryError): void {
+    if (incoming.answer.ended) return
+    this._options.metrics.requests.inc({ kind: 'none', end: error.kind })
+    incoming.answer.fail(error)
   }
 
   /** Request id for the log, where it can be read. */
@@ -195,7 +206,12 @@
     // This is the turn of the event loop in which the request was read, so a close of its connection can't have been
     // missed.
     if (!(admission instanceof Promise)) decided(admission)
-    else waiting.wait(incoming, facts.id, 'usage', admission).then(decided, (error: Error) => log.warn('request', 'usage not charged.', { request: facts.id, error: error.message }))
+    else {
+      waiting.wait(incoming, facts.id, 'usage', admission).then(decided, (error: Error) => {
+        log.warn('request', 'usage not charged.', { request: facts.id, error: error.message })
+        this._refuse(incoming, { kind: 'usage-unknown', retryAfter: unverifiedRetryAfter })
+      })
+    }
   }
 
   /** Whether the key of an admitted request is still accepted for its route. */
--- a/packages/direct/src/test/waiting-requests.feature
+++ b/packages/direct/src/test/waiting-requests.feature
@@ -13,3 +13,14 @@
       | usage         |
       | configuration |
       | origin        |
+
+  Scenario Outline: a request whose wait for <what> ends by an error
+    Guards against a caller that gets neither an answer nor a refusal.
+    Given a request that waits for <what>
+    When the wait ends by an error
+    Then the request is refused as "<answer>"
+
+    Examples:
+      | what          | answer          |
+      | usage         | usage-unknown   |
+      | configuration | config-unproven |
--- a/packages/direct/src/test/waiting-requests.steps.ts
+++ b/packages/direct/src/test/waiting-requests.steps.ts
@@ -6,13 +6,13 @@
 import { silentLog, systemClock } from '@hazelford/core'
 import { RouteTable } from '@hazelford/decisions'
 import { EntryMetrics } from '../lib/metrics.js'
-import type { EntryError } from '../lib/relay/caller-answer.js'
+import { type EntryError, statusOf } from '../lib/relay/caller-answer.js'
 import type { IncomingRequest } from '../lib/relay/caller-server.js'
 import { RelayRunner, type RelayRunnerOptions } from '../lib/relay/relay-runner.js'
 import { type AdmittedCall, refuseStopping, RequestIntake, type RequestIntakeOptions } from '../lib/relay/request-intake.js'
 import { type WaitCause, WaitingRequests } from '../lib/relay/waiting-requests.js'
 
-interface WaitWorld { waiting: WaitingRequests, failures: EntryError[], endWait: () => void, relayed: number, refunds: number }
+interface WaitWorld { waiting: WaitingRequests, failures: EntryError[], endWait: () => void, failWait: () => void, relayed: number, refunds: number }
 
 const metrics = new EntryMetrics()
 const route = { name: 'r', host: 'h', pathPrefix: '/', kind: 'stream', resumable: true, timeout: 5_000, targets: [{ service: 's', weight: 1 }], public: false, priority: 1 }
@@ -60,11 +60,24 @@
 Given(/^a request that waits for (usage|configuration|origin)$/, function (this: WaitWorld, cause: WaitCause) {
   Object.assign(this, { failures: [], relayed: 0, refunds: 0 })
   this.waiting = new WaitingRequests(({ incoming }) => refuseStopping(incoming, metrics))
-  const ended = new Promise<void>(resolve => { this.endWait = resolve })
+  const ended = new Promise<void>((resolve, reject) => {
+    this.endWait = resolve
+    this.failWait = () => reject(new Error('The result is not to be had.'))
+  })
   if (cause === 'origin') resume(this, ended)
   else handle(this, cause, ended)
 })
 
+When('the wait ends by an error', async function (this: WaitWorld) {
+  this.failWait()
+  await new Promise(resolve => setImmediate(resolve))
+})
+
+Then('the request is refused as {string}', function (this: WaitWorld, kind: EntryError['kind']) {
+  assert.deepEqual(this.failures.map(failure => [failure.kind, statusOf(failure)]), [[kind, 503]])
+  assert.equal(this.relayed, 0)
+})
+
 When('its entry stops, and the wait ends afterwards', async function (this: WaitWorld) {
   this.waiting.refuseAll()
   this.endWait()
