--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -70,8 +70,9 @@
 const lastAnswersTime: Ms = 100
 /** Open requests that are named in the log when the process ends. */
 const mostNamed = 50
-/** Part of the grace period that is left for the process itself to exit. */
+/** Part of the grace period that is left for the process itself to exit: this time, or a share of a short period. */
 const graceMargin: Ms = 700
+const graceMarginShare = 1 / 8
 const defaultMaxBody = 4 << 20
 /** Time for a request without a known route to be read. */
 const defaultBodyTimeout: Ms = 10_000
@@ -516,7 +517,8 @@
   async shutdown (): Promise<void> {
     const { clock, log } = this._options
     this._closing = true
-    const until = clock.now() + this._settings.grace_s * 1_000 - graceMargin
+    const grace: Ms = this._settings.grace_s * 1_000
+    const until = clock.now() + grace - Math.min(graceMargin, grace * graceMarginShare)
     const refusesFrom = Math.min(clock.now() + balancerNotice, until)
     this._runner.limitWaits(refusesFrom)
     // The load balancer sends connections until it notices that the entry is not ready. Their requests are served, and
