Return the retry of a send that reached no upstream

What callers saw, by reading and in the flow: one stalled stream took seven retries of the service's budget on connections that were never made, so other streams whose engine had ended were cut off as 'budget-spent'. The budget bounds what arrives.

Evidence: the new scenario of relay-flow.feature fails without the change (guard).

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -197,6 +197,14 @@
     feature: 'packages/decisions/src/test/relay-flow.feature',
     scenario: 'an upstream that lacks the adapter terminates'
   },
+  {
+    guarantee: 'direct requests: a send that reached no upstream uses no retry',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: 'deps.returnRetry();',
+    replace: ';',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'no other engine can be reached'
+  },
   {
     guarantee: 'direct requests: a stream that breaks may go on at an upstream from which it was withdrawn',
     file: 'packages/decisions/dist/lib/relay-flow.js',
--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -112,7 +112,7 @@
  * That it is silent doesn't show that it has terminated: an engine pauses streams and continues them later. So it keeps
  * the request until another one has sent data; the other one may refuse it, or terminate as well.
  */
-function searchBeside (cause: LateCause, request: RelayRequest, progress: Progress): Transition {
+function searchBeside (cause: LateCause, request: RelayRequest, progress: Progress, deps: RelayDeps): Transition {
   const { current, beside, search } = progress
   if (current === undefined || beside !== undefined || search.kind === 'next' || search.kind === 'beside') return continueWith([])
   if (!mayHaveSecond(cause, request, progress)) return continueWith([])
@@ -162,14 +162,15 @@
 }
 
 /** Records that nothing arrived at an upstream, so that the attempt does not count, unless an earlier one did arrive. */
-function recordUnreachable (upstream: string, progress: Progress): void {
+function recordUnreachable (upstream: string, progress: Progress, deps: RelayDeps): void {
   progress.sends--
+  if (progress.sends > 0) deps.returnRetry()
   if (!progress.reached.has(upstream)) progress.tried.delete(upstream)
   progress.unreachable.add(upstream)
 }
 
-function handleUnreachable (upstream: string, progress: Progress): Transition {
-  recordUnreachable(upstream, progress)
+function handleUnreachable (upstream: string, progress: Progress, deps: RelayDeps): Transition {
+  recordUnreachable(upstream, progress, deps)
   if (progress.unreachable.size > maxFailedConnections) return endWith(giveUp(progress, 'no-upstream'))
   return continueWith(searchNext(progress))
 }
@@ -261,21 +262,21 @@
 }
 
 /** Handles the end of an exchange while another upstream has the request as well: only a usable answer ends the request. */
-function handleEndOfOne (msg: ExchangeEnd, beside: NonNullable<Progress['beside']>, request: RelayRequest, progress: Progress): Transition {
+function handleEndOfOne (msg: ExchangeEnd, beside: NonNullable<Progress['beside']>, request: RelayRequest, progress: Progress, deps: RelayDeps): Transition {
   if (msg.kind === 'whole' && !msg.failed && !progress.begun) return endWith([...abandonOther(msg.from, progress), { kind: 'deliver' }, { kind: 'finish' }])
   const isFirst = msg.from === progress.current
   progress.beside = undefined
   if (isFirst) progress.current = beside.upstream
-  const effects = recordEndOfOne(msg, progress)
+  const effects = recordEndOfOne(msg, progress, deps)
   // The first upstream is still silent.
   const needsFurther = !isFirst && beside.cause === 'stalled' && progress.unreachable.size <= maxFailedConnections
-  return continueWith(needsFurther ? [...effects, ...searchBeside('stalled', request, progress).effects] : effects)
+  return continueWith(needsFurther ? [...effects, ...searchBeside('stalled', request, progress, deps).effects] : effects)
 }
 
-function recordEndOfOne (msg: ExchangeEnd, progress: Progress): Effects {
+function recordEndOfOne (msg: ExchangeEnd, progress: Progress, deps: RelayDeps): Effects {
   switch (msg.kind) {
     case 'unreachable':
-      recordUnreachable(msg.from!, progress)
+      recordUnreachable(msg.from!, progress, deps)
       return []
     case 'lost':
       progress.mayHaveRun = true
@@ -291,10 +292,10 @@
 }
 
 /** Handles the end of the only exchange. */
-function handleExchangeEnd (msg: ExchangeEnd, upstream: string, request: RelayRequest, progress: Progress): Transition {
+function handleExchangeEnd (msg: ExchangeEnd, upstream: string, request: RelayRequest, progress: Progress, deps: RelayDeps): Transition {
   switch (msg.kind) {
     case 'refused': return handleRefused(upstream, msg.refusal, request, progress)
-    case 'unreachable': return handleUnreachable(upstream, progress)
+    case 'unreachable': return handleUnreachable(upstream, progress, deps)
     case 'lost': return handleLost(request, progress)
     case 'whole': return handleWhole(msg.failed, request, progress)
     default: return assertNever(msg)
@@ -306,7 +307,7 @@
     case 'placed': return handlePlaced(msg.upstream, request, progress, deps)
     case 'unplaced': return handleUnplaced(msg.cause, progress)
     case 'overdue':
-    case 'stalled': return searchBeside(msg.kind, request, progress)
+    case 'stalled': return searchBeside(msg.kind, request, progress, deps)
     case 'waited': return continueWith(searchNext(progress))
     case 'timeout':
     case 'caller-gone':
@@ -317,11 +318,11 @@
     case 'stream-ended': return endWith([...abandonOther(msg.from, progress), { kind: 'finish' }])
   }
   const { beside, current } = progress
-  if (beside !== undefined) return handleEndOfOne(msg, beside, request, progress)
+  if (beside !== undefined) return handleEndOfOne(msg, beside, request, progress, deps)
   // The exchange has ended; the upstream no longer works on this request.
   progress.current = undefined
   progress.retryUpstream = undefined
-  const next = handleExchangeEnd(msg, current!, request, progress)
+  const next = handleExchangeEnd(msg, current!, request, progress, deps)
   const cause = causeToEnd(progress)
   return cause !== undefined && !next.over ? endWith(giveUp(progress, cause)) : next
 }
--- a/packages/decisions/src/lib/shared-retry-budget.ts
+++ b/packages/decisions/src/lib/shared-retry-budget.ts
@@ -37,6 +37,9 @@
 
   add (now: Ms): void { this._times.push(now) }
 
+  /** Removes the newest event. */
+  removeLast (): void { if (this._times.length > this._from) this._times.pop() }
+
   count (now: Ms, window: Ms): number {
     while (this._from < this._times.length && this._times[this._from]! <= now - window) this._from++
     if (this._from > 1_000 && this._from * 2 > this._times.length) {
@@ -74,10 +77,18 @@
    * @returns false when the budget is spent
    */
   takeRetry (now: Ms, entries: number, cause: RetryCause = 'failed'): boolean {
-    const { ratio, slack, window } = this._limits
-    const allowed = usedShare * (ratio * this._requests.count(now, window) + slack / Math.max(1, entries))
-    if (this._retries.count(now, window) + 1 > allowed * (cause === 'overdue' ? 1 - leftToFailed : 1)) return false
+    if (!this.hasRetry(now, entries, cause)) return false
     this._retries.add(now)
     return true
   }
+
+  /** Whether the budget leaves a retry; the parameters are those of {@link takeRetry}. */
+  hasRetry (now: Ms, entries: number, cause: RetryCause): boolean {
+    const { ratio, slack, window } = this._limits
+    const allowed = usedShare * (ratio * this._requests.count(now, window) + slack / Math.max(1, entries))
+    return this._retries.count(now, window) + 1 <= allowed * (cause === 'overdue' ? 1 - leftToFailed : 1)
+  }
+
+  /** Returns a retry that was taken, but reached no upstream. */
+  returnRetry (): void { this._retries.removeLast() }
 }
--- a/packages/decisions/src/test/relay-flow.feature
+++ b/packages/decisions/src/test/relay-flow.feature
@@ -62,6 +62,12 @@
     And a refusal, a failed connection, an error or a lost answer of the second leaves it at the first
     And the end of the first leaves it to the second
 
+  Scenario: a stream stalls while no other engine can be reached
+    Guards against a retry budget that is spent on sends which reach no upstream, so that streams of engines that ended are cut off.
+    Given a resumable stream that may be sent to 2 upstreams
+    When its upstream stalls and 5 others in turn accept no connection
+    Then no retry is used up
+
   Scenario: a silent engine breaks the connection
     Given a resumable stream that may be sent to 2 upstreams
     When its upstream stalls and breaks the connection while another is looked for
--- a/packages/decisions/src/test/relay-flow.steps.ts
+++ b/packages/decisions/src/test/relay-flow.steps.ts
@@ -144,7 +144,7 @@
 
 function observe ({ request, messages: list }: Input): Observer {
   const observer = new Observer(request)
-  const flow = relayFlow(request, { takeRetry: () => true, isAllowed: () => true, quarantine: () => undefined })
+  const flow = relayFlow(request, { takeRetry: () => true, returnRetry: () => {}, isAllowed: () => true, quarantine: () => undefined })
   let step = flow.next()
   for (const effect of step.value ?? []) observer.onEffect(effect)
   for (const { msg: drawn, fromLast } of list) {
@@ -213,6 +213,7 @@
       world.repeats++
       return true
     },
+    returnRetry: () => { world.repeats-- },
     isAllowed: () => true,
     quarantine: () => undefined
   })
@@ -283,8 +284,18 @@
   send(this, { kind: 'streaming' })
 })
 
+When('its upstream stalls and {int} others in turn accept no connection', function (this: FlowWorld, upstreams: number) {
+  send(this, { kind: 'stalled', from: 'u1' })
+  for (let n = 1; n <= upstreams; n++) {
+    send(this, { kind: 'placed', upstream: `v${n}` })
+    send(this, { kind: 'unreachable', from: `v${n}` })
+  }
+})
+
+Then('no retry is used up', function (this: FlowWorld) { assert.equal(this.repeats, 0) })
+
 Given('a direct stock check that is quarantined', function (this: FlowWorld) {
-  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRetry: () => true, isAllowed: () => true, quarantine: () => 'quarantined' })
+  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRetry: () => true, returnRetry: () => {}, isAllowed: () => true, quarantine: () => 'quarantined' })
   this.effects = this.flow.next().value ?? []
 })
 
@@ -396,7 +407,7 @@
 })
 
 Given('a direct stock check whose key is withdrawn before it is placed', function (this: FlowWorld) {
-  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRetry: () => true, isAllowed: () => false, quarantine: () => undefined })
+  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRetry: () => true, returnRetry: () => {}, isAllowed: () => false, quarantine: () => undefined })
   this.flow.next()
   send(this, { kind: 'placed', upstream: 'u1' })
 })
--- a/packages/direct/src/test/support/relay-model.ts
+++ b/packages/direct/src/test/support/relay-model.ts
@@ -205,6 +205,7 @@
         if (isLeft) this._retries++
         return isLeft
       },
+      returnRepeat: none,
       isAllowed: () => this._isAllowed,
       refusesFrom: () => Infinity,
       quarantine: () => undefined,
