Look for a second upstream only if the budget leaves a retry

Cause: the budget was asked after the search, so a stalled stream asked holders for slots and perhaps had an adapter loaded, every 0.9 s, for nothing.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -197,6 +197,14 @@
     feature: 'packages/decisions/src/test/relay-flow.feature',
     scenario: 'an upstream that lacks the adapter terminates'
   },
+  {
+    guarantee: 'direct requests: a second upstream is looked for only if the budget leaves a retry',
+    file: 'packages/decisions/dist/lib/relay-flow.js',
+    find: ' || !deps.hasRetry(cause)',
+    replace: '',
+    feature: 'packages/decisions/src/test/relay-flow.feature',
+    scenario: 'while the retry budget is spent'
+  },
   {
     guarantee: 'direct requests: a send that reached no upstream uses no retry',
     file: 'packages/decisions/dist/lib/relay-flow.js',
--- a/packages/decisions/src/lib/relay-flow.ts
+++ b/packages/decisions/src/lib/relay-flow.ts
@@ -115,7 +115,7 @@
 function searchBeside (cause: LateCause, request: RelayRequest, progress: Progress, deps: RelayDeps): Transition {
   const { current, beside, search } = progress
   if (current === undefined || beside !== undefined || search.kind === 'next' || search.kind === 'beside') return continueWith([])
-  if (!mayHaveSecond(cause, request, progress)) return continueWith([])
+  if (!mayHaveSecond(cause, request, progress) || !deps.hasRetry(cause)) return continueWith([])
   progress.search = { kind: 'beside', cause }
   return continueWith(search.kind === 'unneeded' ? [] : [{ kind: 'place', avoid: progress.avoid, beside: cause }])
 }
--- a/packages/decisions/src/lib/relay-messages.ts
+++ b/packages/decisions/src/lib/relay-messages.ts
@@ -109,6 +109,8 @@
 export interface RelayDeps {
   /** Takes a retry from the service's budget; false when it is spent. */
   readonly takeRetry: (cause: RetryCause) => boolean
+  /** Whether the budget leaves a retry. */
+  readonly hasRetry: (cause: RetryCause) => boolean
   /** Returns a retry that was taken for a send that reached no upstream. */
   readonly returnRetry: () => void
   /** Whether the caller may still send the request. */
--- a/packages/decisions/src/test/relay-flow.feature
+++ b/packages/decisions/src/test/relay-flow.feature
@@ -62,6 +62,12 @@
     And a refusal, a failed connection, an error or a lost answer of the second leaves it at the first
     And the end of the first leaves it to the second
 
+  Scenario: a stream stalls while the retry budget is spent
+    Guards against engines that are asked for slots and adapters which no request will use.
+    Given a resumable stream that may be sent to 2 upstreams
+    When its upstream stalls while the retry budget is spent
+    Then no second upstream is looked for until the budget leaves a retry
+
   Scenario: a stream stalls while no other engine can be reached
     Guards against a retry budget that is spent on sends which reach no upstream, so that streams of engines that ended are cut off.
     Given a resumable stream that may be sent to 2 upstreams
--- a/packages/decisions/src/test/relay-flow.steps.ts
+++ b/packages/decisions/src/test/relay-flow.steps.ts
@@ -144,7 +144,7 @@
 
 function observe ({ request, messages: list }: Input): Observer {
   const observer = new Observer(request)
-  const flow = relayFlow(request, { takeRetry: () => true, returnRetry: () => {}, isAllowed: () => true, quarantine: () => undefined })
+  const flow = relayFlow(request, { takeRetry: () => true, hasRetry: () => true, returnRetry: () => {}, isAllowed: () => true, quarantine: () => undefined })
   let step = flow.next()
   for (const effect of step.value ?? []) observer.onEffect(effect)
   for (const { msg: drawn, fromLast } of list) {
@@ -204,7 +204,7 @@
   }), propertyOptions)
 })
 
-interface FlowWorld { flow: ReturnType<typeof relayFlow>, effects: readonly RelayEffect[], repeats: number }
+interface FlowWorld { flow: ReturnType<typeof relayFlow>, effects: readonly RelayEffect[], repeats: number, isBudgetSpent?: boolean }
 
 function start (world: FlowWorld, request: RelayRequest): void {
   world.repeats = 0
@@ -213,6 +213,7 @@
       world.repeats++
       return true
     },
+    hasRetry: () => world.isBudgetSpent !== true,
     returnRetry: () => { world.repeats-- },
     isAllowed: () => true,
     quarantine: () => undefined
@@ -284,6 +285,18 @@
   send(this, { kind: 'streaming' })
 })
 
+When('its upstream stalls while the retry budget is spent', function (this: FlowWorld) {
+  this.isBudgetSpent = true
+  send(this, { kind: 'stalled', from: 'u1' })
+})
+
+Then('no second upstream is looked for until the budget leaves a retry', function (this: FlowWorld) {
+  assert.deepEqual(this.effects, [])
+  this.isBudgetSpent = false
+  send(this, { kind: 'stalled', from: 'u1' })
+  assert.deepEqual(this.effects.map(({ kind }) => kind), ['place'])
+})
+
 When('its upstream stalls and {int} others in turn accept no connection', function (this: FlowWorld, upstreams: number) {
   send(this, { kind: 'stalled', from: 'u1' })
   for (let n = 1; n <= upstreams; n++) {
@@ -295,7 +308,7 @@
 Then('no retry is used up', function (this: FlowWorld) { assert.equal(this.repeats, 0) })
 
 Given('a direct stock check that is quarantined', function (this: FlowWorld) {
-  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRetry: () => true, returnRetry: () => {}, isAllowed: () => true, quarantine: () => 'quarantined' })
+  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRetry: () => true, hasRetry: () => true, returnRetry: () => {}, isAllowed: () => true, quarantine: () => 'quarantined' })
   this.effects = this.flow.next().value ?? []
 })
 
@@ -407,7 +420,7 @@
 })
 
 Given('a direct stock check whose key is withdrawn before it is placed', function (this: FlowWorld) {
-  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRetry: () => true, returnRetry: () => {}, isAllowed: () => false, quarantine: () => undefined })
+  this.flow = relayFlow({ kind: 'read-only', resumable: false, maxAttempts: 2 }, { takeRetry: () => true, hasRetry: () => true, returnRetry: () => {}, isAllowed: () => false, quarantine: () => undefined })
   this.flow.next()
   send(this, { kind: 'placed', upstream: 'u1' })
 })
--- a/packages/direct/src/lib/relay/relay-runner.ts
+++ b/packages/direct/src/lib/relay/relay-runner.ts
@@ -194,6 +194,7 @@
       silentUpstreams: () => this._pacing.isLinkSuspect(service) ? undefined : this._pacing.silentUpstreams(service),
       lateEvent: (cause, event) => metrics.countLate(cause, event),
       takeRepeat: cause => this._takeRepeat(budget, id, cause),
+      hasRepeat: cause => budget.hasRetry(clock.now(), this._options.entries(), cause),
       returnRepeat: () => budget.returnRetry(),
       isAllowed,
       quarantine: fingerprint => quarantine.causeOfRefusal(call.sharedParts, fingerprint),
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -95,6 +95,8 @@
   readonly lateEvent: (cause: LateCause, event: 'sent' | 'answered' | 'continued') => void
   /** Takes one retry from the retry budget; false when the budget is spent. */
   readonly takeRepeat: (cause: RetryCause) => boolean
+  /** Whether the retry budget leaves a retry. */
+  readonly hasRepeat: (cause: RetryCause) => boolean
   /** Returns a retry that was taken for a send that reached no upstream. */
   readonly returnRepeat: () => void
   /** Whether its caller may still send it. */
@@ -235,9 +237,9 @@
 
   /** Starts looking for an upstream. */
   start (): void {
-    const { clock, quarantine, isAllowed, takeRepeat, returnRepeat } = this._options
+    const { clock, quarantine, isAllowed, takeRepeat, hasRepeat, returnRepeat } = this._options
     this._cancelTimeout = afterReading(clock, this._deadline + timeoutMargin - clock.now(), () => this._post({ kind: 'timeout' }))
-    this._task = new Task(relayFlow(this._route, { takeRetry: takeRepeat, returnRetry: returnRepeat, isAllowed, quarantine: () => quarantine(() => this.fingerprint) }), effect => this._perform(effect))
+    this._task = new Task(relayFlow(this._route, { takeRetry: takeRepeat, hasRetry: hasRepeat, returnRetry: returnRepeat, isAllowed, quarantine: () => quarantine(() => this.fingerprint) }), effect => this._perform(effect))
   }
 
   /** Identity of the request, equal for each attempt at it. */
--- a/packages/direct/src/test/support/relay-model.ts
+++ b/packages/direct/src/test/support/relay-model.ts
@@ -205,6 +205,7 @@
         if (isLeft) this._retries++
         return isLeft
       },
+      hasRepeat: () => true,
       returnRepeat: none,
       isAllowed: () => this._isAllowed,
       refusesFrom: () => Infinity,
