Bound what an entry reads of an upstream that never ends its answer

Callers of sound upstreams got no answer in time while one upstream sent bytes without end: its connections took the whole event loop, and some of them were never closed.

Cause: only the request's time limit ended such an exchange, and nothing ended one whose request was over. - An incomplete event was kept without a limit, and joined and searched again from its start with each read. - Interim responses, empty lines and the digits of a chunk's size are accepted by the parser without a limit. - The rest of a refusal, and of an answer whose caller had left, was read until the upstream closed its connection. - A body in chunks of one byte took a Buffer for each of them, and a write to the caller. - An upstream that refuses so, or whose answers only their time limit ends, stayed the preferred one.

Change: 32 KiB before the head or between two parts of a body (the size of a head that the parser accepts, twice); 2 MiB or 16,384 pieces for an event, all incomplete events together within a share of the memory of the process; 16 KiB and 250 ms for the rest of a refusal; 512 KiB for that of an answer whose caller has left; an answer that is no stream, on a route of streams, is no answer beyond 512 KiB. An exchange reads 64 KiB in a turn of the event loop, then the others have theirs. A plain body has no limit but the request's time limit, since a sound one may be large; its parts are passed on once a read. The upstream counts as failing. Log line `request: upstream sends too much, connection closed.`, metric hazelford_answers_exceeded_total.

--- a/packages/decisions/src/lib/upstream-health.ts
+++ b/packages/decisions/src/lib/upstream-health.ts
@@ -9,10 +9,11 @@
  *
  * - `unreachable`: no connection.
  * - `lost`: the connection broke or became silent after the request was sent.
+ * - `endless`: it sent more than a sound upstream does, until the connection was closed.
  * - `refused`: the upstream answered that it is full or leaving; it is running.
  * - `error`: a complete answer with a status of 500 or more.
  */
-export type ExchangeOutcome = 'answered' | 'unreachable' | 'lost' | 'refused' | 'error'
+export type ExchangeOutcome = 'answered' | 'unreachable' | 'lost' | 'endless' | 'refused' | 'error'
 
 /** Failures in a row after which an upstream gets no new requests for a while. */
 const ejectAfter = 2
@@ -59,10 +60,11 @@
     this._samples++
     this._failureShare.add(failed ? 1 : 0)
     // An error is an answer, so the upstream is running; only a high share of errors ejects it.
-    this._failuresInRow = outcome === 'unreachable' || outcome === 'lost' ? this._failuresInRow + 1 : 0
+    this._failuresInRow = outcome === 'unreachable' || outcome === 'lost' || outcome === 'endless' ? this._failuresInRow + 1 : 0
     if (outcome === 'answered' && this._failureShare.measured < ejectShare / 2) this._ejections = 0
     const isFailing = this._samples >= minSamples && this._failureShare.measured > ejectShare && failed
-    if (outcome !== 'unreachable' && this._failuresInRow < ejectAfter && !isFailing) return false
+    const ejectsAtOnce = outcome === 'unreachable' || outcome === 'endless'
+    if (!ejectsAtOnce && this._failuresInRow < ejectAfter && !isFailing) return false
     this._eject(now)
     return true
   }
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -317,6 +317,7 @@
       origins: this._origins,
       waiting: this._waiting,
       relativePaces: this._relativePaces,
+      answerMemory: new BodyMemory(bodyMemoryLimit(this._settings.memory_mb)),
       onlySoftware: (service, since) => this._onlySoftware(service, since),
       verifyIncarnation: (upstream, openedAt) => this._verifyIncarnation(upstream, openedAt),
       upstreams: service => this.members.serving(service).length,
--- a/packages/direct/src/lib/relay/event-framer.ts
+++ b/packages/direct/src/lib/relay/event-framer.ts
@@ -1,6 +1,7 @@
 /**
  * Splits a stream of server-sent events at the ends of events.
  */
+import { ByteBuffer } from './byte-buffer.js'
 
 /** Complete events of one read. */
 export interface WholeEvents {
@@ -13,6 +14,7 @@
 }
 
 const separator = '\n\n'
+const lineEnd = 0x0a
 const idLine = /^id: ?(\d+)\r?$/m
 
 /**
@@ -22,13 +24,17 @@
  * event of the upstream that resumes the stream.
  */
 export class EventFramer {
-  private _rest: Buffer | undefined
+  private readonly _rest = new ByteBuffer()
+  private _restPieces = 0
 
   /** @param _lastId - id of the last event that the reader has */
   constructor (private _lastId: number | undefined) {}
 
-  /** Whether part of an event is buffered. */
-  get hasRest (): boolean { return this._rest !== undefined }
+  /** Bytes of the incomplete event. */
+  get restBytes (): number { return this._rest.size }
+
+  /** Number of reads in which the incomplete event arrived. */
+  get restPieces (): number { return this._restPieces }
 
   /**
    * Adds bytes.
@@ -37,17 +43,26 @@
    * @returns the events completed by it, or undefined
    */
   push (read: Buffer): WholeEvents | undefined {
-    const bytes = this._rest === undefined ? read : Buffer.concat([this._rest, read])
-    const text = bytes.toString('latin1')
-    const last = text.lastIndexOf(separator)
-    if (last < 0) {
-      this._rest = bytes
+    const end = this._endOfEvents(read)
+    if (end === 0) {
+      this._rest.push(read)
+      this._restPieces++
       return undefined
     }
-    const end = last + separator.length
-    this._rest = end < bytes.length ? bytes.subarray(end) : undefined
-    const inOrder = this._checkIds(text.slice(0, end))
-    return { bytes: bytes.subarray(0, end), lastId: this._lastId, inOrder }
+    this._restPieces = end < read.length ? 1 : 0
+    this._rest.push(read.subarray(0, end))
+    const bytes = this._rest.take()
+    if (end < read.length) this._rest.push(read.subarray(end))
+    const inOrder = this._checkIds(bytes.toString('latin1'))
+    return { bytes, lastId: this._lastId, inOrder }
+  }
+
+  /** Length of the part of a read that ends with an event; 0 when no event ends in it. */
+  private _endOfEvents (read: Buffer): number {
+    const last = read.lastIndexOf(separator)
+    if (last >= 0) return last + separator.length
+    // The separator may be split between two reads.
+    return this._rest.last === lineEnd && read[0] === lineEnd ? 1 : 0
   }
 
   private _checkIds (text: string): boolean {
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -6,9 +6,13 @@
 import type { UpstreamRefusal } from '@hazelford/decisions'
 import type { AnswerMetadata, CallCodec, UpstreamNotice } from '@hazelford/ports'
 import { afterReading } from '../after-reading.js'
+import { type BodyMemory, BodyReservation } from './body-memory.js'
+import { ByteBuffer } from './byte-buffer.js'
 import type { ConnectionPool } from './connection-pool.js'
+import { type DiscardLimits, discardRest } from './discard-rest.js'
 import { EventFramer } from './event-framer.js'
 import { endToEndHeaders } from './hop-headers.js'
+import { limitOverhead, type Overhead } from './overhead-limit.js'
 
 /** Status line and headers of an answer. */
 export interface AnswerHead {
@@ -35,6 +39,27 @@
  */
 export type LossKind = 'broke' | 'unusable' | 'other-software'
 
+/**
+ * What an upstream sent more of than a sound one does.
+ *
+ * - `head`: bytes before the head of its answer.
+ * - `framing`: bytes between two parts of the body, or after the last one.
+ * - `event`: one event of a stream.
+ * - `not-a-stream`: an answer that is no stream, in place of one.
+ * - `refusal`: the rest of a refusal.
+ * - `discarded`: the rest of an answer that nobody needs; a sound one may be as large.
+ */
+export type ExcessForm = 'head' | 'framing' | 'event' | 'not-a-stream' | 'refusal' | 'discarded'
+
+/** Why the connection of an exchange was closed although its upstream went on sending. */
+export interface AnswerExcess {
+  readonly form: ExcessForm
+  /** Bytes that had been read by then. */
+  readonly bytes: number
+  /** Ms since the request was sent. */
+  readonly after: Ms
+}
+
 /** Receives the events of an exchange. `refused`, `unreachable`, `lost`, `whole` and `end` are final. */
 export interface ExchangeSink {
   /** The upstream's notice in the answer's head. */
@@ -49,6 +74,8 @@
   readonly begin: (head: AnswerHead) => void
   readonly data: (bytes: Buffer, lastEventId: number | undefined) => void
   readonly end: () => void
+  /** The connection was closed since too much arrived; also after the final event. */
+  readonly exceeded: (excess: AnswerExcess) => void
 }
 
 /** What to send, and the time limits for its answer. */
@@ -65,6 +92,8 @@
   readonly timeLimit: Ms
   /** Whether it may be retried after a reset. */
   readonly repeatable: boolean
+  /** Whether a stream of events is expected. */
+  readonly isStream: boolean
   /** Silence before the first event of a stream, or within a plain answer that is not passed on yet, after which it counts as stalled. */
   readonly firstDataSilence: Ms | undefined
   /** Silence between events after which a stream counts as stalled. */
@@ -91,6 +120,23 @@
  * the limit from the request's arrival there.
  */
 const discardMargin: Ms = 500
+/**
+ * Bytes that may arrive before the head of an answer, or between two parts of its body: a head of the size that the parser
+ * accepts, and as much for interim responses.
+ */
+const overheadLimit = 32 * 1024
+/** Bytes of one event of a stream. */
+const eventLimit = 2 * 1024 * 1024
+/** Pieces in which one event, or an answer that is buffered, may arrive. Each of them costs far more time than a byte. */
+const pieceLimit = 16 * 1024
+/** Bytes of an incomplete event that are not counted against the memory for answers. */
+const uncountedEventBytes = 64 * 1024
+/** Rest of a refusal that is read so that its connection can be used again. A new connection costs less than reading more. */
+const refusalRest: DiscardLimits = { bytes: 16 * 1024, time: 250 }
+/** Bytes that an exchange reads in one turn of the event loop, so that one fast upstream can't keep others waiting. */
+const turnShare = 64 * 1024
+/** Bytes that could be read in the time that a piece takes in addition to its bytes. */
+const pieceCost = 256
 const badGatewayStatus = 500
 const otherInstanceStatus = 421
 const eventStream = 'text/event-stream'
@@ -99,6 +145,8 @@
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
 
+function isSuccess ({ statusCode = badGatewayStatus }: IncomingMessage): boolean { return statusCode < 300 }
+
 /** An exchange in progress. */
 export class Exchange {
   private readonly _req: ClientRequest
@@ -114,18 +162,29 @@
   private _discarding = false
   private _cancelTimer: (() => void) | undefined
   private readonly _startedAt: Ms
+  private readonly _overhead: Overhead
+  private readonly _reservation: BodyReservation
+  /** Whether it was paused by {@link pause}. */
+  private _isPaused = false
+  /** Whether it goes on in the next turn of the event loop. */
+  private _isYielding = false
+  private _readInTurn = 0
+  private _hasExceeded = false
 
   constructor (
     private readonly _clock: Clock,
     private readonly _codec: CallCodec,
     private readonly _pool: ConnectionPool,
     private readonly _call: ExchangeRequest,
-    private readonly _sink: ExchangeSink
+    private readonly _sink: ExchangeSink,
+    answerMemory: BodyMemory
   ) {
     this._startedAt = _clock.now()
+    this._reservation = new BodyReservation(answerMemory)
     const { method, path, host, port, headers, body } = _call
     const framed = body === undefined ? headers : [...headers, 'Content-Length', String(body.length)]
     this._req = request({ agent: _pool.agent(_call.repeatable), host, port, method, path, headers: framed })
+    this._overhead = limitOverhead(this._req, overheadLimit, res => this._exceeded(res === undefined ? 'head' : 'framing', this._overhead.bytes))
     this._req.on('socket', socket => {
       const markSent = (): void => this._recordConnection(_pool.openedAt(socket) ?? _clock.now())
       if (socket.connecting) socket.once('connect', markSent)
@@ -163,32 +222,69 @@
   ignore (): void {
     if (this._over) return
     this._finish()
-    this._limitDiscarding()
-    this._res?.resume()
+    const cancel = this._clock.after(this._discardTime, () => this._req.destroy())
+    this._req.once('close', cancel)
+    if (this._res !== undefined) this._discardRest(this._res, this._ignoredRest, 'discarded')
   }
 
-  /** Closes the connection if the upstream has not ended its answer soon after the request's time limit. */
-  private _limitDiscarding (): void {
-    const left = this._startedAt + this._call.timeLimit + discardMargin - this._clock.now()
-    const cancel = this._clock.after(Math.max(0, left), () => this._req.destroy())
-    this._req.once('close', cancel)
+  /** Ms until the upstream has ended its answer if it keeps the request's time limit. */
+  private get _discardTime (): Ms {
+    return Math.max(0, this._startedAt + this._call.timeLimit + discardMargin - this._clock.now())
+  }
+
+  /** The rest of an answer to a request that its upstream may still run; closing its connection would end the run. */
+  private get _ignoredRest (): DiscardLimits { return { bytes: bufferLimit, time: this._discardTime } }
+
+  private _discardRest (res: IncomingMessage, limits: DiscardLimits, form: 'refusal' | 'discarded'): void {
+    res.on('error', () => this._req.destroy())
+    if (Number(res.headers['content-length'] ?? 0) > limits.bytes) {
+      this._req.destroy()
+      return
+    }
+    discardRest(res, this._clock, limits, () => this._overhead.bodyRead(), bytes => this._exceeded(form, bytes))
+  }
+
+  /** Closes the connection, since its upstream sends too much; without that it might never end. */
+  private _exceeded (form: ExcessForm, bytes: number): void {
+    if (this._hasExceeded) return
+    this._hasExceeded = true
+    this._sink.exceeded({ form, bytes, after: this._clock.now() - this._startedAt })
+    this._endAsLost(`Too many bytes (${form}).`)
+    this._req.destroy()
   }
 
   /** Stops reading; silence does not count until it goes on. */
   pause (): void {
     this._cancelTimer?.()
+    this._isPaused = true
     this._res?.pause()
   }
 
   resume (): void {
     if (this._over) return
     if (this._readsEvents) this._watchSilence(this._call.gapSilence, 'No further event')
-    this._res?.resume()
+    this._isPaused = false
+    if (!this._isYielding) this._res?.resume()
+  }
+
+  /** Records bytes that were read, and stops reading until the next turn of the event loop once its share is used. */
+  private _useTurn (res: IncomingMessage, bytes: number): void {
+    this._overhead.bodyRead()
+    this._readInTurn += Math.max(bytes, pieceCost)
+    if (this._readInTurn < turnShare || this._isYielding) return
+    this._isYielding = true
+    res.pause()
+    setImmediate(() => {
+      this._isYielding = false
+      this._readInTurn = 0
+      if (!this._isPaused) res.resume()
+    })
   }
 
   private _finish (): void {
     this._over = true
     this._cancelTimer?.()
+    this._reservation.release()
   }
 
   /** Reports silence to the sink, repeatedly for as long as it lasts. */
@@ -233,8 +329,7 @@
     if (!this._isOtherInstance(res, facts)) this._sink.noticed(facts.notice)
     if (facts.notRun) return this._refused(res, this._isOtherInstance(res, facts))
     if (facts.requestId === undefined || !facts.sealed) return this._endAsLost('The answer lacks its request id or its seal.')
-    const ok = (res.statusCode ?? 0) < 300
-    if (ok && String(res.headers['content-type']).startsWith(eventStream)) this._readVerifiedEvents(res)
+    if (isSuccess(res) && String(res.headers['content-type']).startsWith(eventStream)) this._readVerifiedEvents(res)
     else this._readBody(res)
   }
 
@@ -248,8 +343,8 @@
       this._req.destroy()
       return
     }
-    res.on('error', () => this._req.destroy())
-    res.resume()
+    if (this._abandoned) this._discardRest(res, refusalRest, 'refusal')
+    else this._discardRest(res, this._ignoredRest, 'discarded')
   }
 
   /** Whether another upstream instance answers at this address. */
@@ -264,8 +359,7 @@
 
   private _refused (res: IncomingMessage, otherInstance: boolean): void {
     this._finish()
-    res.on('error', () => this._req.destroy())
-    res.resume()
+    this._discardRest(res, refusalRest, 'refusal')
     if (otherInstance) this._sink.refused('other-instance')
     else this._sink.refused(res.statusCode === otherInstanceStatus ? 'adapter-missing' : 'full')
   }
@@ -275,30 +369,41 @@
   }
 
   private _readBody (res: IncomingMessage): void {
-    let chunks: Buffer[] = []
-    let size = 0
-    const release = (): void => {
-      this._cancelTimer?.()
-      this._begin(res)
-      for (const chunk of chunks) this._sink.data(chunk, undefined)
-      chunks = []
+    const body = new ByteBuffer()
+    let pieces = 0
+    let isFlushing = false
+    const flush = (): void => {
+      isFlushing = false
+      if (!this._over && body.size > 0) this._sink.data(body.take(), undefined)
     }
     res.on('data', (chunk: Buffer) => {
+      this._useTurn(res, chunk.length)
       if (this._over) return
-      if (this._begun) return this._sink.data(chunk, undefined)
-      chunks.push(chunk)
-      size += chunk.length
-      if (size <= bufferLimit) return
-      if (this._call.continues) this._endAsLost('The answer is not the rest of the stream.')
-      else release()
+      body.push(chunk)
+      if (!this._begun && (body.size > bufferLimit || ++pieces > pieceLimit)) this._beginLargeBody(res, body.size)
+      if (!this._begun || isFlushing) return
+      isFlushing = true
+      // The parts of one read are passed on as one, however small they are.
+      process.nextTick(flush)
+    })
+    res.on('end', () => {
+      if (this._begun) flush()
+      this._ended(res, () => {
+        if (this._begun) this._sink.end()
+        else this._sink.whole({ ...this._head(res), body: body.take() })
+      })
     })
-    res.on('end', () => this._ended(res, () => {
-      if (this._begun) this._sink.end()
-      else this._sink.whole({ ...this._head(res), body: Buffer.concat(chunks) })
-    }))
     this._watchBreaks(res)
   }
 
+  /** Handles an answer that is too large to be buffered as a whole: it is passed on from now on, if it can be the expected one. */
+  private _beginLargeBody (res: IncomingMessage, bytes: number): void {
+    if (this._call.continues) return this._endAsLost('The answer is not the rest of the stream.')
+    if (this._call.isStream && isSuccess(res)) return this._exceeded('not-a-stream', bytes)
+    this._cancelTimer?.()
+    this._begin(res)
+  }
+
   /** Reads no event before it is certain that the software which began the stream sends it. */
   private _readVerifiedEvents (res: IncomingMessage): void {
     this._watchBreaks(res)
@@ -313,8 +418,10 @@
   private _readEvents (res: IncomingMessage): void {
     const framer = new EventFramer(this._call.lastEventId)
     res.on('data', (chunk: Buffer) => {
+      this._useTurn(res, chunk.length)
       if (this._over) return
       const events = framer.push(chunk)
+      if (!this._hasRoomForEvent(framer)) return this._exceeded('event', framer.restBytes)
       if (events === undefined) return
       if (!events.inOrder) return this._endAsLost('The event ids are out of order.')
       this._readsEvents = true
@@ -323,12 +430,23 @@
       this._sink.data(events.bytes, events.lastId)
     })
     res.on('end', () => this._ended(res, () => {
-      if (framer.hasRest) return this._sink.lost('The stream ended within an event.', 'broke')
+      if (framer.restBytes > 0) return this._sink.lost('The stream ended within an event.', 'broke')
       if (!this._begun) this._sink.begin(this._head(res))
       this._sink.end()
     }))
   }
 
+  /** Whether an incomplete event of a size is within its own limit, and within that of all answers together. */
+  private _hasRoomForEvent ({ restBytes: bytes, restPieces }: EventFramer): boolean {
+    if (restPieces > pieceLimit) return false
+    if (bytes <= uncountedEventBytes) {
+      this._reservation.release()
+      return true
+    }
+    // The buffer of the event is up to twice as large.
+    return bytes <= eventLimit && this._reservation.growTo(2 * bytes)
+  }
+
   private _begin (res: IncomingMessage): void {
     if (this._begun) return
     this._begun = true
--- a/packages/direct/src/lib/relay/relay-runner.ts
+++ b/packages/direct/src/lib/relay/relay-runner.ts
@@ -4,6 +4,7 @@
 import { assertNever, type Clock, type Log, type Ms } from '@hazelford/core'
 import { type RequestedAdapter, type ExchangeOutcome, type RelativePaces, type RelayFailure, type RetryCause, type RouteTable, RouteTargets, type SharedBudgetLimits, SharedRetryBudget, type Suspect } from '@hazelford/decisions'
 import type { CallCodec, Route } from '@hazelford/ports'
+import type { BodyMemory } from './body-memory.js'
 import type { AdapterDirectory } from '../engines/adapter-directory.js'
 import type { CurrentConfig } from '../store/current-config.js'
 import type { EntryMetrics } from '../metrics.js'
@@ -33,6 +34,8 @@
   readonly origins: OriginCoordinator
   readonly waiting: WaitingRequests
   readonly relativePaces: RelativePaces
+  /** Memory for incomplete events of all open requests. */
+  readonly answerMemory: BodyMemory
   /** The one software version that can have served a service since a time; undefined when there may have been several. */
   readonly onlySoftware: (service: string, since: Ms) => Promise<string | undefined>
   readonly verifyIncarnation: (upstream: Upstream, openedAt: Ms) => Promise<boolean>
@@ -180,7 +183,7 @@
       clock,
       log,
       codec,
-      exchange: (pool, request, sink) => new Exchange(clock, codec, pool, request, sink),
+      exchange: (pool, request, sink) => new Exchange(clock, codec, pool, request, sink, this._options.answerMemory),
       want: requestedAdapter,
       place: query => this._place(query),
       software,
@@ -215,6 +218,12 @@
       configVersion: () => this._options.config.table?.version,
       longestPause: this._options.longestPause,
       answerCut: cause => metrics.answersCut.inc({ cause }),
+      exceeded: (upstream, { form, bytes, after }) => {
+        metrics.answersExceeded.inc({ form })
+        // A sound upstream may be answering a request whose caller has left.
+        if (form !== 'discarded') this._recordExchange(upstream, 'endless', undefined, route)
+        log.warn('request', 'upstream sends too much, connection closed.', { request: id, upstream: upstream.id, form, bytes, after: Math.round(after) })
+      },
       over: ({ end, sends, firstData, longestGap, notRun, answeredSince, unframedFrom }) => {
         const took = clock.now() - call.arrivedAt
         if (end === 'delivered') quarantine.recordAnswered(task.fingerprint, answeredSince, unframedFrom)
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -6,7 +6,7 @@
 import type { CallCodec, CallMetadata, Route, UpstreamNotice } from '@hazelford/ports'
 import { afterReading } from '../after-reading.js'
 import type { CallerAnswer } from './caller-answer.js'
-import type { AnswerHead, Exchange, ExchangeRequest, ExchangeSink, WholeAnswer } from './exchange.js'
+import type { AnswerExcess, AnswerHead, Exchange, ExchangeRequest, ExchangeSink, WholeAnswer } from './exchange.js'
 import type { ConnectionPool } from './connection-pool.js'
 import type { Placement, PlacementQuery, PlacementWaits, SoftwareNeed } from '../placing/placer.js'
 import { requestFingerprint } from './request-fingerprint.js'
@@ -128,6 +128,8 @@
   readonly longestPause: (since: Ms) => Ms
   /** Called when the caller's connection is closed without a whole answer. */
   readonly answerCut: (cause: CutCause) => void
+  /** Called when a connection to an upstream was closed since too much arrived on it; also after the request has ended. */
+  readonly exceeded: (upstream: Upstream, excess: AnswerExcess) => void
   /** Called when the request has ended. */
   readonly over: (summary: RelaySummary) => void
 }
@@ -218,6 +220,8 @@
   /** Whether the upstream that runs the request has cleared the parts of its prompt. */
   private _hasClearedParts = false
   private _longestGap: Ms = 0
+  /** Whether the answer waits until its caller has read more. */
+  private _waitsForCaller = false
   private readonly _pace = new StreamPace()
   private _sends = 0
   /** Sends on connections that were never made. */
@@ -326,6 +330,7 @@
         this._answer.fail({ kind: 'relay', failure: effect.failure, notRun: effect.notRun, retryAfter: this._options.retryAfter(effect.failure, this._retryAfter) })
         return this._end(effect.failure, effect.notRun)
       case 'break':
+        if (effect.failure === 'timeout-sent') this._recordEndless()
         this._cut(effect.failure)
         return this._end('broken')
       case 'forget': return this._end('caller-gone', this._attempts === 0)
@@ -482,6 +487,7 @@
       body,
       timeLimit,
       repeatable: this._repeatable,
+      isStream: this._isStream,
       firstDataSilence: this._firstDataSilence(),
       gapSilence: this._repeatable ? Math.max(gapSilence, 3 * this._route.gapTarget) : undefined,
       lastEventId: this._lastEventId,
@@ -530,6 +536,7 @@
         if (!this._answer.begun) this._head = head
       },
       data: (bytes, lastEventId) => this._data(bytes, lastEventId, from),
+      exceeded: excess => this._options.exceeded(upstream, excess),
       end: () => {
         close('answered', first())
         if (!this._isFramed) this._reportUnframedEnd(upstream)
@@ -709,8 +716,18 @@
     if (this._answer.data(bytes)) return
     const exchange = this._exchange
     this._pace.disturb()
+    this._waitsForCaller = true
     exchange?.pause()
-    this._answer.onDrain(() => exchange?.resume())
+    this._answer.onDrain(() => {
+      this._waitsForCaller = false
+      exchange?.resume()
+    })
+  }
+
+  /** Records a plain answer that its upstream has not ended within the time limit, though its caller has read all of it. */
+  private _recordEndless (): void {
+    if (this._isStream || this._waitsForCaller || this._upstream === undefined) return
+    this._options.exchanged(this._upstream, 'lost', undefined, this._options.clock.now() - this._sentAt)
   }
 
   private _deliver (): void {
--- a/packages/direct/src/test/answer-ends.steps.ts
+++ b/packages/direct/src/test/answer-ends.steps.ts
@@ -6,6 +6,7 @@
 import { Then, When } from '@cucumber/cucumber'
 import { systemClock } from '@hazelford/core'
 import type { AnswerMetadata, CallCodec } from '@hazelford/ports'
+import { BodyMemory } from '../lib/relay/body-memory.js'
 import { ConnectionPool } from '../lib/relay/connection-pool.js'
 import { Exchange } from '../lib/relay/exchange.js'
 
@@ -75,7 +76,7 @@
   this.outcome = await new Promise((resolve, reject) => {
     const fail = (what: string): void => reject(new Error(what))
     setTimeout(() => fail(`Neither whole nor lost; ${size} of ${this.sent.length} bytes.`), limitMs).unref()
-    const exchange = new Exchange(systemClock, codec, pool, { id: 'id-1', instance: 'i-1', host: '127.0.0.1', port, method: 'GET', path: '/', headers: [], body: undefined, timeLimit: limitMs, repeatable: false, continues: false, firstDataSilence: undefined, gapSilence: undefined, lastEventId: undefined, verify: undefined }, {
+    const exchange = new Exchange(systemClock, codec, pool, { id: 'id-1', instance: 'i-1', host: '127.0.0.1', port, method: 'GET', path: '/', headers: [], body: undefined, timeLimit: limitMs, repeatable: false, isStream: false, continues: false, firstDataSilence: undefined, gapSilence: undefined, lastEventId: undefined, verify: undefined }, {
       noticed: () => {},
       begin: () => {},
       refused: fail,
@@ -91,8 +92,9 @@
         exchange.pause()
         sendRest(sockets[0]!, last, framing, end)
         setTimeout(() => exchange.resume(), endArrivesMs)
-      }
-    })
+      },
+      exceeded: () => fail('too much')
+    }, new BodyMemory(Infinity))
   })
   this.received = Buffer.concat(chunks)
   pool.close()
