Bound the head of an answer of the store, of an engine's report and of another entry

An entry was kept busy until the time limit of a call, 30 s for a watch, by a server that sends interim responses, empty lines or the digits of a chunk's size without end. Only the body of such an answer was bounded.

Change: the limit on bytes that are no part of a body, which the exchange with an upstream has, holds for these calls too.

--- a/packages/direct/src/lib/relay/overhead-limit.ts
+++ b/packages/direct/src/lib/overhead-limit.ts
@@ -3,6 +3,9 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
 
+/** A head of the size that the parser accepts, and as much for interim responses. */
+const overheadLimit = 32 * 1024
+
 /** What {@link limitOverhead} counts. */
 export interface Overhead {
   /** Has to be called for each part of the body that is read. */
@@ -18,10 +21,9 @@
  * event of the request, so no other limit ends an exchange that gets nothing else.
  *
  * @param req - the request
- * @param limit - bytes
- * @param exceeded - is called once more than that has arrived, with the head if there is one
+ * @param exceeded - is called once more than {@link overheadLimit} bytes have arrived, with the head if there is one
  */
-export function limitOverhead (req: ClientRequest, limit: number, exceeded: (res: IncomingMessage | undefined) => void): Overhead {
+export function limitOverhead (req: ClientRequest, exceeded: (res: IncomingMessage | undefined) => void): Overhead {
   let bytes = 0
   let hasBody = false
   let res: IncomingMessage | undefined
@@ -33,7 +35,7 @@
       const isBody = hasBody || (res !== undefined && (res.complete || res.readableFlowing !== true || res.readableLength > 0))
       hasBody = false
       bytes = isBody ? 0 : bytes + read.length
-      if (bytes > limit) exceeded(res)
+      if (bytes > overheadLimit) exceeded(res)
     }
     // Called for each read after the parser.
     socket.on('data', count)
--- a/packages/direct/src/lib/peers/json-client.ts
+++ b/packages/direct/src/lib/peers/json-client.ts
@@ -5,6 +5,7 @@
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
 import { AnswerDeadline, type AnswerLimits, type Ms } from '@hazelford/core'
+import { limitOverhead } from '../overhead-limit.js'
 
 /** One call. The limits on its answer are what shows a connection that has become silent. */
 export interface JsonCall extends AnswerLimits {
@@ -112,6 +113,7 @@
     let bytes = 0
     const req = request({ agent, host, port, method, path, headers: { ...call.headers, ...framing, ...accepts } })
     const deadline = new AnswerDeadline(call, cause => { req.destroy(new Error(cause)) })
+    const overhead = limitOverhead(req, () => fail(new MessageTooLarge()))
     const fail = (error: Error): void => {
       deadline.stop()
       req.destroy()
@@ -126,6 +128,7 @@
       deadline.progress()
       res.on('data', (chunk: Buffer) => {
         bytes += chunk.length
+        overhead.bodyRead()
         deadline.progress()
         if (res.statusCode === 200) onData()
       })
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -6,13 +6,13 @@
 import type { UpstreamRefusal } from '@hazelford/decisions'
 import type { AnswerMetadata, CallCodec, UpstreamNotice } from '@hazelford/ports'
 import { afterReading } from '../after-reading.js'
+import { limitOverhead, type Overhead } from '../overhead-limit.js'
 import { type BodyMemory, BodyReservation } from './body-memory.js'
 import { ByteBuffer } from './byte-buffer.js'
 import type { ConnectionPool } from './connection-pool.js'
 import { type DiscardLimits, discardRest } from './discard-rest.js'
 import { EventFramer } from './event-framer.js'
 import { endToEndHeaders } from './hop-headers.js'
-import { limitOverhead, type Overhead } from './overhead-limit.js'
 
 /** Status line and headers of an answer. */
 export interface AnswerHead {
@@ -120,11 +120,6 @@
  * the limit from the request's arrival there.
  */
 const discardMargin: Ms = 500
-/**
- * Bytes that may arrive before the head of an answer, or between two parts of its body: a head of the size that the parser
- * accepts, and as much for interim responses.
- */
-const overheadLimit = 32 * 1024
 /** Bytes of one event of a stream. */
 const eventLimit = 2 * 1024 * 1024
 /** Pieces in which one event, or an answer that is buffered, may arrive. Each of them costs far more time than a byte. */
@@ -184,7 +179,7 @@
     const { method, path, host, port, headers, body } = _call
     const framed = body === undefined ? headers : [...headers, 'Content-Length', String(body.length)]
     this._req = request({ agent: _pool.agent(_call.repeatable), host, port, method, path, headers: framed })
-    this._overhead = limitOverhead(this._req, overheadLimit, res => this._exceeded(res === undefined ? 'head' : 'framing', this._overhead.bytes))
+    this._overhead = limitOverhead(this._req, res => this._exceeded(res === undefined ? 'head' : 'framing', this._overhead.bytes))
     this._req.on('socket', socket => {
       const markSent = (): void => this._recordConnection(_pool.openedAt(socket) ?? _clock.now())
       if (socket.connecting) socket.once('connect', markSent)
