Bound what a sidecar reads of an upstream that never ends its answer

A completion waited until its deadline, and the sidecar's memory grew, while an engine sent one event, an answer that is no stream, or interim responses without end. After the last event of a stream its connection was read for as long as the engine sent.

Cause: the same as at an entry that sends to upstreams itself, in the clients of this form: an incomplete event, a body that is buffered and the number of interim responses had no limit, and an interim response counted as the head of the answer. A stream whose resumptions were used up was failed without closing its connection.

Change: 2 MiB or 16,384 reads for an event, whose text is joined once; 8 MiB for an answer that is no stream and for the list of adapters; 64 interim responses, which are no head; the connection is closed 250 ms after the end of a completion. Answers of the key-value service are limited to 64 MiB.

--- a/packages/consul/src/lib/request-text.ts
+++ b/packages/consul/src/lib/request-text.ts
@@ -11,6 +11,9 @@
   readonly text: string
 }
 
+/** Larger answers are rejected as faulty. */
+const maxAnswerBytes = 64 << 20
+
 /**
  * Makes a request.
  *
@@ -27,8 +30,11 @@
     const res = await pool.request({ ...req, signal: signal === undefined ? expired.signal : AbortSignal.any([expired.signal, signal]) })
     deadline.progress()
     const chunks: Buffer[] = []
-    for await (const chunk of res.body) {
-      chunks.push(chunk as Buffer)
+    let size = 0
+    for await (const chunk of res.body as AsyncIterable<Buffer>) {
+      size += chunk.length
+      if (size > maxAnswerBytes) throw new Error(`The answer has more than ${maxAnswerBytes} bytes.`)
+      chunks.push(chunk)
       deadline.progress()
     }
     return { status: res.statusCode, headers: res.headers, text: Buffer.concat(chunks).toString('utf8') }
--- a/packages/engine/src/lib/engine-client.ts
+++ b/packages/engine/src/lib/engine-client.ts
@@ -11,6 +11,7 @@
 import type { AnswerSink, CallHandle } from './answer-sink.js'
 import { answerHeaders } from './headers.js'
 import { type HttpHandle, startHttpCall } from './http-call.js'
+import { readText } from './read-text.js'
 import { SseSplitter } from './sse-splitter.js'
 
 /** Outcome of a load or unload order. */
@@ -53,6 +54,10 @@
 const reorderWindow = 64
 /** Times that a stream is resumed without a further event in between. */
 const resumeAttempts = 3
+/** Time for the end of an answer to arrive after its last event. */
+const restTimeMs = 250
+/** Bytes of an answer that is no stream. */
+const answerLimit = 8 * 1024 * 1024
 const doneLine = 'data: [DONE]'
 const dataFieldLength = 'data: '.length
 
@@ -84,6 +89,7 @@
   private _streamed = false
   private readonly _modelMark: string
   private _bodyParts: Buffer[] = []
+  private _bodyBytes = 0
   private _headSent = false
   private _isFinished = false
   private _paused = false
@@ -139,10 +145,7 @@
 
   private _data (splitter: SseSplitter, data: Buffer): void {
     if (this._isFinished) return
-    if (!this._streamed) {
-      this._bodyParts.push(data)
-      return
-    }
+    if (!this._streamed) return this._keepBody(data)
     for (const event of splitter.push(data)) {
       const verdict = this._events.offer(event.id ?? this._events.delivered, event.line)
       if (this._events.delivered > this._deliveredBefore) this._resumesLeft = resumeAttempts
@@ -151,6 +154,18 @@
       if (this._isFinished) return
     }
     this._flush()
+    if (splitter.isTooLarge) this._connectionBroke(failure('may-have-run', 'stream-incomplete', 'The engine sent an event that is too large.'))
+  }
+
+  private _keepBody (data: Buffer): void {
+    this._bodyBytes += data.length
+    if (this._bodyBytes <= answerLimit) {
+      this._bodyParts.push(data)
+      return
+    }
+    this._bodyParts = []
+    this._http.abort()
+    this._finish(() => this._sink.fail(failure('may-have-run', 'upstream-lost', 'The engine sent an answer that is too large.')))
   }
 
   /** Checks the next event of the stream and adds it to the output. */
@@ -204,10 +219,10 @@
 
   private _connectionBroke (cause: ReturnType<typeof failure>): void {
     if (this._isFinished) return
+    this._http.abort()
     if (!this._streamed || this._resumesLeft === 0) return this._finish(() => this._sink.fail(cause))
     this._resumesLeft--
     this._resumed = true
-    this._http.abort()
     const headers = { 'last-event-id': String(this._events.delivered - 1) }
     this._http = this._open({ method: 'GET', path: `/v1/streams/${this._call.id}`, headers })
   }
@@ -215,6 +230,8 @@
   private _finish (notify: () => void): void {
     if (this._isFinished) return
     this._isFinished = true
+    // Without this, an engine that goes on after the last event would be read for as long as it sends.
+    setTimeout(() => this._http.abort(), restTimeMs).unref()
     notify()
   }
 }
@@ -251,7 +268,7 @@
 
   async function list (): Promise<EngineListing> {
     const res = await pool.request({ method: 'GET', path: '/v1/models', signal: AbortSignal.timeout(listTimeoutMs) })
-    const body = await res.body.json() as { data: { id: string }[] }
+    const body = JSON.parse(await readText(res.body, answerLimit)) as { data: { id: string }[] }
     return { names: body.data.map(model => model.id) }
   }
 
--- a/packages/engine/src/lib/http-call.ts
+++ b/packages/engine/src/lib/http-call.ts
@@ -27,6 +27,10 @@
   readonly abort: () => void
 }
 
+/** Interim responses to one call. An upstream that sends more may go on without end. */
+const maxInterimResponses = 64
+const finalStatus = 200
+
 const retryAfterRefusedConnection = 500
 
 function callFailure (wasSent: boolean, cause: Error): Failure {
@@ -48,6 +52,7 @@
   let controller: Dispatcher.DispatchController | undefined
   let aborted = false
   let paused = false
+  let interimResponses = 0
   pool.dispatch({
     method: call.method as Dispatcher.HttpMethod,
     path: call.path,
@@ -61,6 +66,10 @@
       if (aborted) started.abort(new Error('cancelled'))
     },
     onResponseStart (started, status, headers) {
+      if (status < finalStatus) {
+        if (++interimResponses > maxInterimResponses) started.abort(new Error('Too many interim responses.'))
+        return
+      }
       sink.head(status, headers as Record<string, string | string[]>)
       if (paused) started.pause()
     },
--- a/packages/engine/src/lib/sse-splitter.ts
+++ b/packages/engine/src/lib/sse-splitter.ts
@@ -11,6 +11,10 @@
 }
 
 const separator = '\n\n'
+const lineEnd = '\n'
+/** Characters of one event, and reads in which it may arrive; each read costs far more time than a character. */
+const eventLimit = 2 * 1024 * 1024
+const readLimit = 16 * 1024
 const idField = 'id: '
 const dataField = 'data: '
 
@@ -43,7 +47,11 @@
  * written as the same bytes, so that UTF-8 text stays intact.
  */
 export class SseSplitter {
-  private _rest = ''
+  private _rest: string[] = []
+  private _restLength = 0
+
+  /** Whether the incomplete event is larger than an engine sends. */
+  get isTooLarge (): boolean { return this._restLength > eventLimit || this._rest.length > readLimit }
 
   /**
    * Adds the bytes of one read.
@@ -52,14 +60,27 @@
    * @returns the events that they completed
    */
   push (bytes: Buffer): readonly SseEvent[] {
-    const text = this._rest + bytes.toString('latin1')
+    const read = bytes.toString('latin1')
+    const isSplit = read.startsWith(lineEnd) && this._rest.at(-1)?.endsWith(lineEnd) === true
+    if (!isSplit && !read.includes(separator)) {
+      this._keep(read)
+      return []
+    }
+    const text = this._rest.join('') + read
     const events: SseEvent[] = []
     let from = 0
     for (let end = text.indexOf(separator); end >= 0; end = text.indexOf(separator, from)) {
       events.push(parseEvent(text.slice(from, end)))
       from = end + separator.length
     }
-    this._rest = from === text.length ? '' : text.slice(from)
+    this._rest = []
+    this._restLength = 0
+    if (from < text.length) this._keep(text.slice(from))
     return events
   }
+
+  private _keep (read: string): void {
+    this._rest.push(read)
+    this._restLength += read.length
+  }
 }
