Soak and guards: servers that send bytes without end

An answer that never ended must not look complete.

An upstream whose refusal never ends is ejected after the first one, which a test of the decision shows now. The guard in the deployment passed without it, since a high share of failures ejects as well.

Each of the eight guards that are new or name changed code fails without it.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -5,6 +5,54 @@
 
 /** Guards in single entries of the deployment without sidecars. */
 export const entryGuards: readonly Guard[] = [
+  {
+    guarantee: 'endless answers: bytes before the head of an answer are limited',
+    file: 'packages/direct/dist/lib/overhead-limit.js',
+    find: 'if (bytes > overheadLimit)',
+    replace: 'if (false)',
+    feature: 'packages/direct/src/test/endless-answers.feature',
+    scenario: 'is answered with HTTP/1.1 100 Continue without end'
+  },
+  {
+    guarantee: 'endless answers: one event of a stream is limited',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'return bytes <= eventLimit && this._reservation.growTo(2 * bytes);',
+    replace: 'return true;',
+    feature: 'platform/src/test/endless-servers.feature',
+    scenario: 'a model server that sends event without end'
+  },
+  {
+    guarantee: 'endless answers: the pieces of one event are limited',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'if (restPieces > pieceLimit)',
+    replace: 'if (false)',
+    feature: 'platform/src/test/endless-servers.feature',
+    scenario: 'a model server that sends tiny-chunks without end'
+  },
+  {
+    guarantee: 'endless answers: the rest of a refusal is limited by its size',
+    file: 'packages/direct/dist/lib/relay/discard-rest.js',
+    find: 'if (bytes > limits.bytes)',
+    replace: 'if (false)',
+    feature: 'platform/src/test/endless-servers.feature',
+    scenario: 'a model server that sends refusal without end'
+  },
+  {
+    guarantee: 'endless answers: the rest of a refusal is limited by its time',
+    file: 'packages/direct/dist/lib/relay/discard-rest.js',
+    find: 'clock.after(limits.time, exceed)',
+    replace: '(() => {})',
+    feature: 'platform/src/test/endless-servers.feature',
+    scenario: 'a model server that sends refusal-slow without end'
+  },
+  {
+    guarantee: 'endless answers: an upstream that sends them is not preferred for its fast refusals',
+    file: 'packages/decisions/dist/lib/upstream-health.js',
+    find: "outcome === 'unreachable' || outcome === 'endless';",
+    replace: "outcome === 'unreachable';",
+    feature: 'packages/decisions/src/test/direct-decisions.feature',
+    scenario: 'an upstream that fails is ejected'
+  },
   {
     guarantee: 'engines that are slower are home to fewer adapters',
     file: 'packages/decisions/dist/lib/place-request.js',
@@ -24,15 +72,15 @@
   {
     guarantee: 'direct requests: a request that nobody waits for holds its connection no longer than its upstream may work on it',
     file: 'packages/direct/dist/lib/relay/exchange.js',
-    find: 'this._limitDiscarding();',
-    replace: '',
+    find: 'this._clock.after(this._discardTime, () => this._req.destroy())',
+    replace: '(() => {})',
     feature: 'platform/src/test/overdue-reads.feature',
     scenario: 'bookings that their servers never answer'
   },
   {
     guarantee: 'direct requests: a booking of a caller that has left is not broken off before its time limit',
     file: 'packages/direct/dist/lib/relay/exchange.js',
-    find: 'Math.max(0, left)',
+    find: 'Math.max(0, this._startedAt + this._call.timeLimit + discardMargin - this._clock.now())',
     replace: '0',
     feature: 'platform/src/test/overdue-reads.feature',
     scenario: 'callers that leave'
--- a/packages/decisions/src/test/direct-decisions.feature
+++ b/packages/decisions/src/test/direct-decisions.feature
@@ -13,6 +13,7 @@
     Then two lost answers in a row eject an upstream, and it is readmitted
     And one error in seven answers ejects no upstream
     And an upstream that fails half of its requests is ejected
+    And an upstream that refuses a request and never ends the refusal is ejected
 
   Scenario: requests for an adapter go to its home until the home is overloaded
     Every engine loads every adapter, and the weight store's rate is spent on copies. This happens when requests for an
--- a/packages/decisions/src/test/direct-decisions.steps.ts
+++ b/packages/decisions/src/test/direct-decisions.steps.ts
@@ -69,6 +69,12 @@
   for (let n = 1; n <= 700; n++) assert.equal(health.recordOutcome(n % 7 === 0 ? 'error' : 'answered', n * 10, 5), false)
 })
 
+Then('an upstream that refuses a request and never ends the refusal is ejected', () => {
+  const health = new UpstreamHealth()
+  assert.equal(health.recordOutcome('refused', 0), false)
+  assert.equal(health.recordOutcome('endless', 1), true)
+})
+
 Then('an upstream that fails half of its requests is ejected', () => {
   const health = new UpstreamHealth()
   const ejections = Array.from({ length: 40 }, (_, n) => health.recordOutcome(n % 2 === 0 ? 'error' : 'answered', n * 10, 5))
