--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -415,6 +415,9 @@
     this._view.start(settings.seeds.filter(seed => seed !== settings.listen_control).map(splitAddress))
   }
 
+  /** Requests whose answer is not complete. */
+  get openRequests (): number { return this._callers.open }
+
   /** Ms for which the configuration may have changed without this entry knowing. */
   get viewAge (): Ms { return this._view.viewAge }
 
