--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -126,8 +126,11 @@
 const pieceLimit = 16 * 1024
 /** Bytes of an incomplete event that are not counted against the memory for answers. */
 const uncountedEventBytes = 64 * 1024
-/** Rest of a refusal that is read so that its connection can be used again. A new connection costs less than reading more. */
-const refusalRest: DiscardLimits = { bytes: 16 * 1024, time: 250 }
+/**
+ * Rest of a refusal that is read so that its connection can be used again. A new connection costs less than reading more; a
+ * packet that is lost arrives within the time.
+ */
+const refusalRest: DiscardLimits = { bytes: 16 * 1024, time: 600 }
 /** Bytes that an exchange reads in one turn of the event loop, so that one fast upstream can't keep others waiting. */
 const turnShare = 64 * 1024
 /** Bytes that could be read in the time that a piece takes in addition to its bytes. */
--- a/packages/engine/src/lib/engine-client.ts
+++ b/packages/engine/src/lib/engine-client.ts
@@ -219,7 +219,7 @@
 
   private _connectionBroke (cause: ReturnType<typeof failure>): void {
     if (this._isFinished) return
-    this._http.abort()
+    if (this._streamed) this._http.abort()
     if (!this._streamed || this._resumesLeft === 0) return this._finish(() => this._sink.fail(cause))
     this._resumesLeft--
     this._resumed = true
