Judge the rest of a refusal only after what has arrived was read

After a pause of the process, the timer of the rest of a refusal fires before its socket is read, and the rest that has arrived in time counts as one that never ends.

Change: the timer judges after the sockets were read, as other limits do. The rest of an answer that is discarded is also read on when its caller had made the exchange pause; it stayed paused after 64 KiB until the time limit.

No test shows the second change.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -40,7 +40,7 @@
   {
     guarantee: 'endless answers: the rest of a refusal is limited by its time',
     file: 'packages/direct/dist/lib/relay/discard-rest.js',
-    find: 'clock.after(limits.time, exceed)',
+    find: 'afterReading(clock, limits.time, exceed)',
     replace: '(() => {})',
     feature: 'platform/src/test/endless-servers.feature',
     scenario: 'a model server that sends refusal-slow without end'
--- a/packages/direct/src/lib/relay/discard-rest.ts
+++ b/packages/direct/src/lib/relay/discard-rest.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import type { Clock, Ms } from '@hazelford/core'
+import { afterReading } from '../after-reading.js'
 
 /** How much of an answer is discarded before its connection is closed instead. */
 export interface DiscardLimits {
@@ -31,7 +32,7 @@
     stop()
     exceeded(bytes)
   }
-  const cancel = clock.after(limits.time, exceed)
+  const cancel = afterReading(clock, limits.time, exceed)
   res.once('end', stop)
   res.once('close', stop)
   res.on('data', (chunk: Buffer) => {
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -222,6 +222,7 @@
     this._finish()
     const cancel = this._clock.after(this._discardTime, () => this._req.destroy())
     this._req.once('close', cancel)
+    this._isPaused = false
     if (this._res !== undefined) this._discardRest(this._res, this._ignoredRest, 'discarded')
   }
 
--- a/packages/direct/src/test/endless-answers.steps.ts
+++ b/packages/direct/src/test/endless-answers.steps.ts
@@ -2,14 +2,16 @@
  * Checks how answers that never end are bounded.
  */
 import assert from 'node:assert/strict'
-import { Agent } from 'node:http'
+import { Agent, get, type IncomingMessage } from 'node:http'
 import { type AddressInfo, createServer, type Socket } from 'node:net'
 import { After, Then, When } from '@cucumber/cucumber'
+import { systemClock } from '@hazelford/core'
 import fc from 'fast-check'
 import { callJson, NoAnswer } from '../lib/peers/json-client.js'
+import { discardRest } from '../lib/relay/discard-rest.js'
 import { EventFramer } from '../lib/relay/event-framer.js'
 
-interface EndlessWorld { outcome: unknown, took: number, sockets: Socket[], close: () => void }
+interface EndlessWorld { isExceeded: boolean, outcome: unknown, took: number, sockets: Socket[], close: () => void }
 
 const answers: Readonly<Record<string, { readonly start: string, readonly repeated: string }>> = {
   'HTTP/1.1 100 Continue': { start: '', repeated: 'HTTP/1.1 100 Continue\r\n\r\n' },
@@ -59,6 +61,32 @@
 
 After(function (this: EndlessWorld) { this.close?.() })
 
+When('the process is blocked for {int} ms after the rest of a refusal was sent', { timeout }, async function (this: EndlessWorld, ms: number) {
+  let serverSide: Socket | undefined
+  const server = createServer(socket => {
+    serverSide = socket
+    socket.on('error', () => {})
+    socket.once('data', () => socket.write('HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nab'))
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const agent = new Agent()
+  const res = await new Promise<IncomingMessage>(resolve => { get({ agent, host: '127.0.0.1', port: (server.address() as AddressInfo).port }, resolve) })
+  this.isExceeded = false
+  const ended = new Promise(resolve => { res.once('close', resolve) })
+  discardRest(res, systemClock, { bytes: 16, time: ms - 100 }, () => {}, () => { this.isExceeded = true })
+  // After a pause in this phase of the event loop, timers run before sockets are read.
+  await new Promise(resolve => { setImmediate(resolve) })
+  serverSide!.write('cd')
+  const until = performance.now() + ms
+  while (performance.now() < until) { /* blocks the event loop */ }
+  await ended
+  agent.destroy()
+  server.close()
+  serverSide!.destroy()
+})
+
+Then('nothing counts as too much', function (this: EndlessWorld) { assert.equal(this.isExceeded, false) })
+
 /** Joins all reads so far and looks for the last end of an event. */
 function naiveFramer (): (read: string) => string {
   let rest = ''
