Log the close of a discarded answer that reached its time limit

Seen once, beside five test processes: "a plain server that sends tiny-body without end" found no log line. Two timers of the same length ended the rest of an answer whose caller had left: the first one closed the connection without a line before the other could log it. Which limit came first, bytes or time, depended on the load.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -72,7 +72,7 @@
   {
     guarantee: 'direct requests: a request that nobody waits for holds its connection no longer than its upstream may work on it',
     file: 'packages/direct/dist/lib/relay/exchange.js',
-    find: 'this._clock.after(this._discardTime, () => this._req.destroy())',
+    find: 'this._clock.after(this._discardTime, () => this._closeUnanswered())',
     replace: '(() => {})',
     feature: 'platform/src/test/overdue-reads.feature',
     scenario: 'bookings that their servers never answer'
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -220,10 +220,10 @@
   ignore (): void {
     if (this._over) return
     this._finish()
-    const cancel = this._clock.after(this._discardTime, () => this._req.destroy())
-    this._req.once('close', cancel)
     this._isPaused = false
-    if (this._res !== undefined) this._discardRest(this._res, this._ignoredRest, 'discarded')
+    if (this._res !== undefined) return this._discardRest(this._res, this._ignoredRest, 'discarded')
+    const cancel = this._clock.after(this._discardTime, () => this._closeUnanswered())
+    this._req.once('close', cancel)
   }
 
   /** Ms until the upstream has ended its answer if it keeps the request's time limit. */
