One rule for heads of answers

A message whose status is 0, 99, 101 or 999 can be taken for an answer by node's client, and so can one with a transfer coding other than chunks, which the reader then takes for framed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from './lib/adapter-ref.js'
 export * from './lib/answer-deadline.js'
+export * from './lib/answer-head.js'
 export * from './lib/assert-never.js'
 export * from './lib/call-digest.js'
 export * from './lib/clock.js'
