Believe the end of an answer without a length only if it is proved

Callers got a part of an answer as a complete one: a stream of an upstream that reset its connection at once after its last data, or whose process ended; a part of an answer to a read or a booking, also to one whose upload was under way.

Cause: such an answer ends with its connection. When the process is busy, the last data and the reset are read in one turn of the event loop; libuv reads no further after a short read and reports the end of the data, so node:http gives `end` with `complete` and no error. The connections of a process that ends are closed by its kernel in an orderly way.

Change: connection-end.ts asks for the peer address of a connection when its end is read, before any other listener: after a reset the kernel has none. Answers with a length or chunks and those without a body are not probed. While it is probed, an exchange may be abandoned or ignored as before, and silence does not count. `answer lost.` names the cause; hazelford_unproved_ends_total{cause} counts.

Not judged: an upstream that ends and listens again within the probe's time, and a reset that is read in the same turn as an orderly end, which counts as lost.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -5,6 +5,22 @@
 
 /** Guards in single entries of the deployment without sidecars. */
 export const entryGuards: readonly Guard[] = [
+  {
+    guarantee: 'ends of answers: a reset at the end of an answer without a length is no end',
+    file: 'packages/direct/dist/lib/connection-end.js',
+    find: "socket.remoteAddress === undefined ? 'reset' : 'orderly'",
+    replace: "'orderly'",
+    feature: 'packages/direct/src/test/unproved-ends.feature',
+    scenario: 'the connection of a stream without a length is reset, to a read'
+  },
+  {
+    guarantee: 'ends of answers: the end of an answer without a length counts only if its upstream listens',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: 'if (listens)',
+    replace: 'if (true)',
+    feature: 'packages/direct/src/test/unproved-ends.feature',
+    scenario: 'an upstream that does not listen'
+  },
   {
     guarantee: 'endless answers: bytes before the head of an answer are limited',
     file: 'packages/direct/dist/lib/overhead-limit.js',
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -10,7 +10,7 @@
 import { CallerServer, createReadyServer, type DropCause } from './relay/caller-server.js'
 import type { CurrentConfig } from './store/current-config.js'
 import { ConfigVerifier } from './store/config-verifier.js'
-import { probeConnection } from './peers/connection-probe.js'
+import { isListening, probeConnection } from './peers/connection-probe.js'
 import { EngineCoordinator } from './engines/engine-coordinator.js'
 import { EraStore } from './store/era-store.js'
 import type { LoadRequestOutcome } from './engines/engine-holder.js'
@@ -320,6 +320,7 @@
       answerMemory: new BodyMemory(bodyMemoryLimit(this._settings.memory_mb)),
       onlySoftware: (service, since) => this._onlySoftware(service, since),
       verifyIncarnation: (upstream, openedAt) => this._verifyIncarnation(upstream, openedAt),
+      listens: isListening,
       upstreams: service => this.members.serving(service).length,
       entries: () => this.peers.entryCount,
       budgetLimits: () => budgetLimits(this._settings),
--- a/packages/direct/src/lib/metrics.ts
+++ b/packages/direct/src/lib/metrics.ts
@@ -27,6 +27,7 @@
   readonly requests = this._counter('hazelford_requests_total', 'Requests by route kind and end.', ['kind', 'end'])
   readonly answersCut = this._counter('hazelford_answers_cut_total', 'Requests whose connection this entry closed without a whole answer, by cause.', ['cause'])
   readonly answersExceeded = this._counter('hazelford_answers_exceeded_total', 'Connections to upstreams that this entry closed since too much arrived on them, by what it was.', ['form'])
+  readonly unprovedEnds = this._counter('hazelford_unproved_ends_total', 'Answers without a length that count as lost, since the end of their connection proves nothing, by cause.', ['cause'])
   readonly sends = this._counter('hazelford_sends_total', 'Requests sent to upstreams, by outcome.', ['outcome'])
   readonly repeats = this._counter('hazelford_repeats_total', 'Repeats by whether the budget allowed them.', ['allowed'])
   readonly overdueReads = this._counter('hazelford_overdue_reads_total', 'Reads that are overdue at an upstream, were sent to a second one, or were answered by that.', ['event'])
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -2,10 +2,12 @@
  * One request to one upstream, and its answer.
  */
 import { type ClientRequest, type IncomingMessage, request } from 'node:http'
-import type { Clock, Ms } from '@hazelford/core'
+import type { Socket } from 'node:net'
+import { type Clock, judgeAnswerHead, type Ms } from '@hazelford/core'
 import type { UpstreamRefusal } from '@hazelford/decisions'
 import type { AnswerMetadata, CallCodec, UpstreamNotice } from '@hazelford/ports'
 import { afterReading } from '../after-reading.js'
+import { connectionEnd, watchConnectionEnd } from '../connection-end.js'
 import { limitOverhead, type Overhead } from '../overhead-limit.js'
 import { type BodyMemory, BodyReservation } from './body-memory.js'
 import { ByteBuffer } from './byte-buffer.js'
@@ -13,6 +15,7 @@
 import { type DiscardLimits, discardRest } from './discard-rest.js'
 import { EventFramer } from './event-framer.js'
 import { endToEndHeaders } from './hop-headers.js'
+import { describeUnprovedEnd, type UnprovedEnd } from './unproved-end.js'
 
 /** Status line and headers of an answer. */
 export interface AnswerHead {
@@ -22,7 +25,7 @@
   readonly headers: string[]
   /**
    * Whether the answer declares where it ends. One that ends with its connection may have been cut short by a server
-   * that crashed, which can't be detected.
+   * that crashed and was restarted at once.
    */
   readonly framed: boolean
 }
@@ -66,7 +69,8 @@
   readonly noticed: (notice: UpstreamNotice) => void
   readonly refused: (refusal: UpstreamRefusal) => void
   readonly unreachable: (cause: string) => void
-  readonly lost: (cause: string, kind: LossKind) => void
+  /** `unproved`: set for an answer whose end is not believed. */
+  readonly lost: (cause: string, kind: LossKind, unproved?: UnprovedEnd) => void
   /** The upstream is silent for longer than expected; the exchange goes on. */
   readonly stalled: (cause: string) => void
   readonly whole: (answer: WholeAnswer) => void
@@ -168,14 +172,19 @@
   private _isYielding = false
   private _readInTurn = 0
   private _hasExceeded = false
+  private _socket: Socket | undefined
+  /** Whether all of the answer was read, and its end is yet to be proved. */
+  private _isProving = false
 
+  /** @param _listens - whether a process listens at the upstream's address */
   constructor (
     private readonly _clock: Clock,
     private readonly _codec: CallCodec,
     private readonly _pool: ConnectionPool,
     private readonly _call: ExchangeRequest,
     private readonly _sink: ExchangeSink,
-    answerMemory: BodyMemory
+    answerMemory: BodyMemory,
+    private readonly _listens: (host: string, port: number) => Promise<boolean>
   ) {
     this._startedAt = _clock.now()
     this._reservation = new BodyReservation(answerMemory)
@@ -184,6 +193,8 @@
     this._req = request({ agent: _pool.agent(_call.repeatable), host, port, method, path, headers: framed })
     this._overhead = limitOverhead(this._req, res => this._exceeded(res === undefined ? 'head' : 'framing', this._overhead.bytes))
     this._req.on('socket', socket => {
+      this._socket = socket
+      watchConnectionEnd(socket)
       const markSent = (): void => this._recordConnection(_pool.openedAt(socket) ?? _clock.now())
       if (socket.connecting) socket.once('connect', markSent)
       else markSent()
@@ -221,6 +232,7 @@
     if (this._over) return
     this._finish()
     this._isPaused = false
+    if (this._isProving) return
     if (this._res !== undefined) return this._discardRest(this._res, this._ignoredRest, 'discarded')
     const cancel = this._clock.after(this._discardTime, () => this._closeUnanswered())
     this._req.once('close', cancel)
@@ -260,7 +272,7 @@
   }
 
   resume (): void {
-    if (this._over) return
+    if (this._over || this._isProving) return
     if (this._readsEvents) this._watchSilence(this._call.gapSilence, 'No further event')
     this._isPaused = false
     if (!this._isYielding) this._res?.resume()
@@ -297,11 +309,11 @@
   }
 
   /** Ends the exchange as lost, since its answer can no longer be received. */
-  private _endAsLost (cause: string, kind: LossKind = 'unusable'): void {
+  private _endAsLost (cause: string, kind: LossKind = 'unusable', unproved?: UnprovedEnd): void {
     if (this._over) return
     this._finish()
     this._req.destroy()
-    this._sink.lost(cause, kind)
+    this._sink.lost(cause, kind, unproved)
   }
 
   private _failed (cause: string): void {
@@ -456,10 +468,41 @@
     if (this._over) return
     // The event `end` also follows a body that was cut short, which must not be passed on as complete.
     if (!res.complete) return this._endAsLost('The answer was cut short.', 'broke')
-    this._finish()
-    done()
+    if (!this._endsWithConnection(res)) {
+      this._finish()
+      return done()
+    }
+    this._proveEnd(() => {
+      this._finish()
+      done()
+    })
   }
 
+  private _endsWithConnection (res: IncomingMessage): boolean {
+    const head = judgeAnswerHead(this._call.method, res.statusCode ?? 0, res.rawHeaders)
+    return head.kind === 'invalid' || head.framing === 'connection'
+  }
+
+  /**
+   * Proves the end of an answer that only its connection marks: by how the connection ended, and by the upstream, since
+   * the kernel of a process that terminates ends its connections in an orderly way.
+   *
+   * @param proved - is called unless the answer is lost, or the exchange ends before
+   */
+  private _proveEnd (proved: () => void): void {
+    const end = connectionEnd(this._socket)
+    if (end !== 'orderly') return this._endUnproved(end)
+    this._isProving = true
+    this._cancelTimer?.()
+    this._listens(this._call.host, this._call.port).then(listens => {
+      if (this._over) return
+      if (listens) proved()
+      else this._endUnproved('not-listening')
+    }, (error: Error) => this._endAsLost(error.message, 'broke', 'unknown'))
+  }
+
+  private _endUnproved (end: UnprovedEnd): void { this._endAsLost(describeUnprovedEnd(end), 'broke', end) }
+
   private _watchBreaks (res: IncomingMessage): void {
     res.on('aborted', () => this._endAsLost('The connection broke within the answer.', 'broke'))
     res.on('error', error => this._endAsLost(error.message, 'broke'))
--- a/packages/direct/src/lib/relay/relay-runner.ts
+++ b/packages/direct/src/lib/relay/relay-runner.ts
@@ -39,6 +39,8 @@
   /** The one software version that can have served a service since a time; undefined when there may have been several. */
   readonly onlySoftware: (service: string, since: Ms) => Promise<string | undefined>
   readonly verifyIncarnation: (upstream: Upstream, openedAt: Ms) => Promise<boolean>
+  /** Whether a process listens at an address. */
+  readonly listens: (host: string, port: number) => Promise<boolean>
   /** Number of upstreams that serve a service. */
   readonly upstreams: (service: string) => number
   /** Number of entries that are running. */
@@ -183,7 +185,7 @@
       clock,
       log,
       codec,
-      exchange: (pool, request, sink) => new Exchange(clock, codec, pool, request, sink, this._options.answerMemory),
+      exchange: (pool, request, sink) => new Exchange(clock, codec, pool, request, sink, this._options.answerMemory, this._options.listens),
       want: requestedAdapter,
       place: query => this._place(query),
       software,
@@ -218,6 +220,7 @@
       configVersion: () => this._options.config.table?.version,
       longestPause: this._options.longestPause,
       answerCut: cause => metrics.answersCut.inc({ cause }),
+      endUnproved: cause => metrics.unprovedEnds.inc({ cause }),
       exceeded: (upstream, { form, bytes, after }) => {
         metrics.answersExceeded.inc({ form })
         // A sound upstream may be answering a request whose caller has left.
--- a/packages/direct/src/lib/relay/relay-task.ts
+++ b/packages/direct/src/lib/relay/relay-task.ts
@@ -11,6 +11,7 @@
 import type { Placement, PlacementQuery, PlacementWaits, SoftwareNeed } from '../placing/placer.js'
 import { requestFingerprint } from './request-fingerprint.js'
 import type { RequestSuspects } from '../quarantine/termination-detector.js'
+import type { UnprovedEnd } from './unproved-end.js'
 import type { Upstream } from '../placing/upstream.js'
 
 /** A request that was read completely. */
@@ -128,6 +129,8 @@
   readonly longestPause: (since: Ms) => Ms
   /** Called when the caller's connection is closed without a whole answer. */
   readonly answerCut: (cause: CutCause) => void
+  /** Counts an answer without a length whose end was not believed. */
+  readonly endUnproved: (cause: UnprovedEnd) => void
   /** Called when a connection to an upstream was closed since too much arrived on it; also after the request has ended. */
   readonly exceeded: (upstream: Upstream, excess: AnswerExcess) => void
   /** Called when the request has ended. */
@@ -509,8 +512,9 @@
         this._post({ kind: 'unreachable', from })
       },
       stalled: cause => this._recordStall(upstream, cause, clock.now() - sentAt),
-      lost: (cause, kind) => {
+      lost: (cause, kind, unproved) => {
         close('lost')
+        if (unproved !== undefined) this._options.endUnproved(unproved)
         log.info('request', 'answer lost.', { request: facts.id, upstream: upstream.id, cause, lastEventId: this._lastEventId, after: Math.round(clock.now() - sentAt), beside, fingerprint: this.fingerprint, parts: this._call.sharedParts })
         // A restart that was found by its report shows nothing about this request, which came after it.
         if (kind !== 'other-software') this._reportSuspect(upstream, kind === 'broke')
--- a/packages/direct/src/test/answer-ends.steps.ts
+++ b/packages/direct/src/test/answer-ends.steps.ts
@@ -94,7 +94,7 @@
         setTimeout(() => exchange.resume(), endArrivesMs)
       },
       exceeded: () => fail('too much')
-    }, new BodyMemory(Infinity))
+    }, new BodyMemory(Infinity), async () => true)
   })
   this.received = Buffer.concat(chunks)
   pool.close()
--- a/packages/direct/src/test/answer-fuzz.steps.ts
+++ b/packages/direct/src/test/answer-fuzz.steps.ts
@@ -98,7 +98,7 @@
       received += bytes.toString('latin1')
     },
     end: () => final({ kind: 'complete', body: received })
-  }, new BodyMemory(Infinity))
+  }, new BodyMemory(Infinity), async () => true)
   await new Promise(resolve => setTimeout(resolve, quietMs))
   exchange.abandon()
   await new Promise(resolve => setTimeout(resolve, quietMs))
--- a/packages/direct/src/test/support/relay-model.ts
+++ b/packages/direct/src/test/support/relay-model.ts
@@ -220,6 +220,7 @@
       configVersion: () => this._version,
       longestPause: () => 0,
       answerCut: none,
+      endUnproved: none,
       exceeded: none,
       over: summary => {
         if (this._summary !== undefined) this._violate('over twice')
