Answers without a length reach callers of HTTP/1.1 in chunks

Callers saw a part of an answer as all of it when the process of their entry ended: the close of the connection was the end of such an answer, and a kernel that cleans up after a process closes its connections in an orderly way.

Cause: `CallerAnswer._unframed` passed an answer without a length on without one, whoever the caller was.

Change: a caller of HTTP/1.1 gets it in chunks, the last one once the exchange has reported the end; status, headers and the bytes of the body stay. The connection is then kept. A caller of HTTP/1.0 gets the form it had. Answers to HEAD, and those with 204 and 304, get neither chunks nor a length nor `Connection: close`. By reading, without a run: an answer to HEAD whose upstream declared a length had a length of 0.

Why it works: the last chunk is written by the process, and never by a kernel.

What it does not do: an upstream that crashes within such an answer, with an orderly end, is believed as before if the exchange believes it; a caller that took a missing length for a warning has it no longer.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -152,11 +152,19 @@
   {
     guarantee: 'direct answers: an answer without a length is passed on without one',
     file: 'packages/direct/dist/lib/relay/caller-answer.js',
-    find: 'answer.framed ?',
-    replace: 'true ?',
+    find: 'hasLength = answer.framed',
+    replace: 'hasLength = true',
     feature: 'platform/src/test/answers.feature',
     scenario: 'cut short'
   },
+  {
+    guarantee: 'direct answers: an answer without a length is sent in chunks, so that the end of the process is not its end',
+    file: 'packages/direct/dist/lib/relay/caller-answer.js',
+    find: 'this._res.req.httpVersion !== \'1.0\'',
+    replace: 'false',
+    feature: 'platform/src/test/unmarked-ends.feature',
+    scenario: 'an entry that is killed within a stream'
+  },
   {
     guarantee: 'direct requests: a booking whose answer was lost is not sent again',
     file: 'packages/decisions/dist/lib/relay-flow.js',
--- a/packages/direct/src/lib/relay/caller-answer.ts
+++ b/packages/direct/src/lib/relay/caller-answer.ts
@@ -24,6 +24,9 @@
   /** The configuration may have changed without this entry knowing, so the request's key may be withdrawn. */
   | { readonly kind: 'config-unproven', readonly retryAfter: Ms }
 
+/** Statuses of answers that end with their head. */
+const bodilessStatuses: readonly number[] = [204, 304]
+
 /** Whether the request failed because its time ran out. */
 function isTimeout (failure: RelayFailure): boolean { return failure === 'timeout-sent' || failure === 'timeout-unsent' }
 
@@ -95,16 +98,21 @@
   whole (answer: WholeAnswer): void {
     this._begun = true
     this._ended = true
-    const length = answer.framed ? ['Content-Length', String(answer.body.length)] : this._unframed()
-    this._res.writeHead(answer.status, answer.message, [...answer.headers, ...length, ...this._connection()])
+    const hasLength = answer.framed && this._hasBody(answer)
+    const framing = hasLength ? ['Content-Length', String(answer.body.length)] : this._framing(answer)
+    this._res.writeHead(answer.status, answer.message, [...answer.headers, ...framing, ...this._connection()])
     this._res.end(answer.body)
   }
 
+  /** Whether an answer with this head has a body, be it an empty one. */
+  private _hasBody ({ status }: AnswerHead): boolean { return this._res.req.method !== 'HEAD' && !bodilessStatuses.includes(status) }
+
   /**
-   * Returns the headers of an answer whose end is the close of its connection, to be passed on in the same way. If a
-   * length were added here, an answer that was cut short would look complete to its caller.
+   * Returns the headers that mark the end of an answer of unknown length. `ServerResponse` adds the one for chunks. A caller
+   * of HTTP/1.0 has only the close of its connection, which looks the same when this process ends.
    */
-  private _unframed (): string[] {
+  private _framing (head: AnswerHead): string[] {
+    if (!this._hasBody(head) || this._res.req.httpVersion !== '1.0') return []
     this._res.useChunkedEncodingByDefault = false
     this._endsWithConnection = true
     this._endConnection()
@@ -114,8 +122,7 @@
   /** Begins an answer that is passed on as it arrives. */
   begin (head: AnswerHead): void {
     this._begun = true
-    const framing = head.framed ? [] : this._unframed()
-    this._res.writeHead(head.status, head.message, [...head.headers, ...framing, ...this._connection()])
+    this._res.writeHead(head.status, head.message, [...head.headers, ...(head.framed ? [] : this._framing(head)), ...this._connection()])
   }
 
   /** @returns false when the caller reads too slowly, until {@link onDrain} */
