Callers of HTTP/1.0 get a reset when an answer in chunks breaks off

A caller of HTTP/1.0 saw a part of an answer as all of it: the upstream sends a stream, or a large answer, in chunks and breaks off, and the caller's connection is closed in an orderly way, which is the end of an answer without chunks.

Cause: `CallerAnswer` took the close for the end only if the upstream's answer had neither a length nor chunks. `ServerResponse` leaves out the chunks for HTTP/1.0 by itself, and `break()` then destroyed the connection without a reset.

Change: whether the close is the end depends on the caller alone; the upstream's framing doesn't matter for an answer that is passed on as it arrives.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -165,6 +165,14 @@
     feature: 'platform/src/test/unmarked-ends.feature',
     scenario: 'an entry that is killed within a stream'
   },
+  {
+    guarantee: 'direct answers: an answer in chunks that breaks off resets the connection of a caller that gets no chunks',
+    file: 'packages/direct/dist/lib/relay/caller-answer.js',
+    find: '...head.headers, ...this._framing(head)',
+    replace: '...head.headers, ...(head.framed ? [] : this._framing(head))',
+    feature: 'platform/src/test/unmarked-ends.feature',
+    scenario: 'a stream answer, framed by its chunks, that breaks off, to a caller of HTTP/1.0'
+  },
   {
     guarantee: 'direct requests: a booking whose answer was lost is not sent again',
     file: 'packages/decisions/dist/lib/relay-flow.js',
--- a/packages/direct/src/lib/relay/caller-answer.ts
+++ b/packages/direct/src/lib/relay/caller-answer.ts
@@ -122,7 +122,7 @@
   /** Begins an answer that is passed on as it arrives. */
   begin (head: AnswerHead): void {
     this._begun = true
-    this._res.writeHead(head.status, head.message, [...head.headers, ...(head.framed ? [] : this._framing(head)), ...this._connection()])
+    this._res.writeHead(head.status, head.message, [...head.headers, ...this._framing(head), ...this._connection()])
   }
 
   /** @returns false when the caller reads too slowly, until {@link onDrain} */
