Keep the origins of streams in the store, where they outlive all entries

What callers saw: with two software versions in service, all entries ended at the same moment; each stream that was resumed was refused (503), though servers of its version were there.

Cause: where a stream began was known to three entries only.

The mirror passes them to each entry, also to one that starts. Keys whose streams are over are removed with the next batch. Streams that began before the second version appeared are written when it does.

Why it works: only origins that are known are written, under a key of their own for each attempt, so a record can be missing and is never wrong. A stream without one is treated as before.

--- a/packages/decisions/src/lib/software-history.ts
+++ b/packages/decisions/src/lib/software-history.ts
@@ -41,8 +41,15 @@
    */
   onlyVersion (service: string, since: Ms): string | undefined {
     if (this._knownSince > since) return undefined
-    const versions = [...this._services.get(service) ?? []].filter(([, { upstreams, goneAt }]) => upstreams.size > 0 || goneAt >= since)
-    const only = versions.length === 1 ? versions[0]![0] : undefined
+    const versions = this._versions(service, since)
+    const only = versions.length === 1 ? versions[0] : undefined
     return only === unnamed ? undefined : only
   }
+
+  /** Whether several versions are known to have served a service since a time. */
+  hasSeveral (service: string, since: Ms): boolean { return this._versions(service, since).length > 1 }
+
+  private _versions (service: string, since: Ms): readonly string[] {
+    return [...this._services.get(service) ?? []].filter(([, { upstreams, goneAt }]) => upstreams.size > 0 || goneAt >= since).map(([version]) => version)
+  }
 }
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -1,6 +1,7 @@
 /**
  * An entry that sends requests to upstreams directly.
  */
+import { randomUUID } from 'node:crypto'
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { type Clock, type Log, type Ms, type OperatorView, sleep } from '@hazelford/core'
@@ -24,6 +25,7 @@
 import { OrganisationActivity } from './usage/organisation-activity.js'
 import { grantInFull, usageLimits, usageOf } from './usage/organisation-usage.js'
 import { OriginCoordinator } from './relay/origin-coordinator.js'
+import { OriginRecords } from './relay/origin-records.js'
 import { PeerClient } from './peers/peer-client.js'
 import type { LoadRequestMessage, PeerLoadRequestOutcome, TakeoverMessage } from './peers/peer-messages.js'
 import { entryKey, type PeerAddress, type PeerTable } from './peers/peer-table.js'
@@ -79,6 +81,9 @@
 /** Time for a connection to open to an upstream that may have terminated; one on a far link or a slow host takes some tens of ms. */
 const probeTimeout: Ms = 600
 
+/** Characters that tell the keys of one process of an entry from those of another one. */
+const incarnationLength = 8
+
 function budgetLimits (settings: DirectSettings): SharedBudgetLimits {
   return { ratio: settings.retry_budget_ratio, slack: settings.retry_budget_slack, window: settings.budget_window_s * 1_000 }
 }
@@ -117,6 +122,7 @@
   private readonly _usage: UsageCoordinator
   private readonly _notices: NoticeCoordinator
   private readonly _origins: OriginCoordinator
+  private readonly _originRecords: OriginRecords
   private readonly _relativePaces = new RelativePaces()
   private readonly _activity: OrganisationActivity
   private readonly _pauses: EventLoopPauses
@@ -160,7 +166,8 @@
       backoffRequested: ({ id }) => this.engineCoordinator.holder(id)?.startBackoff(),
       upstreams: { all: () => this.members.all(), get: id => this.members.get(id) }
     })
-    this._origins = new OriginCoordinator({ node: settings.name, clock, log, client: this._client, entries: () => this.peers.entries })
+    this._originRecords = this._createOriginRecords()
+    this._origins = new OriginCoordinator({ node: settings.name, clock, log, client: this._client, entries: () => this.peers.entries, records: this._originRecords })
     this._view = new StoreView({
       node: settings.name,
       platform,
@@ -177,9 +184,13 @@
       requestEnded: upstream => this._requestEnded(upstream),
       gone: upstream => this._upstreamGone(upstream),
       quarantinedInStore: key => this._quarantine.receiveStoredKey(key),
+      originsInStore: (key, value) => this._originRecords.receive(key, value),
       quarantinedByPeer: requests => this._quarantine.receiveQuarantined({ requests }),
       restarted: upstream => this.engineCoordinator.handleRestart(upstream),
-      changed: () => this.engineCoordinator.scheduleReconcile()
+      changed: () => {
+        this.engineCoordinator.scheduleReconcile()
+        this._originRecords.upstreamsChanged()
+      }
     })
     _options.metrics.currentViewAge = () => this._view.viewAge
     this.engineCoordinator = new EngineCoordinator({
@@ -248,6 +259,7 @@
     this.engineCoordinator.storeReturned(this._lease.valid)
     this._lease.storeReturned()
     this._view.storeReturned(isFirst)
+    this._originRecords.storeReturned()
     this._quarantine.storeReturned()
   }
 
@@ -282,6 +294,20 @@
     return isOnly ? this.members.software.onlyVersion(service, since) : undefined
   }
 
+  private _createOriginRecords (): OriginRecords {
+    const { settings, clock, log, metrics } = this._options
+    return new OriginRecords({
+      node: settings.name,
+      incarnation: randomUUID().slice(0, incarnationLength),
+      clock,
+      log,
+      store: this._store,
+      entryCount: () => this.peers.entryCount,
+      hasSeveralVersions: (service, within) => this.members.software.hasSeveral(service, clock.now() - within),
+      counted: (outcome, streams) => metrics.storedOrigins.inc({ outcome }, streams)
+    })
+  }
+
   private _createUsageCoordinator (): UsageCoordinator {
     const { clock, log, settings } = this._options
     return new UsageCoordinator({
@@ -560,6 +586,7 @@
     this._usage.stop()
     this._notices.stop()
     this._origins.stop()
+    this._originRecords.stop()
     this._directory.stop()
     this._view.stop()
     this.engineCoordinator.stop()
--- a/packages/direct/src/lib/metrics.ts
+++ b/packages/direct/src/lib/metrics.ts
@@ -38,6 +38,7 @@
   readonly storeCalls = this._counter('hazelford_store_calls_total', 'Calls to the store, by outcome.', ['call', 'outcome'])
   readonly storeBytes = this._counter('hazelford_store_answer_bytes_total', 'Bytes of the answers of the store, by outcome; `none` and `too-large` are incomplete answers.', ['call', 'outcome'])
   readonly resumptions = this._counter('hazelford_stream_resumptions_total', 'Streams that callers resume, by where their origin was found.', ['origin'])
+  readonly storedOrigins = this._counter('hazelford_stored_origins_total', 'Streams whose origins this entry wrote to the store, or dropped for lack of room.', ['outcome'])
   readonly dropped = this._counter('hazelford_log_lines_dropped_total', 'Log lines left out.', [])
   readonly latency = this._histogram('hazelford_request_ms', 'From a request to the end of its answer.', ['kind'])
   readonly firstByte = this._histogram('hazelford_first_byte_ms', 'From a send to the first byte of its answer.', ['kind'])
--- a/packages/direct/src/lib/relay/origin-coordinator.ts
+++ b/packages/direct/src/lib/relay/origin-coordinator.ts
@@ -7,6 +7,7 @@
 import type { PeerClient } from '../peers/peer-client.js'
 import type { PeerAddress } from '../peers/peer-table.js'
 import { repeatCall } from '../peers/repeat-call.js'
+import type { OriginRecords } from './origin-records.js'
 import { type StreamOrigin, StreamOrigins } from './stream-origins.js'
 
 /** What the coordinator needs of its entry. */
@@ -17,6 +18,8 @@
   readonly client: Pick<PeerClient, 'reportOrigins' | 'queryOrigin'>
   /** All entries that are running, this one included. */
   readonly entries: () => readonly PeerAddress[]
+  /** Origins in the store. */
+  readonly records: Pick<OriginRecords, 'record' | 'forget' | 'find'>
 }
 
 /** A stream that began here and that the other entries do not know yet. */
@@ -25,8 +28,8 @@
 /** Where an origin was found. */
 export interface FoundOrigin {
   readonly origin: StreamOrigin
-  /** `inferred`: nobody knows it, but no other software version can have served. */
-  readonly source: 'here' | 'peer' | 'inferred'
+  /** `store`: in a record of an entry that may have ended; `inferred`: nobody knows it, but no other software version can have served. */
+  readonly source: 'here' | 'store' | 'peer' | 'inferred'
 }
 
 /** Number of other entries that keep the origin of each stream: it survives the end of its own entry and of one more. */
@@ -64,6 +67,7 @@
    */
   record (request: string, origin: StreamOrigin, lasts: Ms): void {
     this._origins.add(request, origin, lasts)
+    this._options.records.record(request, origin, lasts)
     if (this._unreported.size === 0) this._options.clock.after(batchDelay, () => this._report())
     this._unreported.set(request, { request, origin, until: this._options.clock.now() + lasts })
   }
@@ -72,6 +76,7 @@
   forget (request: string): void {
     this._origins.delete(request)
     this._unreported.delete(request)
+    this._options.records.forget(request)
   }
 
   /** Records streams that began at another entry. */
@@ -89,11 +94,13 @@
    * Finds where a stream began.
    *
    * @param request - id of the attempt that brought its first event
-   * @returns undefined when neither this entry nor those asked know it
+   * @returns undefined when neither this entry nor the store nor those asked know it
    */
   async find (request: string): Promise<FoundOrigin | undefined> {
     const own = this.answer({ request }).origin
     if (own !== undefined) return { origin: own, source: 'here' }
+    const stored = this._options.records.find(request)
+    if (stored !== undefined) return { origin: { service: stored.service, software: stored.software }, source: 'store' }
     const origin = await this._firstKnown(this._keepers(request).slice(0, asked).map(peer => this._query(peer, request)))
     return origin === undefined ? undefined : { origin, source: 'peer' }
   }
--- a/packages/direct/src/lib/store/store-view.ts
+++ b/packages/direct/src/lib/store/store-view.ts
@@ -13,6 +13,7 @@
 import { systemKeyPrefix, type PeerAddress, PeerTable } from '../peers/peer-table.js'
 import type { PlatformPort } from '../platform-port.js'
 import { quarantinePrefix } from '../quarantine/quarantine-coordinator.js'
+import { originsPrefix } from '../relay/origin-values.js'
 import { StoreFollower } from './store-follower.js'
 import { StoreMirror } from './store-mirror.js'
 
@@ -37,6 +38,8 @@
   readonly declared: (version: AdapterVersion) => void
   /** A request's quarantine was found in the store, under this key. */
   readonly quarantinedInStore: (key: string) => void
+  /** Origins of streams were found in the store. */
+  readonly originsInStore: (key: string, value: string) => void
   /** A peer has quarantined requests. */
   readonly quarantinedByPeer: (requests: readonly string[]) => void
   /** Upstreams, entries or holders have changed. */
@@ -310,7 +313,8 @@
       isFromCopy: id => (positions.get(`${upstreams}${id}`) ?? Infinity) <= this._copyUpTo
     })
     for (const { key } of under(quarantinePrefix)) this._listener.quarantinedInStore(key)
-    this.peers.reset(under(systemKeyPrefix).filter(({ key }) => !key.startsWith(quarantinePrefix)))
+    for (const { key, value } of under(originsPrefix)) this._listener.originsInStore(key, value)
+    this.peers.reset(under(systemKeyPrefix).filter(({ key }) => !key.startsWith(quarantinePrefix) && !key.startsWith(originsPrefix)))
     if (isReturn) this._askPeers()
     if (isReturn && leftOut > 0) this._options.clock.after(copySettles, () => this._acceptCopy())
   }
@@ -321,6 +325,7 @@
     if (key.startsWith(operators)) this.config.apply(event)
     else if (key.startsWith(upstreams)) this._applyUpstreamChange(event)
     else if (key.startsWith(quarantinePrefix)) this._applyQuarantineChange(event)
+    else if (key.startsWith(originsPrefix)) this._applyOriginsChange(event)
     else if (key.startsWith(systemKeyPrefix)) this.peers.apply(event)
   }
 
@@ -332,6 +337,11 @@
     if (event.kind === 'put') this._listener.quarantinedInStore(event.item.key)
   }
 
+  /** Handles a change of origins. An entry removes a key when no caller needs it any more, and keys end with their leases. */
+  private _applyOriginsChange (event: StoreEvent): void {
+    if (event.kind === 'put') this._listener.originsInStore(event.item.key, event.item.value)
+  }
+
   private _applyUpstreamChange (event: StoreEvent): void {
     if (event.kind === 'put') {
       for (const record of this._decodeUpstream(event.item)) this.members.put(record)
--- a/packages/direct/src/test/stream-origins.steps.ts
+++ b/packages/direct/src/test/stream-origins.steps.ts
@@ -18,6 +18,9 @@
 const reported = 400
 const origin: StreamOrigin = { service: 'models', software: 'v1' }
 
+/** A store that is away. */
+const noRecords = { record: () => {}, forget: () => {}, find: () => undefined }
+
 /** Entries that exchange origins in memory. */
 class Entries {
   readonly clock = new FakeClock()
@@ -31,7 +34,7 @@
 
   constructor (names: readonly string[]) {
     const entries = names.map((node, n): PeerAddress => ({ node, host: '127.0.0.1', port: 1_000 + n }))
-    for (const node of names) this.coordinators.set(node, new OriginCoordinator({ node, clock: this.clock, log, client: this._client(node), entries: () => entries }))
+    for (const node of names) this.coordinators.set(node, new OriginCoordinator({ node, clock: this.clock, log, client: this._client(node), entries: () => entries, records: noRecords }))
   }
 
   private _client (from: string): ConstructorParameters<typeof OriginCoordinator>[0]['client'] {
--- a/packages/direct/src/test/support/view-simulation.ts
+++ b/packages/direct/src/test/support/view-simulation.ts
@@ -244,7 +244,7 @@
       client: this._client() as PeerClient,
       applyWithin: () => applyWithin,
       heldRequests: () => []
-    }, { configured: () => {}, declared: () => {}, connections: () => 1, requestEnded: () => {}, gone: () => {}, restarted: () => {}, quarantinedInStore: () => {}, quarantinedByPeer: () => {}, changed: () => {} })
+    }, { configured: () => {}, declared: () => {}, connections: () => 1, requestEnded: () => {}, gone: () => {}, restarted: () => {}, quarantinedInStore: () => {}, originsInStore: () => {}, quarantinedByPeer: () => {}, changed: () => {} })
     this.register()
     this.view.start([])
   }
