Take messages that are no answers as lost, in one rule for all readers

Callers got status 101, 600 and 999 from an upstream as they were, a part of an answer whose transfer coding is not chunks as a complete one, or a reset without an answer, since the entry can't write status 0 and 99, a control byte in the reason or a blank in a field's name. Calls to the store, engines and entries took such messages for answers, and waited for their time limit after a change of protocol.

Cause: each reader believed what the parser of node:http accepts. That is more than may be passed on, and than the writer of node:http accepts.

Change: Exchange and callJson judge each head with judgeAnswerHead, which now covers the reason too. A message that is none is lost as `unusable`: a read is retried, a stream goes on elsewhere, a booking gets 502. A change of protocol that nobody asked for ends the exchange or the call at once.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -21,6 +21,22 @@
     feature: 'packages/direct/src/test/unproved-ends.feature',
     scenario: 'an upstream that does not listen'
   },
+  {
+    guarantee: 'heads of answers: a message that is no answer is not passed on',
+    file: 'packages/direct/dist/lib/relay/exchange.js',
+    find: "if (head.kind === 'invalid')",
+    replace: 'if (false)',
+    feature: 'platform/src/test/invalid-answers.feature',
+    scenario: 'the first book is answered with status 999 None'
+  },
+  {
+    guarantee: 'heads of answers: a message that is no answer does not count as the answer to a call',
+    file: 'packages/direct/dist/lib/peers/json-client.js',
+    find: "if (head.kind === 'invalid')",
+    replace: 'if (false)',
+    feature: 'packages/direct/src/test/json-answers.feature',
+    scenario: 'a call that is answered with status 999 None'
+  },
   {
     guarantee: 'endless answers: bytes before the head of an answer are limited',
     file: 'packages/direct/dist/lib/overhead-limit.js',
--- a/packages/core/src/lib/answer-head.ts
+++ b/packages/core/src/lib/answer-head.ts
@@ -13,7 +13,7 @@
 export type AnswerFraming = 'empty' | 'length' | 'chunks' | 'connection'
 
 /** What makes a head none of an answer. */
-export type HeadProblem = 'status' | 'field-name' | 'field-value' | 'transfer-coding' | 'length'
+export type HeadProblem = 'status' | 'reason' | 'field-name' | 'field-value' | 'transfer-coding' | 'length'
 
 /** Whether a head is that of an answer. */
 export type HeadVerdict =
@@ -36,9 +36,11 @@
  * @param method - of the request
  * @param status - of the answer
  * @param headers - names and values in turn, as received
+ * @param reason - text after the status
  */
-export function judgeAnswerHead (method: string, status: number, headers: readonly string[]): HeadVerdict {
+export function judgeAnswerHead (method: string, status: number, headers: readonly string[], reason = ''): HeadVerdict {
   if (!Number.isInteger(status) || status < leastStatus || status > mostStatus) return { kind: 'invalid', problem: 'status' }
+  if (controlByte.test(reason)) return { kind: 'invalid', problem: 'reason' }
   const codings: string[] = []
   const lengths: string[] = []
   for (let at = 0; at < headers.length; at += 2) {
--- a/packages/core/src/test/answer-head.feature
+++ b/packages/core/src/test/answer-head.feature
@@ -26,6 +26,10 @@
       | 200    | Content-Length    | 5, 5          | length          |
       | 200    | Content-Length    | -1            | length          |
 
+  Scenario: a control byte in the reason
+    When the head of an answer has status 200 and the reason "a\x01b"
+    Then the head is invalid for its reason
+
   Scenario Outline: what ends the body of an answer
     When the head of an answer to <method> has status <status> and the field "<name>" with value "<value>"
     Then the body of the answer ends with "<framing>"
--- a/packages/core/src/test/answer-head.steps.ts
+++ b/packages/core/src/test/answer-head.steps.ts
@@ -17,6 +17,10 @@
   this.verdict = judgeAnswerHead(method, status, [unescape(name), unescape(value)])
 })
 
+When('the head of an answer has status {int} and the reason {string}', function (this: HeadWorld, status: number, reason: string) {
+  this.verdict = judgeAnswerHead('GET', status, [], unescape(reason))
+})
+
 When('the head of an answer has a length and chunks', function (this: HeadWorld) {
   this.verdict = judgeAnswerHead('GET', 200, ['Content-Length', '5', 'Transfer-Encoding', 'chunked'])
 })
--- a/packages/direct/src/lib/peers/json-client.ts
+++ b/packages/direct/src/lib/peers/json-client.ts
@@ -4,7 +4,7 @@
 import { type Agent, type IncomingMessage, request } from 'node:http'
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
-import { AnswerDeadline, type AnswerLimits, type Ms } from '@hazelford/core'
+import { AnswerDeadline, type AnswerLimits, judgeAnswerHead, type Ms } from '@hazelford/core'
 import { limitOverhead } from '../overhead-limit.js'
 
 /** One call. The limits on its answer are what shows a connection that has become silent. */
@@ -124,8 +124,14 @@
       else sent = true
     })
     req.on('error', fail)
+    req.on('upgrade', (_, socket) => {
+      socket.destroy()
+      fail(new Error('The other side changed the protocol, which no call asks for.'))
+    })
     req.on('response', res => {
       deadline.progress()
+      const head = judgeAnswerHead(method, res.statusCode ?? 0, res.rawHeaders, res.statusMessage)
+      if (head.kind === 'invalid') return fail(new Error(`The head is not that of an answer (${head.problem}).`))
       res.on('data', (chunk: Buffer) => {
         bytes += chunk.length
         overhead.bodyRead()
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -3,7 +3,7 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from 'node:http'
 import type { Socket } from 'node:net'
-import { type Clock, judgeAnswerHead, type Ms } from '@hazelford/core'
+import { type AnswerFraming, type Clock, judgeAnswerHead, type Ms } from '@hazelford/core'
 import type { UpstreamRefusal } from '@hazelford/decisions'
 import type { AnswerMetadata, CallCodec, UpstreamNotice } from '@hazelford/ports'
 import { afterReading } from '../after-reading.js'
@@ -175,6 +175,7 @@
   private _socket: Socket | undefined
   /** Whether all of the answer was read, and its end is yet to be proved. */
   private _isProving = false
+  private _framing: AnswerFraming = 'connection'
 
   /** @param _listens - whether a process listens at the upstream's address */
   constructor (
@@ -200,6 +201,10 @@
       else markSent()
     })
     this._req.on('response', res => this._respond(res))
+    this._req.on('upgrade', (_, socket) => {
+      socket.destroy()
+      this._endAsLost('The upstream changed the protocol, which no request asks for.')
+    })
     this._req.on('error', error => this._failed(error.message))
     this._req.on('close', () => this._failed('The connection closed without an answer.'))
     this._req.end(body)
@@ -330,6 +335,13 @@
   }
 
   private _respond (res: IncomingMessage): void {
+    const head = judgeAnswerHead(this._call.method, res.statusCode ?? 0, res.rawHeaders, res.statusMessage)
+    if (head.kind === 'invalid') {
+      this._endAsLost(`The head is not that of an answer (${head.problem}).`)
+      this._req.destroy()
+      return
+    }
+    this._framing = head.framing
     const facts = this._codec.readAnswer(res.statusCode ?? 0, res.rawHeaders)
     if (this._over) return this._discard(res, facts)
     this._res = res
@@ -468,7 +480,7 @@
     if (this._over) return
     // The event `end` also follows a body that was cut short, which must not be passed on as complete.
     if (!res.complete) return this._endAsLost('The answer was cut short.', 'broke')
-    if (!this._endsWithConnection(res)) {
+    if (this._framing !== 'connection') {
       this._finish()
       return done()
     }
@@ -478,11 +490,6 @@
     })
   }
 
-  private _endsWithConnection (res: IncomingMessage): boolean {
-    const head = judgeAnswerHead(this._call.method, res.statusCode ?? 0, res.rawHeaders)
-    return head.kind === 'invalid' || head.framing === 'connection'
-  }
-
   /**
    * Proves the end of an answer that only its connection marks: by how the connection ended, and by the upstream, since
    * the kernel of a process that terminates ends its connections in an orderly way.
--- a/packages/direct/src/test/support/ending-upstream.ts
+++ b/packages/direct/src/test/support/ending-upstream.ts
@@ -6,11 +6,12 @@
 import { parentPort, workerData } from 'node:worker_threads'
 
 /**
- * - `closes`: the connection ends in an orderly way.
+ * - `stays open`: the connection does not end.
+ * - `closes`: it ends in an orderly way.
  * - `is reset`: it is reset at once after the last byte; `is reset later`: in a later turn of the event loop.
  * - `closes, is reset later`: it ends in an orderly way, and is reset after that was read.
  */
-export type ConnectionEnding = 'closes' | 'is reset' | 'is reset later' | 'closes, is reset later'
+export type ConnectionEnding = 'stays open' | 'closes' | 'is reset' | 'is reset later' | 'closes, is reset later'
 
 /** What the upstream answers, in two parts. */
 export interface EndingUpstreamData {
@@ -27,6 +28,7 @@
 
 function end (socket: Socket): void {
   switch (ending) {
+    case 'stays open': return
     case 'closes':
       socket.end()
       return
