Answers without chunks are reset when the process exits

A caller of HTTP/1.0 saw a part of an answer as all of it when its entry's process exited by itself: after an uncaught error, or at the end of a stop while bytes of a written answer still waited in the process for a slow caller. The kernel closes the connections of a process in an orderly way, which is the end of an answer without a length.

Cause: `CallerServer.close` reported such requests as dropped and left their connections to the exit. Nothing ran at an exit after an error.

A reset takes effect in the call, so it is done before the kernel cleans up. Framed answers need none of it.

What it does not do: nothing runs in a process that is killed by SIGKILL, so a caller of HTTP/1.0 can't tell its end from that of the answer.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -189,6 +189,22 @@
     feature: 'platform/src/test/unmarked-ends.feature',
     scenario: 'a stream answer, framed by its chunks, that breaks off, to a caller of HTTP/1.0'
   },
+  {
+    guarantee: 'direct answers: an answer without chunks that is not complete is reset when the server of callers closes',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
+    find: 'this.endAnswers();',
+    replace: '',
+    feature: 'packages/direct/src/test/caller-server.feature',
+    scenario: 'a caller of HTTP/1.0'
+  },
+  {
+    guarantee: 'direct answers: an answer without chunks that is not complete is reset when the process exits',
+    file: 'platform/dist/main.js',
+    find: 'entry.processExits()',
+    replace: '{}',
+    feature: 'platform/src/test/unmarked-ends.feature',
+    scenario: 'ends by an uncaught error within an answer to a caller of HTTP/1.0'
+  },
   {
     guarantee: 'direct requests: a booking whose answer was lost is not sent again',
     file: 'packages/decisions/dist/lib/relay-flow.js',
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -578,6 +578,9 @@
     this._stop()
   }
 
+  /** Prevents that a part of an answer looks complete to its caller. To be called when the process exits, whatever the reason. */
+  processExits (): void { this._callers.endAnswers() }
+
   /** Stops all activity of this entry. */
   private _stop (): void {
     this._stopped = true
--- a/packages/direct/src/lib/relay/caller-answer.ts
+++ b/packages/direct/src/lib/relay/caller-answer.ts
@@ -167,6 +167,14 @@
     else this._res.socket.resetAndDestroy()
   }
 
+  /**
+   * Resets the connection of an answer that only the close of its connection ends, unless all of it was sent: the process ends
+   * now, and its kernel would close the connection in an orderly way.
+   */
+  endWithProcess (): void {
+    if (this._endsWithConnection && !this._res.writableFinished) this._res.socket?.resetAndDestroy()
+  }
+
   private _connection (): string[] {
     return !this._endsWithConnection && this._closing() ? ['Connection', 'close'] : []
   }
--- a/packages/direct/src/lib/relay/caller-server.ts
+++ b/packages/direct/src/lib/relay/caller-server.ts
@@ -75,7 +75,8 @@
 /** Serves callers. */
 export class CallerServer {
   readonly server: Server
-  private readonly _open = new Set<PendingRequest>()
+  /** Requests whose answers are not complete. */
+  private readonly _open = new Map<PendingRequest, CallerAnswer>()
   private readonly _connections = new WeakMap<Socket, CallerConnection>()
   private _maxHeaderBytes = defaultHeaderBytes
   private _onDrained: (() => void) | undefined
@@ -117,11 +118,15 @@
 
   /** Stops listening, and reports the requests whose answers were not sent completely: the process ends. */
   close (): void {
-    for (const request of [...this._open]) request.done(true)
+    this.endAnswers()
+    for (const request of [...this._open.keys()]) request.done(true)
     this.server.close()
     this.server.closeIdleConnections()
   }
 
+  /** Prevents that an answer which is not complete looks so once the process has ended. */
+  endAnswers (): void { for (const answer of [...this._open.values()]) answer.endWithProcess() }
+
   private _read (req: IncomingMessage, res: ServerResponse): void {
     const { clock, closing, dropped } = this._options
     const arrivedAt = clock.now()
@@ -197,7 +202,7 @@
         if (this._open.size === 0) this._onDrained?.()
       }
     }
-    this._open.add(pending)
+    this._open.set(pending, answer)
     connection.add(pending)
     res.once('finish', () => connection.settle(pending, false))
     return pending
--- a/packages/direct/src/test/caller-server.feature
+++ b/packages/direct/src/test/caller-server.feature
@@ -5,3 +5,15 @@
     Given a caller that reads nothing of an answer of 20000000 bytes
     When the server of callers is closed
     Then the request is reported as dropped, since its connection closes
+
+  Scenario Outline: a caller of HTTP/1.0 whose <kind> answer ends with its connection
+    Guards against a caller that takes a part of an answer for all of it: the process ends with bytes of the answer in it, and its kernel closes
+    the connection in an orderly way, which is the end of such an answer.
+    Given a caller of HTTP/1.0 that reads nothing of a <kind> answer of 20000000 bytes without a length
+    When the server of callers is closed, and the kernel closes its connections
+    Then the caller's connection is reset, and the request is reported as dropped
+
+    Examples:
+      | kind    |
+      | whole   |
+      | partial |
--- a/packages/direct/src/test/caller-server.steps.ts
+++ b/packages/direct/src/test/caller-server.steps.ts
@@ -5,15 +5,19 @@
 import { connect, type AddressInfo, type Socket } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { systemClock } from '@hazelford/core'
+import type { CallerAnswer } from '../lib/relay/caller-answer.js'
 import { BodyMemory } from '../lib/relay/body-memory.js'
 import { CallerServer, type DropCause } from '../lib/relay/caller-server.js'
 
 interface ServerWorld { server: CallerServer, socket: Socket, dropped: Array<{ cause: DropCause, headers: readonly string[] }> }
 
-Given('a caller that reads nothing of an answer of {int} bytes', async function (this: ServerWorld, bytes: number) {
-  this.dropped = []
+const ok = { status: 200, message: 'OK', headers: [] }
+
+/** Starts a server whose answer to a request is written by a function, and a caller that reads nothing of it. */
+async function answerUnread (world: ServerWorld, version: string, respond: (answer: CallerAnswer) => void): Promise<void> {
+  world.dropped = []
   await new Promise<void>((resolve, reject) => {
-    this.server = new CallerServer({
+    world.server = new CallerServer({
       clock: systemClock,
       maxBodyBytes: () => 1_000,
       bodyMemory: new BodyMemory(1_000),
@@ -21,21 +25,51 @@
       bodyTimeout: () => 1_000,
       closing: () => true,
       handle: ({ answer }) => {
-        answer.whole({ status: 200, message: 'OK', headers: [], body: Buffer.alloc(bytes), framed: true })
+        respond(answer)
         resolve()
       },
-      dropped: (cause, headers) => { this.dropped.push({ cause, headers }) }
+      dropped: (cause, headers) => { world.dropped.push({ cause, headers }) }
     })
-    this.server.listen('127.0.0.1', 0).then(() => {
-      this.socket = connect((this.server.server.address() as AddressInfo).port, '127.0.0.1')
-      this.socket.pause()
-      this.socket.write('GET / HTTP/1.1\r\nHost: h\r\nX-Request: slow\r\n\r\n')
+    world.server.listen('127.0.0.1', 0).then(() => {
+      world.socket = connect((world.server.server.address() as AddressInfo).port, '127.0.0.1')
+      world.socket.pause()
+      world.socket.write(`GET / HTTP/${version}\r\nHost: h\r\nX-Request: slow\r\n\r\n`)
     }, reject)
   })
+}
+
+Given('a caller that reads nothing of an answer of {int} bytes', async function (this: ServerWorld, bytes: number) {
+  await answerUnread(this, '1.1', answer => answer.whole({ ...ok, body: Buffer.alloc(bytes), framed: true }))
+})
+
+Given(/^a caller of HTTP\/1\.0 that reads nothing of a (whole|partial) answer of (\d+) bytes without a length$/, async function (this: ServerWorld, kind: string, bytes: string) {
+  const body = Buffer.alloc(Number(bytes))
+  await answerUnread(this, '1.0', answer => {
+    if (kind === 'whole') return answer.whole({ ...ok, body, framed: false })
+    answer.begin({ ...ok, framed: false })
+    answer.data(body)
+  })
 })
 
 When('the server of callers is closed', function (this: ServerWorld) { this.server.close() })
 
+When('the server of callers is closed, and the kernel closes its connections', function (this: ServerWorld) {
+  this.server.close()
+  this.server.server.closeAllConnections()
+})
+
+Then('the caller\'s connection is reset, and the request is reported as dropped', async function (this: ServerWorld) {
+  const { socket } = this
+  const end = await new Promise<string>(resolve => {
+    // The value is cached when it is read first: after a reset the kernel has no peer.
+    socket.prependOnceListener('end', () => resolve(socket.remoteAddress === undefined ? 'reset' : 'orderly end'))
+    socket.on('error', () => resolve('reset'))
+    socket.resume()
+  })
+  assert.equal(end, 'reset')
+  assert.deepEqual(this.dropped.map(({ cause }) => cause), ['connection-closed'])
+})
+
 Then('the request is reported as dropped, since its connection closes', function (this: ServerWorld) {
   assert.deepEqual(this.dropped, [{ cause: 'connection-closed', headers: ['Host', 'h', 'X-Request', 'slow'] }])
 })
