Entries with sidecars reset the answers to callers of HTTP/1.0 that break off

A caller of HTTP/1.0 at an entry with sidecars saw a part of an answer as all of it: the answer breaks off, and its connection is closed in an orderly way, which is the end of an answer without chunks.

Cause: `CallerResponse.break` relied on the missing last chunk; `ServerResponse` sends no chunks to callers of HTTP/1.0.

Change: such a connection is reset, for a stream after its error event was handed over. Nothing changes for HTTP/1.1.

Not done: an exit after an uncaught error in a process of this form still ends answers to HTTP/1.0 in an orderly way.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -197,6 +197,14 @@
     feature: 'packages/direct/src/test/caller-server.feature',
     scenario: 'a caller of HTTP/1.0'
   },
+  {
+    guarantee: 'callers: an answer without chunks that breaks off at an entry with sidecars is reset',
+    file: 'packages/entry/dist/lib/caller-response.js',
+    find: 'req.httpVersion === \'1.0\'',
+    replace: 'false',
+    feature: 'packages/entry/src/test/caller-response.feature',
+    scenario: 'answer to a caller of HTTP/1.0'
+  },
   {
     guarantee: 'direct answers: an answer without chunks that is not complete is reset when the process exits',
     file: 'platform/dist/main.js',
--- a/packages/entry/src/lib/caller-response.ts
+++ b/packages/entry/src/lib/caller-response.ts
@@ -81,16 +81,17 @@
     this._res.end(body)
   }
 
-  /**
-   * Breaks off an answer that has begun. The connection is destroyed without the terminating
-   * chunk, so that no client can take the partial answer for a complete one.
-   */
+  /** Breaks off an answer that has begun, in such a way that no client can take the part for the whole. */
   break (cause: Failure): void {
-    if (!this._streamed) {
-      this._res.destroy()
-      return
-    }
-    this._res.write(`event: error\ndata: ${errorBody(cause, this.requestId)}\n\n`, () => this._res.destroy())
+    if (!this._streamed) return this._cut()
+    this._res.write(`event: error\ndata: ${errorBody(cause, this.requestId)}\n\n`, () => this._cut())
+  }
+
+  /** Closes the connection without the last chunk. A caller of HTTP/1.0 gets no chunks, and only a reset shows it the break. */
+  private _cut (): void {
+    const { req, socket } = this._res
+    if (req.httpVersion === '1.0' && socket !== null) socket.resetAndDestroy()
+    else this._res.destroy()
   }
 
   private _ownHeaders (verdict: Verdict): Record<string, string> {
