Take an answer to a call without a length as lost unless its end is proved

Calls to the store, engines and entries took what had arrived of an answer without a length for all of it, when its connection was reset in the turn of the event loop in which the last data was read.

Cause: as in Exchange, node:http reports such a reset as an orderly end.

Change: callJson judges the end of the connection by connection-end.ts. The other side is not probed: an incomplete value seldom parses, and every call is repeated or refreshed.

Evidence (arm64, Node 20.19): of the three new scenarios of json-answers.feature the one with the reset fails before, since calls got the value, and passes after (10 calls each); both with an orderly end pass before and after.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -37,6 +37,14 @@
     feature: 'packages/direct/src/test/json-answers.feature',
     scenario: 'a call that is answered with status 999 None'
   },
+  {
+    guarantee: 'ends of answers: an answer without a length to a call counts only if its end is proved',
+    file: 'packages/direct/dist/lib/peers/json-client.js',
+    find: "head.framing === 'connection'",
+    replace: 'false',
+    feature: 'packages/direct/src/test/json-answers.feature',
+    scenario: 'the connection of an answer without a length is reset, to a call'
+  },
   {
     guarantee: 'endless answers: bytes before the head of an answer are limited',
     file: 'packages/direct/dist/lib/overhead-limit.js',
--- a/packages/direct/src/lib/peers/json-client.ts
+++ b/packages/direct/src/lib/peers/json-client.ts
@@ -2,9 +2,11 @@
  * Calls that send and receive JSON over HTTP/1.1.
  */
 import { type Agent, type IncomingMessage, request } from 'node:http'
+import type { Socket } from 'node:net'
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
 import { AnswerDeadline, type AnswerLimits, judgeAnswerHead, type Ms } from '@hazelford/core'
+import { connectionEnd, watchConnectionEnd } from '../connection-end.js'
 import { limitOverhead } from '../overhead-limit.js'
 
 /** One call. The limits on its answer are what shows a connection that has become silent. */
@@ -119,7 +121,10 @@
       req.destroy()
       reject(new NoAnswer(error.message, sent, bytes, error instanceof MessageTooLarge ? 'too-large' : 'not-received'))
     }
+    let connection: Socket | undefined
     req.on('socket', socket => {
+      connection = socket
+      watchConnectionEnd(socket)
       if (socket.connecting) socket.once('connect', () => { sent = true })
       else sent = true
     })
@@ -140,6 +145,7 @@
       })
       if (Number(res.headers['content-length'] ?? 0) > maxBytes) return fail(new MessageTooLarge())
       readJson(res, maxBytes).then(value => {
+        if (head.framing === 'connection' && connectionEnd(connection) !== 'orderly') return fail(new Error('The end of the answer is not proved.'))
         deadline.stop()
         resolve({ status: res.statusCode ?? 0, body: value, headers: res.headers, took: performance.now() - startedAt, bytes })
       }, fail)
--- a/packages/direct/src/test/json-answers.feature
+++ b/packages/direct/src/test/json-answers.feature
@@ -20,3 +20,14 @@
   Scenario: a call whose answer has trailers
     When a call is answered in chunks with trailers
     Then it has the whole answer
+
+  Scenario Outline: the connection of an answer without a length <ending>, to a call
+    Guards against a part of an answer that counts as all of it.
+    When 10 calls are answered without a length by connections that "<ending>"
+    Then each of them ends as "<outcome>"
+
+    Examples:
+      | ending                 | outcome   |
+      | is reset               | no answer |
+      | closes                 | whole     |
+      | closes, is reset later | whole     |
--- a/packages/direct/src/test/json-answers.steps.ts
+++ b/packages/direct/src/test/json-answers.steps.ts
@@ -6,12 +6,13 @@
 import { Worker } from 'node:worker_threads'
 import { After, Then, When } from '@cucumber/cucumber'
 import { callJson, type JsonAnswer, NoAnswer } from '../lib/peers/json-client.js'
-import type { EndingUpstreamData } from './support/ending-upstream.js'
+import type { ConnectionEnding, EndingUpstreamData } from './support/ending-upstream.js'
 
 interface JsonWorld {
   upstreams: Worker[]
   outcome: JsonAnswer | Error
   took: number
+  outcomes: readonly (JsonAnswer | Error)[]
 }
 
 const gap = 40
@@ -19,6 +20,9 @@
 /** Time limit of a call. */
 const callMs = 4_000
 const timeout = 10_000
+/** The process is busy when the last data and the end of its connection arrive. */
+const busyAfter = 20
+const busyFor = 50
 const body = '{"a":1}'
 
 After(async function (this: JsonWorld) { for (const upstream of this.upstreams ?? []) await upstream.terminate() })
@@ -29,6 +33,11 @@
   return await new Promise<number>(resolve => { worker.once('message', resolve) })
 }
 
+function keepBusy (ms: number): void {
+  const end = performance.now() + ms
+  while (performance.now() < end);
+}
+
 /** Makes a call to an upstream. */
 async function call (world: JsonWorld, data: EndingUpstreamData): Promise<void> {
   const port = await startUpstream(world, data)
@@ -55,6 +64,23 @@
   await call(this, { first, last: `${body.length.toString(16)}\r\n${body}\r\n0\r\nX-A: b\r\n\r\n`, ending: 'stays open', gap, later })
 })
 
+When('{int} calls are answered without a length by connections that {string}', { timeout }, async function (this: JsonWorld, calls: number, ending: ConnectionEnding) {
+  const port = await startUpstream(this, { first: 'HTTP/1.1 200 OK\r\n\r\n', last: body, ending, gap, later })
+  const agent = new Agent({ keepAlive: true })
+  const outcomes: (JsonAnswer | Error)[] = []
+  for (let n = 0; n < calls; n++) {
+    const outcome = callJson(agent, { host: '127.0.0.1', port, method: 'GET', path: '/', timeout: callMs }).catch((error: Error) => error)
+    setTimeout(() => keepBusy(busyFor), busyAfter)
+    outcomes.push(await outcome)
+  }
+  agent.destroy()
+  this.outcomes = outcomes
+})
+
+Then('each of them ends as {string}', function (this: JsonWorld, outcome: 'whole' | 'no answer') {
+  assert.deepEqual(this.outcomes.map(each => each instanceof NoAnswer ? 'no answer' : each instanceof Error ? each.message : each.body), this.outcomes.map(() => outcome === 'whole' ? JSON.parse(body) as unknown : outcome))
+})
+
 Then('it has no answer within {int} ms', function (this: JsonWorld, ms: number) {
   assert.ok(this.outcome instanceof NoAnswer, JSON.stringify(this.outcome))
   assert.ok(this.took <= ms, `${this.took} ms`)
