Believe the end of an upstream's connection only if it was orderly (sidecars)

Callers of the form with sidecars got a part of an answer as complete when the upstream reset the connection of an answer without a length, at any time after the data. And the sidecar's process ended when such an answer ended, by a reset or an orderly close, while a slow caller had paused it.

Cause: undici finishes its parser on the end of a socket and on ECONNRESET alike, which completes an answer that only its connection ends. A reset that is read together with the last data arrives as an end. While the parser is paused, the same call fails an assertion outside of any handler.

Change: the pools of the engine and plain clients use connections that report a reset as undici's SocketError, not as ECONNRESET; that hold back the end of the socket until the client has read everything and reads on; and that take an end for a reset when the socket has no peer any more. The failure is "may have run", as for other lost connections. Data of no bytes, by which a parser reports that it resumes, is not passed on.

Weighed: a judgement in the handler of the call has no socket to look at, and would leave the assertion; destroying the socket in an earlier listener of its end doesn't keep undici from completing the answer; a change to node:http would lose undici's checks of idle connections. Replacing methods of the socket, not a subclass, keeps undici's own connecting, its time limits and TLS.

--- a/packages/engine/src/lib/engine-client.ts
+++ b/packages/engine/src/lib/engine-client.ts
@@ -13,6 +13,7 @@
 import { type HttpHandle, startHttpCall } from './http-call.js'
 import { readText } from './read-text.js'
 import { SseSplitter } from './sse-splitter.js'
+import { connectUpstream } from './upstream-socket.js'
 
 /** Outcome of a load or unload order. */
 export type OrderOutcome = 'done' | 'absent' | 'failed' | 'fenced' | 'no-slot' | 'unknown'
@@ -242,7 +243,7 @@
  * @param url - base URL of the engine
  */
 export function createEngineClient (url: string): EngineClient {
-  const pool = new Pool(url, { connections: null, pipelining: 1 })
+  const pool = new Pool(url, { connect: connectUpstream, connections: null, pipelining: 1 })
 
   async function sendOrder (path: string, body: object, number: number, timeout: number): Promise<OrderOutcome> {
     try {
--- a/packages/engine/src/lib/http-call.ts
+++ b/packages/engine/src/lib/http-call.ts
@@ -73,7 +73,8 @@
       sink.head(status, headers as Record<string, string | string[]>)
       if (paused) started.pause()
     },
-    onResponseData (_, data) { if (!aborted) sink.data(data) },
+    // A parser that was paused reports no bytes when it resumes; pausing it then would leave it paused at the end of its socket.
+    onResponseData (_, data) { if (!aborted && data.length > 0) sink.data(data) },
     onResponseEnd () { if (!aborted) sink.end() },
     onResponseError (_, cause) { if (!aborted) sink.fail(callFailure(controller !== undefined, cause)) }
   })
--- a/packages/engine/src/lib/plain-client.ts
+++ b/packages/engine/src/lib/plain-client.ts
@@ -5,6 +5,7 @@
 import type { AnswerHeader, AnswerSink, CallHandle } from './answer-sink.js'
 import { answerHeaders } from './headers.js'
 import { startHttpCall } from './http-call.js'
+import { connectUpstream } from './upstream-socket.js'
 
 /** A call to forward. */
 export interface PlainCall {
@@ -26,7 +27,7 @@
  * @param url - base URL of the service
  */
 export function createPlainClient (url: string): PlainClient {
-  const pool = new Pool(url, { connections: null, pipelining: 1 })
+  const pool = new Pool(url, { connect: connectUpstream, connections: null, pipelining: 1 })
   return {
     call: (call, sink) => {
       const http = startHttpCall(pool, {
