Take messages that are no answers as lost calls (sidecars)

Callers of the form with sidecars got messages with status 600 and 999 as answers, and bodies with a transfer coding other than chunks as if they were decoded: the coding's field applies to a connection and isn't forwarded.

Cause: undici's parser lets these pass, and control bytes in the reason; http-call.ts looked only for statuses below 200.

Evidence: answer-heads.feature, one run each. Before: 7 of 33 scenarios fail (600, 999, gzip, "chunked, gzip", "gzip, chunked" after its head, two control bytes in the reason). After: 33 of 33; 59 of 59 of the package. The other 19 messages were refused by undici before and are: 000, 099, 101 in three forms, 199, a status of two digits, blanks, tabs, control and 8-bit bytes in names and values, folded lines, bare LF, two lengths, length with chunks. The version HTTP/2.0 in the first line is accepted; undici doesn't report versions.

Change: the rule for heads of answers (judgeAnswerHead) decides. An invalid head ends the connection, and the call may have run.

--- a/packages/engine/src/lib/http-call.ts
+++ b/packages/engine/src/lib/http-call.ts
@@ -1,7 +1,7 @@
 /**
  * One HTTP call to an upstream; its failure states whether the call may have run.
  */
-import { failure, type Failure } from '@hazelford/core'
+import { failure, type Failure, judgeAnswerHead } from '@hazelford/core'
 import type { Dispatcher, Pool } from 'undici'
 
 /** An HTTP call to make. */
@@ -41,6 +41,10 @@
     : failure('not-run', 'cold', `The upstream accepts no connection (${cause.message}). Send the request again later.`, retryAfterRefusedConnection)
 }
 
+function namesAndValues (fields: Record<string, string | string[]>): readonly string[] {
+  return Object.entries(fields).flatMap(([name, value]) => [value].flat().flatMap(one => [name, one]))
+}
+
 /**
  * Starts a call.
  *
@@ -65,12 +69,15 @@
       controller = started
       if (aborted) started.abort(new Error('cancelled'))
     },
-    onResponseStart (started, status, headers) {
+    onResponseStart (started, status, headers, reason) {
       if (status < finalStatus) {
         if (++interimResponses > maxInterimResponses) started.abort(new Error('Too many interim responses.'))
         return
       }
-      sink.head(status, headers as Record<string, string | string[]>)
+      const fields = headers as Record<string, string | string[]>
+      const verdict = judgeAnswerHead(call.method, status, namesAndValues(fields), reason)
+      if (verdict.kind === 'invalid') return started.abort(new Error(`The message is no answer: invalid ${verdict.problem}.`))
+      sink.head(status, fields)
       if (paused) started.pause()
     },
     // A parser that was paused reports no bytes when it resumes; pausing it then would leave it paused at the end of its socket.
