Keep the record of a stream that is resumed while it is written

What callers saw: none yet; found by reading. A stream that its caller resumes at the same entry while the store carries out the write of its origin counted as written with the time of the first attempt. Its key was removed when that time was over, though the caller of the second attempt could still come back after the end of all entries.

The random orders have slow answers of the store now.

Change: a stream stays among those to be written when it was recorded for longer than the value says.

--- a/packages/direct/src/lib/relay/origin-records.ts
+++ b/packages/direct/src/lib/relay/origin-records.ts
@@ -161,6 +161,7 @@
    */
   private async _write (): Promise<Ms | undefined> {
     if (this._stopped) return undefined
+    const readAt = this._now
     const rows = this._nextRows()
     if (rows.length === 0) return undefined
     const lease = await this._leaseInUse()
@@ -177,7 +178,7 @@
     }
     this._failures = 0
     this._removable = this._removable.filter(removable => !removals.includes(removable))
-    this._written(key, rows)
+    this._written(key, rows, readAt)
     this._options.counted('written', rows.length)
     this._options.log.info('store', 'origins of streams written.', { key, streams: rows.length, bytes: value.length, versions: new Set(rows.map(({ software }) => software)).size })
     return this._unwritten.size > 0 ? this._delay : undefined
@@ -233,18 +234,17 @@
     return this._lease.id
   }
 
-  /** Handles that a value is in the store. A stream that was delivered meanwhile is over. */
-  private _written (key: string, rows: readonly OriginRow[]): void {
-    const now = this._now
+  /** Handles that a value is in the store. A stream that was delivered meanwhile is over; one that was resumed meanwhile is written again. */
+  private _written (key: string, rows: readonly OriginRow[], readAt: Ms): void {
     const streams = new Set<string>()
-    let until = now
+    let until = readAt
     for (const { request, lasts } of rows) {
       const unwritten = this._unwritten.get(request)
       if (unwritten === undefined) continue
-      this._unwritten.delete(request)
+      if (unwritten.until <= readAt + lasts) this._unwritten.delete(request)
       this._moveTo(key, request)
       streams.add(request)
-      until = Math.max(until, now + lasts)
+      until = Math.max(until, readAt + lasts)
     }
     this._keys.set(key, { streams, until })
     if (streams.size === 0) this._release(key)
--- a/packages/direct/src/test/origin-records.steps.ts
+++ b/packages/direct/src/test/origin-records.steps.ts
@@ -3,10 +3,10 @@
  */
 import assert from 'node:assert/strict'
 import { Given, type IWorld, Then, When } from '@cucumber/cucumber'
-import { FakeClock } from '@hazelford/core'
+import { FakeClock, sleep } from '@hazelford/core'
 import type { Store, StoreFailure } from '@hazelford/ports'
 import fc from 'fast-check'
-import { errAsync, okAsync } from 'neverthrow'
+import { errAsync, okAsync, ResultAsync } from 'neverthrow'
 import { PeerTable } from '../lib/peers/peer-table.js'
 import { OriginRecords } from '../lib/relay/origin-records.js'
 import { decodeOrigins, encodeOrigins, originsPrefix } from '../lib/relay/origin-values.js'
@@ -22,8 +22,11 @@
 const stepMs = 50
 const origin: StreamOrigin = { service: 'models', software: 'v1' }
 
+/** Time in ms in which a slow store answers. */
+const slowMs = 300
+
 /** What the store does with the next calls. */
-type StoreState = 'answers' | 'away' | 'loses-answers'
+type StoreState = 'answers' | 'slow' | 'away' | 'loses-answers'
 
 /** Entries that write origins to one store. */
 class Records {
@@ -77,7 +80,7 @@
     return {
       grantLease: ttl => {
         this.calls++
-        return this.state === 'answers' ? okAsync({ lease: this.sim.grant(ttl, life), ttl, era: 0 }) : errAsync(failed('unknown'))
+        return this.state === 'answers' || this.state === 'slow' ? okAsync({ lease: this.sim.grant(ttl, life), ttl, era: 0 }) : errAsync(failed('unknown'))
       },
       commit: txn => {
         this.calls++
@@ -86,7 +89,7 @@
         assert.ok(txn.puts.length + txn.removals.length <= 31)
         const outcome = this.sim.commit(txn)
         if (this.state === 'loses-answers') return errAsync(failed('unknown'))
-        return okAsync(outcome)
+        return this.state === 'slow' ? ResultAsync.fromSafePromise(sleep(this.clock, slowMs).then(() => outcome)) : okAsync(outcome)
       }
     }
   }
@@ -108,7 +111,7 @@
   fc.record({ kind: fc.constant('begin' as const), entry: entryIndex, software: fc.integer({ min: 1, max: 3 }) }),
   fc.record({ kind: fc.constant('deliver' as const), stream: fc.nat(20) }),
   fc.record({ kind: fc.constant('restart' as const), entry: entryIndex }),
-  fc.record({ kind: fc.constant('store' as const), state: fc.constantFrom<StoreState>('answers', 'away', 'loses-answers') }),
+  fc.record({ kind: fc.constant('store' as const), state: fc.constantFrom<StoreState>('answers', 'slow', 'away', 'loses-answers') }),
   fc.record({ kind: fc.constant('versions' as const), several: fc.boolean() }),
   fc.record({ kind: fc.constant('wait' as const), ms: fc.integer({ min: 0, max: 3_000 }) })
 )
@@ -204,6 +207,21 @@
   return this.world.advance(writtenMs)
 })
 
+When('a stream with 1 s begins there, and is resumed there for 12 s while the store carries out the write', async function (this: RecordsWorld) {
+  this.world.state = 'slow'
+  this.records.record('resumed', origin, 1_000)
+  await this.world.advance(300)
+  this.records.record('resumed', origin, lasts)
+  await this.world.advance(slowMs)
+  this.world.state = 'answers'
+})
+
+When(/^(\d+) streams? begins? there 3 s later$/, async function (this: RecordsWorld, count: string) {
+  await this.world.advance(3_000)
+  begin(this, Number(count), 'later')
+  await this.world.advance(writtenMs)
+})
+
 When('a second software version appears', function (this: RecordsWorld) {
   this.world.hasSeveral = true
   this.records.upstreamsChanged()
@@ -237,7 +255,7 @@
   assert.equal(this.world.calls, 0)
 })
 
-Then(/^the store has the origins of (\d+) streams? in (\d+) batch$/, function (this: RecordsWorld, streams: string, batches: string) {
+Then(/^the store has the origins of (\d+) streams? in (\d+) batch(?:es)?$/, function (this: RecordsWorld, streams: string, batches: string) {
   assert.equal(this.world.stored.size, Number(streams))
   assert.equal(this.world.batches, Number(batches))
 })
--- a/packages/direct/src/test/stream-origins.feature
+++ b/packages/direct/src/test/stream-origins.feature
@@ -51,6 +51,13 @@
     When they are delivered, and 1 more stream begins
     Then the store has the origins of 1 stream in 1 batch
 
+  Scenario: a stream that is resumed while its origin is written
+    Guards against a record that is removed too early: the time of the first attempt's caller is over, the one of the second is not.
+    Given the records of one entry, and two software versions
+    When a stream with 1 s begins there, and is resumed there for 12 s while the store carries out the write
+    And 1 stream begins there 3 s later
+    Then the store has the origins of 2 streams in 2 batches
+
   Scenario: an outage of the store
     Guards against calls without end to a store that is away, against memory that grows meanwhile, and against streams that are not in the store
     after its return.
