Don't handle requests whose callers have left

Cause: the close of a connection is read one turn of the event loop after its last request, so a request was handled before the entry knew that its caller had left.

Change: a request is handled two turns after it was read, and only if its caller has not left; a log line and a counter name it otherwise.

The scenario 'closes its connection' of caller-server.feature fails without the check and passes with it (one run each).

--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -242,10 +242,19 @@
       bodyTimeout: (host, target) => this.config.table?.match(host, target)?.timeout ?? defaultBodyTimeout,
       closing: () => this._closesConnections,
       handle: incoming => this._intake.handle(incoming),
+      callerLeft: headers => this._callerLeft(headers),
       dropped: (cause, headers) => this._requestDropped(cause, headers)
     })
   }
 
+  /** Logs and counts a request whose caller left before it was handled. */
+  private _callerLeft (headers: readonly string[]): void {
+    const { log, metrics, platform } = this._options
+    const facts = platform.codec.readCall(headers)
+    log.info('request', 'not handled, since its caller has left.', { request: facts.isOk() ? facts.value.id : undefined })
+    metrics.requests.inc({ kind: 'none', end: 'caller-gone' })
+  }
+
   /** Logs and counts a request that gets no answer although its caller has not left. */
   private _requestDropped (cause: DropCause, headers: readonly string[]): void {
     const { log, metrics, platform } = this._options
--- a/packages/direct/src/lib/relay/caller-server.ts
+++ b/packages/direct/src/lib/relay/caller-server.ts
@@ -44,6 +44,8 @@
   readonly bodyTimeout: (host: string, target: string) => Ms
   readonly closing: () => boolean
   readonly handle: (incoming: IncomingRequest) => void
+  /** Called with the headers of a request whose caller left before it was handled. */
+  readonly callerLeft: (headers: readonly string[]) => void
   /** Called with the headers of a request that gets no answer although its caller has not left. */
   readonly dropped: (cause: DropCause, headers: readonly string[]) => void
 }
@@ -209,7 +211,7 @@
   }
 
   private _handle (req: IncomingMessage, pending: PendingRequest, body: Buffer | undefined, arrivedAt: Ms, answer: CallerAnswer): void {
-    const { closing, handle } = this._options
+    const { handle, callerLeft } = this._options
     const incoming: IncomingRequest = {
       method: req.method ?? 'GET',
       host: req.headers.host ?? '',
@@ -221,9 +223,12 @@
       isGone: () => req.socket.destroyed || req.socket.readableEnded,
       onGone: run => { pending.gone = run }
     }
-    if (!closing()) return handle(incoming)
-    // Further requests in the bytes that were read are known by then, and the first answer doesn't end their connection.
-    process.nextTick(() => handle(incoming))
+    // The close of a connection is read one turn of the event loop after its last request. Further requests in the bytes
+    // that were read are known by then, too, so that the first answer of an entry that stops doesn't end their connection.
+    setImmediate(() => setImmediate(() => {
+      if (incoming.isGone()) callerLeft(req.rawHeaders)
+      else handle(incoming)
+    }))
   }
 }
 
--- a/packages/direct/src/test/caller-limits.steps.ts
+++ b/packages/direct/src/test/caller-limits.steps.ts
@@ -74,6 +74,7 @@
     bodyRefused: () => {},
     bodyTimeout: () => 1_000,
     closing: () => false,
+    callerLeft: () => {},
     dropped: () => {},
     handle: ({ answer }) => {
       this.handled++
--- a/packages/direct/src/test/caller-server.feature
+++ b/packages/direct/src/test/caller-server.feature
@@ -17,3 +17,13 @@
       | kind    |
       | whole   |
       | partial |
+
+  Scenario Outline: a caller that <what> before its request is handled
+    Guards against an entry that is behind in reading, and runs requests whose callers have left before those of callers that wait.
+    When a caller sends a request and <what>, while the process is busy
+    Then the request is <outcome>
+
+    Examples:
+      | what                  | outcome     |
+      | closes its connection | not handled |
+      | waits for its answer  | handled     |
--- a/packages/direct/src/test/caller-server.steps.ts
+++ b/packages/direct/src/test/caller-server.steps.ts
@@ -9,7 +9,10 @@
 import { BodyMemory } from '../lib/relay/body-memory.js'
 import { CallerServer, type DropCause } from '../lib/relay/caller-server.js'
 
-interface ServerWorld { server: CallerServer, socket: Socket, dropped: Array<{ cause: DropCause, headers: readonly string[] }> }
+interface ServerWorld { server: CallerServer, socket: Socket, dropped: Array<{ cause: DropCause, headers: readonly string[] }>, outcomes: string[] }
+
+/** Time for which the process is busy while a request and the close of its connection arrive. */
+const busyMs = 20
 
 const ok = { status: 200, message: 'OK', headers: [] }
 
@@ -28,6 +31,7 @@
         respond(answer)
         resolve()
       },
+      callerLeft: () => {},
       dropped: (cause, headers) => { world.dropped.push({ cause, headers }) }
     })
     world.server.listen('127.0.0.1', 0).then(() => {
@@ -74,6 +78,40 @@
   assert.deepEqual(this.dropped, [{ cause: 'connection-closed', headers: ['Host', 'h', 'X-Request', 'slow'] }])
 })
 
+When(/^a caller sends a request and (closes its connection|waits for its answer), while the process is busy$/, async function (this: ServerWorld, what: string) {
+  this.outcomes = []
+  const outcome = new Promise<void>((resolve, reject) => {
+    const record = (text: string): void => {
+      this.outcomes.push(text)
+      resolve()
+    }
+    this.server = new CallerServer({
+      clock: systemClock,
+      maxBodyBytes: () => 1_000,
+      bodyMemory: new BodyMemory(1_000),
+      bodyRefused: () => {},
+      bodyTimeout: () => 1_000,
+      closing: () => false,
+      handle: ({ answer }) => {
+        answer.whole({ ...ok, body: Buffer.alloc(1), framed: true })
+        record('handled')
+      },
+      callerLeft: () => record('not handled'),
+      dropped: () => record('dropped')
+    })
+    this.server.listen('127.0.0.1', 0).then(() => {
+      this.socket = connect((this.server.server.address() as AddressInfo).port, '127.0.0.1', () => {
+        this.socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        if (what === 'closes its connection') this.socket.destroy()
+        for (const until = performance.now() + busyMs; performance.now() < until;);
+      })
+    }, reject)
+  })
+  await outcome
+})
+
+Then(/^the request is (not handled|handled)$/, function (this: ServerWorld, outcome: string) { assert.deepEqual(this.outcomes, [outcome]) })
+
 After(function (this: ServerWorld) {
   if (this.socket === undefined || this.server === undefined) return
   this.socket.destroy()
