An answer that breaks off behind a whole one no longer cuts that one

A caller of HTTP/1.0 that sent two requests on a kept connection got a part of the first answer, although that was whole: the second answer broke off while it waited, and the connection was reset as soon as the first had been handed to the kernel. A reset discards what the caller has not received.

Cause: `CallerAnswer.break` reset the connection once the response got its socket.

Change: an answer that still waits has sent nothing, so nothing of it can look complete; it closes the connection without a reset.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -205,6 +205,14 @@
     feature: 'packages/direct/src/test/caller-server.feature',
     scenario: 'a caller of HTTP/1.0'
   },
+  {
+    guarantee: 'direct answers: an answer that breaks off while it waits behind a whole one does not cut that one',
+    file: 'packages/direct/dist/lib/relay/caller-answer.js',
+    find: 'else\n            this._res.destroy();',
+    replace: 'else if (socket === null) this._res.once(\'socket\', it => it.resetAndDestroy()); else this._res.destroy();',
+    feature: 'packages/direct/src/test/caller-server.feature',
+    scenario: 'while it waits behind a whole one'
+  },
   {
     guarantee: 'callers: an answer without chunks that breaks off at an entry with sidecars is reset',
     file: 'packages/entry/dist/lib/caller-response.js',
--- a/packages/direct/src/lib/relay/caller-answer.ts
+++ b/packages/direct/src/lib/relay/caller-answer.ts
@@ -2,7 +2,6 @@
  * Writes the single answer to a caller's request.
  */
 import type { ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import type { Ms } from '@hazelford/core'
 import type { RelayFailure, UnauthorisedCause } from '@hazelford/decisions'
 import type { AnswerHead, WholeAnswer } from './exchange.js'
@@ -161,10 +160,11 @@
   break (): void {
     this._ended = true
     this._isCut = true
-    // If the close of the connection marks the end of the answer, only a reset shows that the answer is incomplete.
-    if (!this._endsWithConnection) this._res.destroy()
-    else if (this._res.socket === null) this._res.once('socket', (socket: Socket) => socket.resetAndDestroy())
-    else this._res.socket.resetAndDestroy()
+    const { socket } = this._res
+    // If the close of the connection marks the end of the answer, only a reset shows that the answer is incomplete. Nothing was
+    // sent of one that waits behind another answer, and a reset could cut that one.
+    if (this._endsWithConnection && socket !== null) socket.resetAndDestroy()
+    else this._res.destroy()
   }
 
   /**
--- a/packages/direct/src/test/caller-server.feature
+++ b/packages/direct/src/test/caller-server.feature
@@ -27,3 +27,9 @@
       | what                  | outcome     |
       | closes its connection | not handled |
       | waits for its answer  | handled     |
+
+  Scenario: an answer that breaks off while it waits behind a whole one
+    Guards against a whole answer that is cut, since the answer behind it on the connection of a caller of HTTP/1.0 breaks off and resets it.
+    Given a caller of HTTP/1.0 that reads nothing of a whole answer of 3000000 bytes, and of one behind it that breaks off
+    When the caller reads on
+    Then it has 3000000 bytes of the first answer, and no byte of the second
