Take a write's answer that is cut short as unknown

A configuration write or a claim whose answer "true" was cut short, or that an error status answered, counted as lost to another writer ("conflict"), though the service may have stored it.

Cause: each text but "true" was read as a conflict, and an answer without a length that is cut short looks complete. An empty answer, a 403, and a body with a transfer coding that isn't decoded were taken in the same way.

Change: "stored" needs status 200 and "true", "conflict" status 200 and "false"; all else is "unknown", which makes the writer read the value back. The rule for heads of answers decides for the key-value service and the host list too. That text needs no proof of the end of its connection: no part of a complete one is another complete one.

--- a/packages/consul/src/lib/kv-client.ts
+++ b/packages/consul/src/lib/kv-client.ts
@@ -105,8 +105,14 @@
   }
 
   async function outcomeOf (method: 'PUT' | 'DELETE', path: string, body?: string): Promise<CasOutcome> {
-    const { text } = await call(method, path, { timeout }, body)
-    return text.trim() === 'true' ? 'stored' : 'conflict'
+    const { status, text } = await call(method, path, { timeout }, body)
+    if (status !== 200) throw new ServiceError(`The key-value service answered ${status}.`)
+    // Any other text may be a part of an answer that was cut short.
+    switch (text.trim()) {
+      case 'true': return 'stored'
+      case 'false': return 'conflict'
+      default: throw new ServiceError('The key-value service answered a write with neither true nor false.')
+    }
   }
 
   return {
--- a/packages/consul/src/lib/request-text.ts
+++ b/packages/consul/src/lib/request-text.ts
@@ -1,7 +1,7 @@
 /**
  * Requests whose answer is read as text, with time limits.
  */
-import { AnswerDeadline, type AnswerLimits } from '@hazelford/core'
+import { AnswerDeadline, type AnswerLimits, judgeAnswerHead } from '@hazelford/core'
 import type { Dispatcher, Pool } from 'undici'
 
 /** A complete answer. */
@@ -28,6 +28,12 @@
   const deadline = new AnswerDeadline(limits, cause => expired.abort(new Error(cause)))
   try {
     const res = await pool.request({ ...req, signal: signal === undefined ? expired.signal : AbortSignal.any([expired.signal, signal]) })
+    const fields = Object.entries(res.headers).flatMap(([name, value]) => [value ?? []].flat().flatMap(one => [name, one]))
+    const verdict = judgeAnswerHead(req.method, res.statusCode, fields)
+    if (verdict.kind === 'invalid') {
+      res.body.on('error', () => {}).destroy()
+      throw new Error(`The message is no answer: invalid ${verdict.problem}.`)
+    }
     deadline.progress()
     const chunks: Buffer[] = []
     let size = 0
