Test: an entry's answer to an operator that is cut short

No fault was found: a part of the JSON text of a view can't be parsed, and the entry is named among those without an answer.

--- a/packages/cli/src/test/entry-views.feature
+++ b/packages/cli/src/test/entry-views.feature
@@ -11,6 +11,12 @@
     When an operator asks for the upstreams at "e1"
     Then the output names "e2" and why it gives no answer
 
+  Scenario: an entry whose answer is cut short
+    Guards against an operator who takes a part of an entry's answer for all of it.
+    Given entry "e1" holds engine "i-1" and knows entry "e2", which ends its answers without a length too early
+    When an operator asks for the upstreams at "e1"
+    Then the output names "e2" as one whose answer can't be read
+
   Scenario: the entry that is asked has ended
     Given entry "e1" holds engine "i-1" and knows entry "e2", which knows it by an older load
     When an operator asks for the upstreams at an address where nothing listens, and at "e2"
--- a/packages/cli/src/test/entry-views.steps.ts
+++ b/packages/cli/src/test/entry-views.steps.ts
@@ -2,7 +2,7 @@
  * Steps that ask small servers in place of entries.
  */
 import assert from 'node:assert/strict'
-import { createServer, type Server } from 'node:http'
+import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import type { EntryAddress, OperatorView, OrganisationView, UpstreamView } from '@hazelford/core'
@@ -51,6 +51,14 @@
   await serveEntries(this, { e1: { upstreams: [engine] }, e2: undefined })
 })
 
+Given('entry "e1" holds engine "i-1" and knows entry "e2", which ends its answers without a length too early', async function (this: EntryWorld) {
+  await serveEntries(this, { e1: { upstreams: [engine] }, e2: { upstreams: [older] } })
+  this.servers.get('e2')!.removeAllListeners('request').on('request', (req: IncomingMessage) => {
+    const body = JSON.stringify(viewOf('e2', [], { upstreams: [older] }))
+    req.socket.end(`HTTP/1.1 200 OK\r\n\r\n${body.slice(0, -1)}`)
+  })
+})
+
 Given('entries "e1" and "e2" with requests of organisation "north"', async function (this: EntryWorld) {
   const north: OrganisationView = { organisation: 'north', limit: { unit: 'tokens', rate: 5_000, burst: 900 }, admitted: 30_000, refused: 700, ends: { delivered: 9, 'over-limit': 1 } }
   await serveEntries(this, { e1: { organisations: [north] }, e2: { organisations: [{ ...north, ends: { delivered: 8, 'adapter-unavailable': 4 } }] } })
@@ -76,6 +84,11 @@
   assert.match(this.shown.text, /e2 +answered 503/)
 })
 
+Then('the output names "e2" as one whose answer can\'t be read', function (this: EntryWorld) {
+  assert.match(this.shown.text, /i-1 .* 1?0\/1/)
+  assert.match(this.shown.text, /e2 .*JSON/)
+})
+
 Then('an upstream that one of two entries lists as draining is shown as draining', () => {
   const rows = upstreamRows([viewOf('e1', [], { upstreams: [engine] }), viewOf('e2', [], { upstreams: [{ ...older, state: 'draining' }] })])
   assert.equal(rows[0]?.state, 'draining')
