Keep a whole answer whose connection ends before a slow caller has read it (sidecars)

A caller that reads slowly lost an answer with a length that had arrived whole, when the upstream closed the connection in the meantime, in an orderly way too: 502 in its place, and for a booking an outcome that nobody knows.

Cause: undici's parser, paused on the last data of an answer, has not yet reported its end. The end of the socket then failed the call.

Change: a call is not paused any more once all bytes of its length have arrived, and a reset that was read as an end is reported a turn later, after the parser has read the rest. An answer in chunks whose caller is slow can still be lost to a reset, not to an orderly end.

Rows without a length are as strict as before, their connections were never kept.

--- a/packages/engine/src/lib/http-call.ts
+++ b/packages/engine/src/lib/http-call.ts
@@ -57,6 +57,7 @@
   let aborted = false
   let paused = false
   let interimResponses = 0
+  let bytesLeft = Infinity
   pool.dispatch({
     method: call.method as Dispatcher.HttpMethod,
     path: call.path,
@@ -77,16 +78,23 @@
       const fields = headers as Record<string, string | string[]>
       const verdict = judgeAnswerHead(call.method, status, namesAndValues(fields), reason)
       if (verdict.kind === 'invalid') return started.abort(new Error(`The message is no answer: invalid ${verdict.problem}.`))
+      if (verdict.framing === 'length') bytesLeft = Number(fields['content-length'])
       sink.head(status, fields)
       if (paused) started.pause()
     },
     // A parser that was paused reports no bytes when it resumes; pausing it then would leave it paused at the end of its socket.
-    onResponseData (_, data) { if (!aborted && data.length > 0) sink.data(data) },
+    onResponseData (_, data) {
+      if (aborted || data.length === 0) return
+      bytesLeft -= data.length
+      sink.data(data)
+    },
     onResponseEnd () { if (!aborted) sink.end() },
     onResponseError (_, cause) { if (!aborted) sink.fail(callFailure(controller !== undefined, cause)) }
   })
   return {
     pause: () => {
+      // All data is here; a paused parser would lose it with the connection.
+      if (bytesLeft === 0) return
       paused = true
       controller?.pause()
     },
--- a/packages/engine/src/lib/upstream-socket.ts
+++ b/packages/engine/src/lib/upstream-socket.ts
@@ -25,7 +25,8 @@
     held = 'none'
     if (end === 'none') return
     if (end === 'reset') {
-      socket.destroy(resetError())
+      // The reader parses what it has read before the error; an answer with a length may be complete by then.
+      process.nextTick(() => socket.destroy(resetError()))
       return
     }
     push(null)
--- a/packages/engine/src/test/proven-ends.feature
+++ b/packages/engine/src/test/proven-ends.feature
@@ -36,3 +36,14 @@
       | ready  | 0       | 0    | 3000000 |
       | busy   | 0       | 0    | 3000000 |
       | slow   | 0       | 0    | 3000000 |
+
+  Scenario Outline: a slow caller, an answer with a length, then <end> after <wait> ms
+    Guards against a whole answer that is refused since its connection ends before its caller has read it.
+    When 10 calls of a slow caller are answered with 1000 bytes and their length, then "<end>" after <wait> ms
+    Then all are complete with 1000 bytes
+
+    Examples:
+      | end   | wait |
+      | end   | 0    |
+      | end   | 5    |
+      | reset | 0    |
--- a/packages/engine/src/test/proven-ends.steps.ts
+++ b/packages/engine/src/test/proven-ends.steps.ts
@@ -50,20 +50,28 @@
 }
 
 When('{int} calls of a {word} caller with {int} bytes are answered with {int} bytes, then {string} after {int} ms', { timeout },
-  async function (this: EndsWorld, calls: number, caller: string, upload: number, size: number, kind: string, wait: number) {
-    const server = new Worker(new URL('./support/ending-server.js', import.meta.url))
-    const [port] = await once(server, 'message') as [number]
-    const client = createPlainClient(`http://127.0.0.1:${port}`)
-    this.close = async () => {
-      await client.close()
-      await server.terminate()
-    }
-    this.outcomes = []
-    for (let n = 0; n < calls; n++) {
-      this.outcomes.push(await makeCall(client, `/${kind}/${wait}/${size}`, upload, caller))
-    }
+  function (this: EndsWorld, calls: number, caller: string, upload: number, size: number, kind: string, wait: number) {
+    return makeCalls(this, calls, `/${kind}/${wait}/${size}`, upload, caller)
+  })
+
+When('{int} calls of a slow caller are answered with {int} bytes and their length, then {string} after {int} ms', { timeout },
+  function (this: EndsWorld, calls: number, size: number, kind: string, wait: number) {
+    return makeCalls(this, calls, `/${kind}/${wait}/${size}/length`, 0, 'slow')
   })
 
+async function makeCalls (world: EndsWorld, calls: number, path: string, upload: number, caller: string): Promise<void> {
+  const server = new Worker(new URL('./support/ending-server.js', import.meta.url))
+  const [port] = await once(server, 'message') as [number]
+  world.close = async () => { await server.terminate() }
+  world.outcomes = []
+  for (let n = 0; n < calls; n++) {
+    // A kept connection of an earlier call may end under the next one.
+    const client = createPlainClient(`http://127.0.0.1:${port}`)
+    world.outcomes.push(await makeCall(client, path, upload, caller))
+    await client.close()
+  }
+}
+
 Then('all fail as ones that may have run', function (this: EndsWorld) {
   assert.deepEqual(this.outcomes.filter(({ outcome }) => outcome !== 'may-have-run'), [])
 })
