Hold the probe of an upstream whose answer has no length; share it

Cause: one connection that opened counted as proof, and each answer opened its own.

Change: the connection of a probe has to stay open for 100 ms; one that ends is followed by a second one, which a process that is gone refuses. All that probe an address at a time share one connection. An upstream that has announced that it leaves, and is not to be removed at a set time, may close its port before it ends its answers: it is believed. The probe of the quarantine is again as it was before.

What remains: a parent that listens for its children, and a process that is started again at once, count as running. A plain answer without a length comes 100 ms later.

--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -14,9 +14,9 @@
     scenario: 'the connection of a stream without a length is reset, to a read'
   },
   {
-    guarantee: 'ends of answers: the end of an answer without a length counts only if its upstream listens',
+    guarantee: 'ends of answers: the end of an answer without a length counts only if its upstream goes on running',
     file: 'packages/direct/dist/lib/relay/exchange.js',
-    find: 'if (listens)',
+    find: 'if (isRunning)',
     replace: 'if (true)',
     feature: 'packages/direct/src/test/unproved-ends.feature',
     scenario: 'an upstream that does not listen'
--- a/packages/direct/src/lib/direct-entry.ts
+++ b/packages/direct/src/lib/direct-entry.ts
@@ -11,7 +11,7 @@
 import { CallerServer, createReadyServer, type DropCause } from './relay/caller-server.js'
 import type { CurrentConfig } from './store/current-config.js'
 import { ConfigVerifier } from './store/config-verifier.js'
-import { isListening, probeConnection } from './peers/connection-probe.js'
+import { probeConnection } from './peers/connection-probe.js'
 import { EngineCoordinator } from './engines/engine-coordinator.js'
 import { EraStore } from './store/era-store.js'
 import type { LoadRequestOutcome } from './engines/engine-holder.js'
@@ -33,6 +33,7 @@
 import type { PlatformPort } from './platform-port.js'
 import { QuarantineCoordinator } from './quarantine/quarantine-coordinator.js'
 import { BodyMemory, bodyMemoryLimit } from './relay/body-memory.js'
+import { ProcessProbes } from './relay/process-probes.js'
 import { RelayRunner } from './relay/relay-runner.js'
 import { refuseStopping, RequestIntake } from './relay/request-intake.js'
 import { type PeerService, servePeers } from './peers/serve-peers.js'
@@ -122,6 +123,7 @@
   private readonly _usage: UsageCoordinator
   private readonly _notices: NoticeCoordinator
   private readonly _origins: OriginCoordinator
+  private readonly _processProbes: ProcessProbes
   private readonly _originRecords: OriginRecords
   private readonly _relativePaces = new RelativePaces()
   private readonly _activity: OrganisationActivity
@@ -166,6 +168,7 @@
       backoffRequested: ({ id }) => this.engineCoordinator.holder(id)?.startBackoff(),
       upstreams: { all: () => this.members.all(), get: id => this.members.get(id) }
     })
+    this._processProbes = new ProcessProbes(clock)
     this._originRecords = this._createOriginRecords()
     this._origins = new OriginCoordinator({ node: settings.name, clock, log, client: this._client, entries: () => this.peers.entries, records: this._originRecords })
     this._view = new StoreView({
@@ -294,6 +297,15 @@
     return upstream.incarnation.confirm(openedAt, async () => (await this._control(upstream).report()).unwrapOr(undefined))
   }
 
+  /**
+   * Whether the process of the upstream at an address goes on running. One that leaves may close its port before it has ended
+   * its last answers; one that is to be removed at a set time may be terminated within them.
+   */
+  private async _isRunning (host: string, port: number): Promise<boolean> {
+    if (await this._processProbes.isRunning(host, port)) return true
+    return [...this.members.all()].some(({ record }) => record.host === host && record.port === port && record.state === 'draining' && record.leavesIn === undefined)
+  }
+
   /** The one software version that can have served a service since a time, as the store confirms now. */
   private async _onlySoftware (service: string, since: Ms): Promise<string | undefined> {
     const known = this.members.software.onlyVersion(service, since)
@@ -355,7 +367,7 @@
       answerMemory: new BodyMemory(bodyMemoryLimit(this._settings.memory_mb)),
       onlySoftware: (service, since) => this._onlySoftware(service, since),
       verifyIncarnation: (upstream, openedAt) => this._verifyIncarnation(upstream, openedAt),
-      listens: isListening,
+      isRunning: (host, port) => this._isRunning(host, port),
       upstreams: service => this.members.serving(service).length,
       entries: () => this.peers.entryCount,
       budgetLimits: () => budgetLimits(this._settings),
--- a/packages/direct/src/lib/peers/connection-probe.ts
+++ b/packages/direct/src/lib/peers/connection-probe.ts
@@ -13,15 +13,6 @@
  */
 export type ProbeOutcome = 'open' | 'refused' | 'silent'
 
-function outcomeOf ({ code }: NodeJS.ErrnoException): ProbeOutcome {
-  switch (code) {
-    case 'ECONNREFUSED': return 'refused'
-    // A process that has too many connections accepts this one and resets it.
-    case 'ECONNRESET': return 'open'
-    default: return 'silent'
-  }
-}
-
 /**
  * Opens a connection and closes it at once.
  *
@@ -38,20 +29,6 @@
     }
     socket.setTimeout(timeout, () => end('silent'))
     socket.once('connect', () => end('open'))
-    socket.on('error', (error: NodeJS.ErrnoException) => end(outcomeOf(error)))
+    socket.on('error', (error: NodeJS.ErrnoException) => end(error.code === 'ECONNREFUSED' ? 'refused' : 'silent'))
   })
 }
-
-/** Time for each of two probes of {@link isListening}; the first one may be lost on the way. */
-const listeningProbeTimeout: Ms = 250
-
-/**
- * Tells whether a process listens at an address.
- *
- * @param host - IPv4 number
- * @param port - to connect to
- */
-export async function isListening (host: string, port: number): Promise<boolean> {
-  const first = await probeConnection(host, port, listeningProbeTimeout)
-  return (first === 'silent' ? await probeConnection(host, port, listeningProbeTimeout) : first) === 'open'
-}
--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -177,7 +177,7 @@
   private _isProving = false
   private _framing: AnswerFraming = 'connection'
 
-  /** @param _listens - whether a process listens at the upstream's address */
+  /** @param _isRunning - whether the process of the upstream at an address goes on running */
   constructor (
     private readonly _clock: Clock,
     private readonly _codec: CallCodec,
@@ -185,7 +185,7 @@
     private readonly _call: ExchangeRequest,
     private readonly _sink: ExchangeSink,
     answerMemory: BodyMemory,
-    private readonly _listens: (host: string, port: number) => Promise<boolean>
+    private readonly _isRunning: (host: string, port: number) => Promise<boolean>
   ) {
     this._startedAt = _clock.now()
     this._reservation = new BodyReservation(answerMemory)
@@ -501,10 +501,10 @@
     if (end !== 'orderly') return this._endUnproved(end)
     this._isProving = true
     this._cancelTimer?.()
-    this._listens(this._call.host, this._call.port).then(listens => {
+    this._isRunning(this._call.host, this._call.port).then(isRunning => {
       if (this._over) return
-      if (listens) proved()
-      else this._endUnproved('not-listening')
+      if (isRunning) proved()
+      else this._endUnproved('not-running')
     }, (error: Error) => this._endAsLost(error.message, 'broke', 'unknown'))
   }
 
--- a/packages/direct/src/lib/relay/relay-runner.ts
+++ b/packages/direct/src/lib/relay/relay-runner.ts
@@ -39,8 +39,8 @@
   /** The one software version that can have served a service since a time; undefined when there may have been several. */
   readonly onlySoftware: (service: string, since: Ms) => Promise<string | undefined>
   readonly verifyIncarnation: (upstream: Upstream, openedAt: Ms) => Promise<boolean>
-  /** Whether a process listens at an address. */
-  readonly listens: (host: string, port: number) => Promise<boolean>
+  /** Whether the process of the upstream at an address goes on running. */
+  readonly isRunning: (host: string, port: number) => Promise<boolean>
   /** Number of upstreams that serve a service. */
   readonly upstreams: (service: string) => number
   /** Number of entries that are running. */
@@ -185,7 +185,7 @@
       clock,
       log,
       codec,
-      exchange: (pool, request, sink) => new Exchange(clock, codec, pool, request, sink, this._options.answerMemory, this._options.listens),
+      exchange: (pool, request, sink) => new Exchange(clock, codec, pool, request, sink, this._options.answerMemory, this._options.isRunning),
       want: requestedAdapter,
       place: query => this._place(query),
       software,
--- a/packages/direct/src/test/unproved-ends.feature
+++ b/packages/direct/src/test/unproved-ends.feature
@@ -32,7 +32,7 @@
     Examples:
       | state                       | outcome       | checks |
       | listens                     | whole         | 1      |
-      | does not listen             | not-listening | 1      |
+      | does not listen             | not-running | 1      |
       | can't be checked            | unknown       | 1      |
       | is checked for 150 ms       | whole         | 1      |
       | is checked after an abandon | none          | 1      |
--- a/packages/direct/src/test/unproved-ends.steps.ts
+++ b/packages/direct/src/test/unproved-ends.steps.ts
@@ -15,7 +15,7 @@
 type Kind = 'a stream' | 'small answer' | 'large answer' | 'paused answer'
 type RequestKind = 'a read' | 'a booking' | '5 MB upload'
 type State = 'listens' | 'does not listen' | 'can\'t be checked' | 'is checked for 150 ms' | 'is checked after an abandon' | 'is checked after an ignore'
-type Outcome = 'whole' | 'lost' | 'reset' | 'unknown' | 'not-listening' | 'none'
+type Outcome = 'whole' | 'lost' | 'reset' | 'unknown' | 'not-running' | 'none'
 
 interface EndWorld {
   workers: Worker[]
