--- a/packages/bench/src/lib/guards/entry-guards.ts
+++ b/packages/bench/src/lib/guards/entry-guards.ts
@@ -45,6 +45,22 @@
     feature: 'packages/direct/src/test/json-answers.feature',
     scenario: 'the connection of an answer without a length is reset, to a call'
   },
+  {
+    guarantee: 'ends of answers: a process that is gone while its kernel closes connections is not running',
+    file: 'packages/direct/dist/lib/relay/process-probes.js',
+    find: 'const holdTime = 100',
+    replace: 'const holdTime = 0',
+    feature: 'packages/direct/src/test/process-probes.feature',
+    scenario: 'with 1000 other connections'
+  },
+  {
+    guarantee: 'direct requests: a request whose caller has left is not handled',
+    file: 'packages/direct/dist/lib/relay/caller-server.js',
+    find: 'if (incoming.isGone())',
+    replace: 'if (false)',
+    feature: 'packages/direct/src/test/caller-server.feature',
+    scenario: 'closes its connection before its request is handled'
+  },
   {
     guarantee: 'endless answers: bytes before the head of an answer are limited',
     file: 'packages/direct/dist/lib/overhead-limit.js',
--- a/packages/direct/src/test/process-probes.steps.ts
+++ b/packages/direct/src/test/process-probes.steps.ts
@@ -2,16 +2,14 @@
  * Steps on probes of the processes of upstreams.
  */
 import assert from 'node:assert/strict'
-import { type ChildProcess, fork } from 'node:child_process'
+import { fork } from 'node:child_process'
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { systemClock } from '@hazelford/core'
 import { ProcessProbes } from '../lib/relay/process-probes.js'
 
 interface ProbeWorld {
-  upstreamProcess?: ChildProcess
   upstreamServer?: Server
-  openSockets: Socket[]
   port: number
   /** Connections that the upstream got. */
   accepted: number
@@ -19,6 +17,7 @@
 }
 
 const loopback = '127.0.0.1'
+const killsTimeoutMs = 30_000
 
 function open (port: number): Promise<Socket> {
   return new Promise((resolve, reject) => {
@@ -27,29 +26,33 @@
   })
 }
 
-Given('an upstream process to which {int} other connections are open', async function (this: ProbeWorld, others: number) {
+/** Starts an upstream process, and ends with it when it has been killed within an answer; returns whether it counts as running then. */
+async function isRunningAfterKill (others: number): Promise<boolean> {
   const child = fork(new URL('support/killed-upstream.js', import.meta.url))
-  this.upstreamProcess = child
-  this.port = await new Promise<number>(resolve => child.once('message', port => resolve(port as number)))
-  this.openSockets = []
-  for (let n = 0; n < others; n++) {
-    const socket = await open(this.port)
-    socket.on('error', () => {})
-    this.openSockets.push(socket)
+  const sockets: Socket[] = []
+  try {
+    const port = await new Promise<number>(resolve => child.once('message', message => resolve(message as number)))
+    for (let n = 0; n <= others; n++) {
+      const socket = await open(port)
+      socket.on('error', () => {})
+      sockets.push(socket)
+    }
+    const answered = sockets.at(-1)!
+    const ended = new Promise<void>(resolve => { answered.once('close', () => resolve()).once('end', resolve) })
+    answered.resume()
+    answered.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    await ended
+    return await new ProcessProbes(systemClock).isRunning(loopback, port)
+  } finally {
+    child.kill('SIGKILL')
+    for (const socket of sockets) socket.destroy()
   }
-})
+}
 
-When('it is killed within an answer, and is probed at the end of the answer\'s connection', async function (this: ProbeWorld) {
-  const socket = await open(this.port)
-  this.openSockets.push(socket)
-  const ended = new Promise<void>(resolve => {
-    socket.once('end', resolve)
-    socket.once('error', () => resolve())
-  })
-  socket.resume()
-  socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
-  await ended
-  this.results = [await new ProcessProbes(systemClock).isRunning(loopback, this.port)]
+When('{int} upstream processes with {int} other connections each are killed in turn within an answer, and probed at the end of its connection', { timeout: killsTimeoutMs }, async function (this: ProbeWorld, processes: number, others: number) {
+  const results: boolean[] = []
+  for (let n = 0; n < processes; n++) results.push(await isRunningAfterKill(others))
+  this.results = results
 })
 
 Given(/^an upstream that (runs|resets the connections that it opens|listens no more)$/, async function (this: ProbeWorld, what: string) {
@@ -70,7 +73,7 @@
   this.results = await Promise.all(Array.from({ length: times }, () => probes.isRunning(loopback, this.port)))
 })
 
-Then('it counts as not running', function (this: ProbeWorld) { assert.deepEqual(this.results, [false]) })
+Then('each of them counts as not running', function (this: ProbeWorld) { assert.deepEqual(this.results, this.results.map(() => false)) })
 
 Then(/^it counts as (running|not running) each time, and got at most (\d+) connections$/, function (this: ProbeWorld, result: string, most: string) {
   assert.ok(this.results.every(isRunning => isRunning === (result === 'running')), String(this.results.filter(Boolean).length))
@@ -78,7 +81,5 @@
 })
 
 After(function (this: Partial<ProbeWorld>) {
-  this.upstreamProcess?.kill('SIGKILL')
   this.upstreamServer?.close()
-  for (const socket of this.openSockets ?? []) socket.destroy()
 })
