--- a/packages/direct/src/lib/relay/exchange.ts
+++ b/packages/direct/src/lib/relay/exchange.ts
@@ -25,7 +25,7 @@
   readonly headers: string[]
   /**
    * Whether the answer declares where it ends. One that ends with its connection may have been cut short by a server
-   * that crashed and was restarted at once.
+   * that crashed, if another process listens at its address.
    */
   readonly framed: boolean
 }
