--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -17,6 +17,8 @@
 export const model = 'daka510000'
 const key = 'asnmgkcuyj8pjbvk9m68'
 const pingMs = 1_200
+/** Longest time that a case may take. */
+const longestMs = 118_000
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms))
 
@@ -55,6 +57,17 @@
   folder = mkdtempSync(join(tmpdir(), 'review-'))
   requests = 0
 
+  /** Ends all processes when this one is ended, or takes too long. */
+  constructor () {
+    const abort = () => {
+      for (const child of this.children) child.kill('SIGKILL')
+      process.exit(2)
+    }
+    process.once('SIGTERM', abort)
+    process.once('SIGINT', abort)
+    setTimeout(abort, longestMs).unref()
+  }
+
   note (text) { this.lines.push(`${((performance.now() - this.startedAt) / 1_000).toFixed(3)} ${text}`) }
 
   async start ({ entries, engines, server, routes }) {
@@ -187,10 +200,16 @@
     const id = (++this.requests).toString(16).padStart(16, '0')
     const result = { id, status: 0, isComplete: false, text: '', pieces: [] }
     return new Promise(resolve => {
+      let isOver = false
       const end = how => {
         clearTimeout(idle)
-        resolve({ ...result, how, pieces: [...result.text.matchAll(/^id: (\d+)\n.*\n\n/gm)].map(match => Number(match[1])) })
+        if (isOver) return
+        isOver = true
+        const pieces = [...result.text.matchAll(/^id: (\d+)\n.*\n\n/gm)].map(match => Number(match[1]))
+        this.note(`caller of ${id}: ${result.status}, ${how}, ${pieces.length} pieces`)
+        resolve({ ...result, how, pieces })
       }
+      this.note(`request ${id} sent to ${entry.name}`)
       const req = request({ host: '127.0.0.1', port: entry.callers, method: 'POST', path, agent: false, headers: { Host: host, 'Hazelford-Request-Id': id, 'Hazelford-Model': model, 'Hazelford-Token-Usage': '628,290', 'Hazelford-Prompt-Prefix': `aa01:119,${id}:509`, 'Hazelford-Deadline-Ms': String(deadlineMs), Authorization: `Bearer ${key}`, ...headers } })
       let idle
       const wait = () => {
