--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -172,6 +172,10 @@
           this.runs.set(message.request, [...known, message])
           this.note(`run ${message.request} at ${message.server}, ${message.events} pieces${message.isUnframed ? ', without a length' : ''}`)
         }
+        if (message.kind === 'ended') {
+          const run = this.runs.get(message.request)?.findLast(({ server }) => server === message.server)
+          if (run !== undefined) run.endedAt = message.at
+        }
         if (message.kind === 'order') {
           this.orders.push(message)
           this.note(`order ${message.op} ${message.adapter} at ${message.server} by ${message.holder}, fence ${message.fence}, expects ${message.expected}, had accepted ${message.accepted}`)
--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -6,7 +6,9 @@
  */
 import { createServer } from 'node:http'
 
-const { id, model, events, eventMs, unframedEvery, port, slots } = JSON.parse(process.argv[2])
+const { id, model, events, eventMs, unframedEvery, port, slots, prefillMs = 0, preemptEvery = 0, preemptMs = 0 } = JSON.parse(process.argv[2])
+/** By how much it works slower. */
+let slowness = 1
 const born = Date.now()
 const tell = message => { if (process.connected) process.send(message) }
 const adapters = new Map()
@@ -52,26 +54,39 @@
 }
 
 function stream (req, res, request) {
-  const isUnframed = unframedEvery > 0 && ++answers % unframedEvery === 0
-  tell({ kind: 'run', request, server: id, events, isUnframed, headers: req.headers })
+  answers++
+  const isUnframed = unframedEvery > 0 && answers % unframedEvery === 0
+  const isPreempted = preemptEvery > 0 && answers % preemptEvery === 0
   running++
   if (isUnframed) {
     res.useChunkedEncodingByDefault = false
     res.shouldKeepAlive = false
   }
-  res.writeHead(200, { 'Content-Type': 'text/event-stream', 'Hazelford-Request-Id': request, 'Hazelford-Response-Seal': `seal-${id}-${request}`, 'Hazelford-Weight-Versions': '1' })
-  let sent = 0
-  const timer = setInterval(() => {
+  let timer
+  let sent = Number(req.headers['last-event-id'] ?? 0)
+  const preemptAt = sent + 5
+  const after = (ms, run) => { timer = setTimeout(run, ms * slowness) }
+  const write = () => {
     sent++
     res.write(`id: ${sent}\ndata: piece ${sent} of ${events} of ${request}\n\n`)
-    if (sent < events) return
-    clearInterval(timer)
+    if (sent < events) {
+      // It is preempted, and its prompt is read again.
+      if (isPreempted && sent === preemptAt) timer = setTimeout(write, preemptMs)
+      else after(eventMs, write)
+      return
+    }
     tell({ kind: 'sent', request, server: id })
     res.end()
-  }, eventMs)
+  }
+  after(prefillMs, () => {
+    tell({ kind: 'run', request, server: id, events, isUnframed, from: sent + 1, at: Date.now() })
+    res.writeHead(200, { 'Content-Type': 'text/event-stream', 'Hazelford-Request-Id': request, 'Hazelford-Response-Seal': `seal-${id}-${request}`, 'Hazelford-Weight-Versions': '1' })
+    after(eventMs, write)
+  })
   res.on('close', () => {
-    clearInterval(timer)
+    clearTimeout(timer)
     running--
+    tell({ kind: 'ended', request, server: id, at: Date.now(), sent })
   })
 }
 
@@ -102,6 +117,7 @@
     beat()
   }
   if (message === 'exit') process.exit(0)
+  if (message.slowness !== undefined) slowness = message.slowness
 })
 process.on('disconnect', () => process.exit(0))
 server.listen(port, '127.0.0.1', () => {
